Add in-memory models of the platform and its workers

The models implement the platform's traits, follow the kernel's clock and fail as told, singly for each caller. A worker logs what it saw; witness checks judge that log for capacity, doubled work and repeated requests.

--- /dev/null
+++ b/crates/dotterel-standin/src/store.rs
@@ -0,0 +1,96 @@
+//! An object store in memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterel_kernel::Clock;
+use dotterel_platform::{CallError, ObjectStore};
+
+use crate::faults::Faults;
+use crate::gate::{Gate, lock};
+
+type Objects = BTreeMap<CompactString, Bytes>;
+
+/// An [`ObjectStore`] in memory.
+#[derive(Clone, Debug)]
+pub struct FakeStore {
+    gate: Gate,
+    objects: Arc<Mutex<Objects>>,
+}
+
+impl FakeStore {
+    /// Returns an empty store.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            gate: Gate::new(clock),
+            objects: Arc::default(),
+        }
+    }
+
+    /// Returns a handle for a named caller, to whom faults may apply alone.
+    #[must_use]
+    pub fn of(&self, caller: &str) -> Self {
+        Self {
+            gate: self.gate.of(caller),
+            objects: self.objects.clone(),
+        }
+    }
+
+    /// Returns the present faults.
+    #[must_use]
+    pub fn faults(&self) -> Faults {
+        self.gate.faults()
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
+        self.gate.set(change);
+    }
+}
+
+fn list(objects: &Objects, prefix: &str, after: &str, limit: usize) -> Vec<CompactString> {
+    objects
+        .range::<str, _>((Bound::Included(prefix.max(after)), Bound::Unbounded))
+        .map(|(name, _)| name)
+        .filter(|name| name.as_str() > after)
+        .take_while(|name| name.starts_with(prefix))
+        .take(limit)
+        .cloned()
+        .collect()
+}
+
+#[async_trait]
+impl ObjectStore for FakeStore {
+    async fn put(&self, name: &str, value: Bytes) -> Result<(), CallError> {
+        let (objects, name) = (self.objects.clone(), CompactString::from(name));
+        let write = move || {
+            lock(&objects).insert(name, value);
+        };
+        self.gate.call(write).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, CallError> {
+        let (objects, name) = (self.objects.clone(), CompactString::from(name));
+        self.gate
+            .call(move || lock(&objects).get(&name).cloned())
+            .await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<CompactString>, CallError> {
+        let objects = self.objects.clone();
+        let (prefix, after) = (CompactString::from(prefix), CompactString::from(after));
+        self.gate
+            .call(move || list(&lock(&objects), &prefix, &after, limit))
+            .await
+    }
+}
--- /dev/null
+++ b/crates/dotterel-standin/tests/worker.rs
@@ -0,0 +1,354 @@
+//! The worker model keeps the rules of `dotterel_platform::upstream`.
+
+use bytes::Bytes;
+use dotterel_kernel::{Clock, Epoch, Incarnation, JobId, Millis, Size, TaskId};
+use dotterel_platform::{
+    Acquire, CallError, Grant, LeaseAnswer, Owner, Pressure, Refusal, Renew, Renewed, Start,
+    Started, StopAnswer, TaskState, Upstream,
+};
+use dotterel_standin::{FakeWorker, witness};
+
+const TTL: Millis = Millis(3000);
+const TASK_TTL: Millis = Millis(10_000);
+
+fn owner(node: &str) -> Owner {
+    Owner {
+        node: node.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn slots(count: u32) -> Size {
+    Size {
+        slots: count,
+        ..Size::ZERO
+    }
+}
+
+fn worker() -> FakeWorker {
+    let clock = Clock::starting_at(Millis(1_000_000));
+    FakeWorker::new("w1".into(), slots(2), clock)
+}
+
+async fn ask(worker: &FakeWorker, node: &str) -> LeaseAnswer {
+    let ask = Acquire {
+        owner: owner(node),
+        ttl: TTL,
+    };
+    worker.acquire(&ask).await.expect("no fault is set")
+}
+
+async fn grant(worker: &FakeWorker, node: &str) -> Grant {
+    match ask(worker, node).await {
+        LeaseAnswer::Granted(grant) => grant,
+        held @ LeaseAnswer::Held { .. } => panic!("{held:?}"),
+    }
+}
+
+fn start(epoch: Epoch) -> Start {
+    Start {
+        epoch,
+        task: TaskId::mint(),
+        request: None,
+        job: None,
+        service: "quotes".into(),
+        class: "roof".into(),
+        size: slots(1),
+        task_ttl: TASK_TTL,
+        timeout: Millis::secs(3600),
+    }
+}
+
+fn body(run_ms: u64) -> Bytes {
+    format!("{{\"run_ms\":{run_ms}}}").into()
+}
+
+fn renewal(epoch: Epoch, tasks: &[TaskId], forget: &[TaskId]) -> Renew {
+    Renew {
+        epoch,
+        ttl: TTL,
+        tasks: tasks.to_vec(),
+        task_ttl: TASK_TTL,
+        forget: forget.to_vec(),
+    }
+}
+
+async fn pass(span: Millis) {
+    tokio::time::advance(span.duration()).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_run_answers_with_its_body() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+
+    let outcome = worker.run(&start(epoch), body(40)).await;
+
+    let Ok(Started::Finished(answer)) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!((answer.status, answer.body), (200, body(40)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_has_one_holder_until_it_lapses() {
+    let worker = worker();
+    let first = grant(&worker, "a").await;
+
+    let early = ask(&worker, "b").await;
+    pass(TTL).await;
+    let late = grant(&worker, "b").await;
+
+    let left = TTL;
+    let by = owner("a");
+    assert_eq!(early, LeaseAnswer::Held { by, left });
+    assert!(late.epoch > first.epoch);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stale_epoch_is_refused() {
+    let worker = worker();
+    let old = grant(&worker, "a").await.epoch;
+    pass(TTL).await;
+    let newest = grant(&worker, "b").await.epoch;
+
+    let launched = worker.launch(&start(old), body(1)).await;
+    let renewed = worker.renew(&renewal(old, &[], &[])).await;
+    let pressed = worker.press(old, TaskId::mint(), Pressure::Throttle).await;
+
+    let refusal = Refusal::StaleEpoch { newest };
+    assert_eq!(launched, Ok(Started::Refused(refusal)));
+    assert_eq!(renewed, Ok(Renewed::Lost { newest }));
+    assert!(matches!(pressed, Err(CallError::Unavailable(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lapsed_lease_starts_nothing_even_without_a_successor() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    pass(TTL).await;
+
+    let launched = worker.launch(&start(epoch), body(1)).await;
+
+    let refusal = Refusal::StaleEpoch { newest: epoch };
+    assert_eq!(launched, Ok(Started::Refused(refusal)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_worker_refuses() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    for _ in 0..2 {
+        let launched = worker.launch(&start(epoch), body(5000)).await;
+        assert_eq!(launched, Ok(Started::Accepted));
+    }
+
+    let third = worker.launch(&start(epoch), body(5000)).await;
+
+    assert_eq!(third, Ok(Started::Refused(Refusal::Full)));
+    assert_eq!(witness::over_capacity(&[worker]), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_barred_task_never_starts() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let start = start(epoch);
+
+    let stopped = worker.stop(start.task).await;
+    let launched = worker.launch(&start, body(1)).await;
+
+    assert_eq!(stopped, Ok(StopAnswer::Barred));
+    assert_eq!(launched, Ok(Started::Refused(Refusal::Stopped)));
+    assert_eq!(worker.state(start.task).await, Ok(TaskState::Barred));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_seen_task_never_starts_again() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let start = start(epoch);
+    let first = worker.run(&start, body(5)).await;
+    let renewed = worker.renew(&renewal(epoch, &[], &[start.task])).await;
+
+    let again = worker.launch(&start, body(5)).await;
+    pass(TTL).await;
+    let stale = worker.launch(&start, body(5)).await;
+
+    assert!(matches!(first, Ok(Started::Finished(_))));
+    assert!(matches!(renewed, Ok(Renewed::Done(_))));
+    assert_eq!(again, Ok(Started::Refused(Refusal::Seen)));
+    assert_eq!(stale, Ok(Started::Refused(Refusal::Seen)));
+    assert_eq!(worker.stop(start.task).await, Ok(StopAnswer::Cut));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_stops_when_its_lease_lapses() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let (kept, left) = (start(epoch), start(epoch));
+    for start in [&kept, &left] {
+        worker
+            .launch(start, body(60_000))
+            .await
+            .expect("no fault is set");
+    }
+    pass(TTL - Millis(1)).await;
+    worker
+        .renew(&renewal(epoch, &[kept.task], &[]))
+        .await
+        .expect("no fault is set");
+
+    pass(TASK_TTL - TTL + Millis(1)).await;
+
+    assert_eq!(worker.state(kept.task).await, Ok(TaskState::Running));
+    assert_eq!(worker.state(left.task).await, Ok(TaskState::Cut));
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_the_heir_follows_a_release() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    worker
+        .release(epoch, Some(&"b".into()))
+        .await
+        .expect("no fault is set");
+
+    let other = ask(&worker, "c").await;
+    let heir = ask(&worker, "b").await;
+
+    assert!(matches!(other, LeaseAnswer::Held { by, .. } if by.node.as_str() == "b"));
+    assert!(matches!(heir, LeaseAnswer::Granted(_)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_grant_lists_what_runs() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let start = start(epoch);
+    worker
+        .launch(&start, body(60_000))
+        .await
+        .expect("no fault is set");
+    pass(TTL).await;
+
+    let next = grant(&worker, "b").await;
+
+    let listed: Vec<_> = next.running.iter().map(|r| (r.task, r.age)).collect();
+    assert_eq!(listed, [(start.task, TTL)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn epochs_grow_over_a_restart() {
+    let worker = worker();
+    let first = grant(&worker, "a").await;
+    let start = start(first.epoch);
+    worker
+        .launch(&start, body(60_000))
+        .await
+        .expect("no fault is set");
+
+    worker.restart();
+    let next = grant(&worker, "b").await;
+
+    assert!(next.epoch > first.epoch);
+    assert_eq!(next.running, []);
+    assert_eq!(worker.state(start.task).await, Ok(TaskState::Cut));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_start_meets_the_new_epoch() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    worker.set_faults(|faults| faults.delay = TTL + Millis(1));
+    let start = start(epoch);
+
+    let given_up =
+        tokio::time::timeout(Millis(10).duration(), worker.launch(&start, body(1))).await;
+    worker.set_faults(|faults| faults.delay = Millis::ZERO);
+    pass(TTL).await;
+    grant(&worker, "b").await;
+    tokio::time::sleep(Millis(10).duration()).await;
+
+    assert!(given_up.is_err());
+    assert_eq!(worker.state(start.task).await, Ok(TaskState::Unseen));
+    assert_eq!(witness::runs(&[worker]), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_leaves_the_effect() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    worker.set_faults(|faults| faults.lose_answers = 1);
+    let start = start(epoch);
+
+    let launched = worker.launch(&start, body(60_000)).await;
+
+    assert!(matches!(launched, Err(CallError::Unknown(_))));
+    assert_eq!(worker.state(start.task).await, Ok(TaskState::Running));
+}
+
+#[tokio::test(start_paused = true)]
+async fn faults_strike_one_caller_alone() {
+    let worker = worker();
+    worker.set_faults(|faults| faults.cut.push("a".into()));
+    let ask = Acquire {
+        owner: owner("a"),
+        ttl: TTL,
+    };
+
+    let cut = worker.of("a").acquire(&ask).await;
+    let other = worker.of("b").acquire(&ask).await;
+
+    assert!(matches!(cut, Err(CallError::NotSent(_))));
+    assert!(matches!(other, Ok(LeaseAnswer::Granted(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_checkpointed_task_resumes() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let job = Some(JobId::mint());
+    let (first, second) = (start(epoch), start(epoch));
+    let [first, second] = [first, second].map(|start| Start { job, ..start });
+    worker
+        .launch(&first, body(2500))
+        .await
+        .expect("no fault is set");
+    pass(Millis(2000)).await;
+
+    worker
+        .press(epoch, first.task, Pressure::Checkpoint)
+        .await
+        .expect("the lease is held");
+    worker
+        .launch(&second, body(2500))
+        .await
+        .expect("no fault is set");
+    pass(Millis(500)).await;
+
+    assert_eq!(worker.state(first.task).await, Ok(TaskState::Cut));
+    let state = worker.state(second.task).await;
+    assert!(matches!(state, Ok(TaskState::Finished(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_witness_finds_work_in_two_places() {
+    let workers = [worker(), worker()];
+    let request = Some(dotterel_kernel::RequestId::mint());
+    for worker in &workers {
+        let epoch = grant(worker, "a").await.epoch;
+        let start = Start {
+            request,
+            ..start(epoch)
+        };
+        worker
+            .launch(&start, body(60_000))
+            .await
+            .expect("no fault is set");
+    }
+
+    assert_eq!(witness::two_places(&workers).len(), 1);
+    let unrepeatable: Vec<_> = request.into_iter().collect();
+    assert_eq!(witness::repeated(&workers, &unrepeatable).len(), 1);
+}
