--- /dev/null
+++ b/crates/dotterelctl/src/command.rs
@@ -0,0 +1,43 @@
+//! The commands, one module each.
+
+pub mod account;
+pub mod apply;
+pub mod get;
+pub mod status;
+pub mod validate;
+pub mod why;
+
+use serde::Serialize;
+
+use crate::args::{Args, Command};
+use crate::client::Client;
+use crate::exit::Exit;
+
+/// Runs the command and returns what it prints.
+///
+/// # Errors
+///
+/// Returns the reason and exit code of a command that did not succeed.
+pub async fn run(client: &Client, args: &Args) -> Result<String, Exit> {
+    match &args.command {
+        Command::Apply { file, expect } => apply::run(client, file, *expect, args.json).await,
+        Command::Validate { file } => validate::run(file, args.json),
+        Command::Get { service } => get::run(client, service).await,
+        Command::Account { service, hours } => {
+            account::run(client, service.as_deref(), *hours, args.json).await
+        }
+        Command::Why { request } => why::run(client, request, args.json).await,
+        Command::Status => status::run(client, args.json).await,
+    }
+}
+
+fn json_text<T: Serialize>(value: &T) -> Result<String, Exit> {
+    let text = serde_json::to_string_pretty(value);
+    text.map(|text| text + "\n")
+        .map_err(|fault| Exit::Unreachable(fault.to_string()))
+}
+
+fn read_file(path: &std::path::Path) -> Result<String, Exit> {
+    std::fs::read_to_string(path)
+        .map_err(|fault| Exit::Usage(format!("{}: {fault}", path.display())))
+}
--- /dev/null
+++ b/crates/dotterelctl/src/command/validate.rs
@@ -0,0 +1,36 @@
+//! `validate`: checks a document without a node.
+
+use std::path::Path;
+
+use dotterel_kernel::Document;
+
+use crate::command::{json_text, read_file};
+use crate::exit::Exit;
+
+/// Checks the document in a file.
+///
+/// # Errors
+///
+/// Returns [`Exit::Usage`] with the faulty field, its value and what is allowed.
+pub fn run(file: &Path, json: bool) -> Result<String, Exit> {
+    let document = parse(file, &read_file(file)?)?;
+    if json {
+        return json_text(&document);
+    }
+    Ok(format!(
+        "{}: service {}, team {}, {} classes: valid\n",
+        file.display(),
+        document.service,
+        document.team,
+        document.classes.len()
+    ))
+}
+
+/// Parses a document, naming its file in the error.
+///
+/// # Errors
+///
+/// Returns [`Exit::Usage`] with the faulty field, its value and what is allowed.
+pub fn parse(file: &Path, text: &str) -> Result<Document, Exit> {
+    Document::parse(text).map_err(|fault| Exit::Usage(format!("{}: {fault}", file.display())))
+}
--- a/crates/dotterelctl/src/main.rs
+++ b/crates/dotterelctl/src/main.rs
@@ -1,3 +1,22 @@
-//! The operators' command line.
+//! Entry point of the operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use dotterelctl::{Args, Client, command};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let client = Client::new(&args.entry, args.timeout_ms);
+    match command::run(&client, &args).await {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(exit) => {
+            eprintln!("dotterelctl: {exit}");
+            exit.code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelctl/src/table.rs
@@ -0,0 +1,48 @@
+//! Text tables with aligned columns.
+
+use std::fmt;
+
+/// A table under construction.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Starts a table with its column heads.
+    #[must_use]
+    pub fn new(heads: &[&str]) -> Self {
+        Self {
+            rows: vec![heads.iter().map(|head| (*head).to_owned()).collect()],
+        }
+    }
+
+    /// Appends a row.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        (0..columns).map(width).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in &self.rows {
+            let cells = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, width)| format!("{cell:<width$}"));
+            let line = cells.collect::<Vec<_>>().join("  ");
+            writeln!(f, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
