--- a/crates/dotterel-kernel/tests/document.rs
+++ b/crates/dotterel-kernel/tests/document.rs
@@ -91,3 +91,15 @@
         .tests(500)
         .quickcheck(accepted_or_named as fn(u64) -> bool);
 }
+
+#[test]
+fn the_sample_documents_are_valid() {
+    let samples = [
+        include_str!("../../../docs/samples/quotes.toml"),
+        include_str!("../../../docs/samples/booking.toml"),
+    ];
+
+    let checked = samples.map(Document::parse);
+
+    assert!(checked.iter().all(Result::is_ok), "{checked:?}");
+}
