Let a quota exceed one task's limits

Cause: a quota was checked against the limit of one task, so that a cell of 48 VMs of 32 cores could not state its own size. The sample document found it. Change: quotas have a limit of their own. Before: the sample is refused with `quota.cores`; after: both samples are valid.

--- a/crates/dotterel-kernel/src/document/raw.rs
+++ b/crates/dotterel-kernel/src/document/raw.rs
@@ -11,8 +11,9 @@
 const NAME_LIMIT: usize = 64;
 const CLASS_LIMIT: usize = 64;
 const TASK_LIMIT: u32 = 4096;
-const CORE_LIMIT: f64 = 1024.0;
-const MEMORY_LIMIT_MB: u32 = 16 << 20;
+const TASK_CORE_LIMIT: u32 = 1024;
+const TASK_MEMORY_LIMIT_MB: u32 = 16 << 20;
+const QUOTA_CORE_LIMIT: u32 = 1 << 20;
 const START_DEFAULT_MS: u64 = 10_000;
 const TIMEOUT_DEFAULT_MS: u64 = 60_000;
 const KEY_WINDOW_DEFAULT_MS: u64 = 24 * 3_600_000;
@@ -144,16 +145,21 @@
     Ok(())
 }
 
-fn check_cores(field: CompactString, cores: f64) -> Result<u32, DocumentError> {
-    if !cores.is_finite() || !(0.0..=CORE_LIMIT).contains(&cores) {
-        return Err(DocumentError::new(field, cores, "0 to 1024 cores"));
+fn check_cores(field: CompactString, cores: f64, most: u32) -> Result<u32, DocumentError> {
+    if !cores.is_finite() || !(0.0..=f64::from(most)).contains(&cores) {
+        return Err(DocumentError::new(
+            field,
+            cores,
+            format_compact!("0 to {most} cores"),
+        ));
     }
     Ok((cores * 1000.0).round() as u32)
 }
 
 fn check_memory(field: CompactString, memory_mb: u32) -> Result<u32, DocumentError> {
-    if memory_mb > MEMORY_LIMIT_MB {
-        return Err(DocumentError::new(field, memory_mb, "at most 16777216 MB"));
+    if memory_mb > TASK_MEMORY_LIMIT_MB {
+        let allowed = format_compact!("at most {TASK_MEMORY_LIMIT_MB} MB");
+        return Err(DocumentError::new(field, memory_mb, allowed));
     }
     Ok(memory_mb)
 }
@@ -167,8 +173,8 @@
 
 fn check_quota(raw: &RawQuota) -> Result<Size, DocumentError> {
     Ok(Size {
-        milli_cores: check_cores("quota.cores".into(), raw.cores)?,
-        memory_mb: check_memory("quota.memory_mb".into(), raw.memory_mb)?,
+        milli_cores: check_cores("quota.cores".into(), raw.cores, QUOTA_CORE_LIMIT)?,
+        memory_mb: raw.memory_mb,
         accelerators: raw.accelerators,
         slots: raw.tasks,
         connections: u32::MAX,
@@ -210,7 +216,7 @@
         )?,
         typical: check_span(field("typical_ms"), raw.typical_ms)?,
         size: Size {
-            milli_cores: check_cores(field("size.cores"), raw.size.cores)?,
+            milli_cores: check_cores(field("size.cores"), raw.size.cores, TASK_CORE_LIMIT)?,
             memory_mb: check_memory(field("size.memory_mb"), raw.size.memory_mb)?,
             accelerators: raw.size.accelerators,
             slots: 1,
