Add worker lease, keeper, membership, dispatch and limits

The typestate lease counts its end from before the call was sent and hands out permits, the only source of an epoch for a start. One keeper task per VM holds it; dispatch turns lost answers into proven outcomes where the VM can be asked. No tests yet.

--- /dev/null
+++ b/crates/dotterel-coord/src/keeper.rs
@@ -0,0 +1,249 @@
+//! Keeps the worker lease of one VM.
+//!
+//! A [`Keeper`] is one task per VM: it acquires the lease while it is wanted, renews it together
+//! with the leases of the tasks there, and gives it back, to an heir if one is named. What it
+//! learns goes to its embedder through [`Holder`].
+
+use std::sync::Arc;
+
+use dotterel_kernel::{Clock, Millis, NodeId, TaskId, VmId};
+use dotterel_platform::{Grant, Granted, Owner, Upstream};
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::lease::{Held, Permit, Renewal, Sought, Terms, WorkerLease};
+
+/// How often a lease held by another is asked for, in milliseconds.
+const SEEK_MS: u64 = 300;
+
+/// The shortest time between two calls that bring nothing, in milliseconds.
+const RETRY_MS: u64 = 50;
+
+/// What the embedder wants of a VM's lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// Hold it.
+    Hold,
+    /// Give it to this node.
+    GiveTo(NodeId),
+    /// Give it back to nobody in particular.
+    Drop,
+}
+
+/// The tasks that a renewal names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Tasks that go on running.
+    pub renew: Vec<TaskId>,
+    /// Ended tasks whose outcome is recorded elsewhere.
+    ///
+    /// Only the node that dispatched a task may forget it, because a VM cannot tell a forgotten
+    /// task from one that never came.
+    pub forget: Vec<TaskId>,
+}
+
+/// What a [`Keeper`] tells its embedder and asks of it; no call may block.
+pub trait Holder: Send + Sync {
+    /// The VM granted the lease.
+    ///
+    /// The running tasks count against the capacity before anything new starts. Without a permit
+    /// nothing new may start.
+    fn granted(&self, grant: &Grant, permit: Option<Permit>);
+
+    /// The VM renewed the lease; the permit replaces the earlier one.
+    ///
+    /// Without a permit nothing new may start, because the VM leaves or the answer came too late.
+    fn renewed(&self, vm: &VmId, granted: &Granted, permit: Option<Permit>);
+
+    /// The lease is over, by lapse or by wish; nothing new may start.
+    ///
+    /// Tasks go on under their own leases, and open calls still bring their answers.
+    fn lost(&self, vm: &VmId);
+
+    /// Returns the tasks that the next renewal names.
+    fn tasks(&self, vm: &VmId) -> Batch;
+}
+
+/// Keeps the worker lease of one VM.
+pub struct Keeper {
+    vm: VmId,
+    owner: Owner,
+    terms: Terms,
+    clock: Clock,
+    upstream: Arc<dyn Upstream>,
+    holder: Arc<dyn Holder>,
+    attempts: u64,
+}
+
+impl Keeper {
+    /// Returns a keeper that does nothing until it runs.
+    #[must_use]
+    pub fn new(
+        vm: VmId,
+        owner: Owner,
+        upstream: Arc<dyn Upstream>,
+        holder: Arc<dyn Holder>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            vm,
+            owner,
+            terms: Terms::default(),
+            clock,
+            upstream,
+            holder,
+            attempts: 0,
+        }
+    }
+
+    /// Sets how long leases last.
+    #[must_use]
+    pub const fn terms(mut self, terms: Terms) -> Self {
+        self.terms = terms;
+        self
+    }
+
+    /// Follows the wish until its sender is gone, then gives the lease back.
+    pub async fn run(mut self, mut wish: watch::Receiver<Wish>) {
+        while wanted(&mut wish).await {
+            let Some(lease) = self.seek(&mut wish).await else {
+                continue;
+            };
+            self.hold(lease, &mut wish).await;
+        }
+    }
+
+    /// Asks for the lease until it is granted or no longer wanted.
+    async fn seek(&mut self, wish: &mut watch::Receiver<Wish>) -> Option<WorkerLease<Held>> {
+        let mut lease = WorkerLease::new(self.owner.clone(), self.terms);
+        while holds(wish) {
+            let pause = match lease.acquire(&*self.upstream, &self.clock).await {
+                Sought::Held(lease, grant) => {
+                    log::info!(vm:% = self.vm, epoch:% = grant.epoch; "worker lease granted");
+                    self.holder.granted(&grant, lease.permit(self.clock.now()));
+                    return Some(lease);
+                }
+                Sought::Busy {
+                    lease: sought,
+                    left,
+                    ..
+                } => {
+                    lease = sought;
+                    self.seek_pause(left)
+                }
+                Sought::Failed(sought, error) => {
+                    log::debug!(vm:% = self.vm, error:%; "worker lease not granted");
+                    lease = sought;
+                    self.seek_pause(Millis(SEEK_MS))
+                }
+            };
+            self.pause_or_change(pause, wish).await;
+        }
+        None
+    }
+
+    /// Renews the lease until it is over.
+    async fn hold(&mut self, mut lease: WorkerLease<Held>, wish: &mut watch::Receiver<Wish>) {
+        // Adopted tasks are renewed at once: nobody has renewed them since their owner went.
+        let mut next = self.clock.now();
+        loop {
+            if !holds(wish) {
+                return self.give_back(lease, wish).await;
+            }
+            let now = self.clock.now();
+            if now >= lease.until() {
+                return self.lose(lease);
+            }
+            if now < next {
+                let wake = next.min(lease.until());
+                self.pause_or_change(wake - now, wish).await;
+                continue;
+            }
+            match self.renew(lease).await {
+                Some((kept, pause)) => {
+                    lease = kept;
+                    next = now + pause;
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Renews once; returns the lease and the time until the next renewal, or none when it is over.
+    async fn renew(&mut self, lease: WorkerLease<Held>) -> Option<(WorkerLease<Held>, Millis)> {
+        let batch = self.holder.tasks(&self.vm);
+        match lease.renew(&*self.upstream, &self.clock, batch).await {
+            Renewal::Held(lease, granted) => {
+                let permit = lease.permit(self.clock.now());
+                self.holder.renewed(&self.vm, &granted, permit);
+                Some((lease, self.terms.period()))
+            }
+            Renewal::Lost(lease) => {
+                log::warn!(vm:% = self.vm, epoch:% = lease.epoch(); "worker lease superseded");
+                self.holder.lost(&self.vm);
+                None
+            }
+            Renewal::Failed(lease, error) => {
+                log::debug!(vm:% = self.vm, error:%; "worker lease not renewed");
+                let pause = Millis(RETRY_MS) + self.jitter(RETRY_MS);
+                Some((lease, pause))
+            }
+        }
+    }
+
+    fn lose(&self, lease: WorkerLease<Held>) {
+        let lapsed = lease.lapse();
+        log::warn!(vm:% = self.vm, epoch:% = lapsed.epoch(); "worker lease lapsed");
+        self.holder.lost(&self.vm);
+    }
+
+    /// Stops new work first, renews the tasks once more for the heir's sake, then releases.
+    async fn give_back(&mut self, lease: WorkerLease<Held>, wish: &watch::Receiver<Wish>) {
+        self.holder.lost(&self.vm);
+        let heir = match &*wish.borrow() {
+            Wish::GiveTo(heir) => Some(heir.clone()),
+            Wish::Hold | Wish::Drop => None,
+        };
+        let batch = self.holder.tasks(&self.vm);
+        let lease = match lease.renew(&*self.upstream, &self.clock, batch).await {
+            Renewal::Held(lease, _) | Renewal::Failed(lease, _) => lease,
+            Renewal::Lost(_) => return,
+        };
+        let (lease, told) = lease.release(&*self.upstream, heir.as_ref()).await;
+        if let Err(error) = told {
+            log::warn!(vm:% = self.vm, epoch:% = lease.epoch(), error:%; "lease not released");
+        }
+    }
+
+    /// Returns how long to wait before a lease that another holds for `left` is asked for again.
+    fn seek_pause(&mut self, left: Millis) -> Millis {
+        let wait = left.0.clamp(RETRY_MS, SEEK_MS);
+        Millis(wait) + self.jitter(RETRY_MS)
+    }
+
+    /// Returns a span below `limit` that differs between nodes, VMs and attempts.
+    fn jitter(&mut self, limit: u64) -> Millis {
+        self.attempts += 1;
+        let seed = xxh3_64_with_seed(self.vm.as_str().as_bytes(), self.attempts);
+        let draw = xxh3_64_with_seed(self.owner.node.as_str().as_bytes(), seed);
+        Millis(draw % limit.max(1))
+    }
+
+    async fn pause_or_change(&self, pause: Millis, wish: &mut watch::Receiver<Wish>) {
+        tokio::select! {
+            () = tokio::time::sleep(pause.duration()) => {}
+            // An error means that the sender is gone, which `holds` notices.
+            _ = wish.changed() => {}
+        }
+    }
+}
+
+/// Waits until the lease is wanted; returns false when the sender of wishes is gone.
+async fn wanted(wish: &mut watch::Receiver<Wish>) -> bool {
+    wish.wait_for(|wish| *wish == Wish::Hold).await.is_ok() && wish.has_changed().is_ok()
+}
+
+/// Returns true while the lease is wanted.
+fn holds(wish: &watch::Receiver<Wish>) -> bool {
+    wish.has_changed().is_ok() && *wish.borrow() == Wish::Hold
+}
--- /dev/null
+++ b/crates/dotterel-coord/src/lease/terms.rs
@@ -0,0 +1,151 @@
+//! How long leases last.
+
+use std::fmt;
+
+use dotterel_kernel::Millis;
+use serde::{Deserialize, Serialize};
+
+/// The terms as they stand in settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawTerms {
+    /// How long a worker lease lasts without renewal, in milliseconds.
+    pub ttl_ms: u64,
+    /// How long a task lease lasts without renewal, in milliseconds.
+    pub task_ttl_ms: u64,
+    /// What the holder takes off the worker lease for clock drift, in milliseconds.
+    pub margin_ms: u64,
+    /// How long to wait for the answer to a call, in milliseconds.
+    pub call_ms: u64,
+}
+
+impl Default for RawTerms {
+    fn default() -> Self {
+        Self {
+            ttl_ms: 3_000,
+            task_ttl_ms: 15_000,
+            margin_ms: 150,
+            call_ms: 600,
+        }
+    }
+}
+
+/// Checked terms of worker leases and task leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    pub(super) ttl: Millis,
+    pub(super) task_ttl: Millis,
+    pub(super) margin: Millis,
+    pub(super) call: Millis,
+}
+
+/// A term outside its range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TermsError {
+    /// The field.
+    pub field: &'static str,
+    /// Its value in milliseconds.
+    pub value: u64,
+    /// The lowest allowed value in milliseconds.
+    pub least: u64,
+    /// The highest allowed value in milliseconds.
+    pub most: u64,
+}
+
+/// The shortest worker lease in milliseconds.
+const MIN_TTL_MS: u64 = 300;
+
+/// The longest worker lease in milliseconds.
+const MAX_TTL_MS: u64 = 60_000;
+
+/// The longest task lease in milliseconds.
+const MAX_TASK_TTL_MS: u64 = 600_000;
+
+impl Terms {
+    /// Returns how long a worker lease lasts.
+    #[must_use]
+    pub const fn ttl(&self) -> Millis {
+        self.ttl
+    }
+
+    /// Returns how long a task lease lasts.
+    #[must_use]
+    pub const fn task_ttl(&self) -> Millis {
+        self.task_ttl
+    }
+
+    /// Returns how long to wait for the answer to a call.
+    #[must_use]
+    pub const fn call(&self) -> Millis {
+        self.call
+    }
+
+    /// Returns the time between two renewals.
+    #[must_use]
+    pub const fn period(&self) -> Millis {
+        Millis(self.ttl.0 / 3)
+    }
+
+    /// Returns when a lease ends for its holder, whose call was sent at `sent`.
+    pub(super) fn end(&self, sent: Millis, granted: Millis) -> Millis {
+        sent + self.ttl.min(granted) - self.margin
+    }
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let raw = RawTerms::default();
+        Self {
+            ttl: Millis(raw.ttl_ms),
+            task_ttl: Millis(raw.task_ttl_ms),
+            margin: Millis(raw.margin_ms),
+            call: Millis(raw.call_ms),
+        }
+    }
+}
+
+impl TryFrom<RawTerms> for Terms {
+    type Error = TermsError;
+
+    fn try_from(raw: RawTerms) -> Result<Self, TermsError> {
+        let ttl = raw.ttl_ms;
+        check("ttl_ms", ttl, MIN_TTL_MS, MAX_TTL_MS)?;
+        // A task must outlive the owner's lease, its heir's acquisition and one renewal.
+        check("task_ttl_ms", raw.task_ttl_ms, 3 * ttl, MAX_TASK_TTL_MS)?;
+        check("margin_ms", raw.margin_ms, 1, ttl / 3)?;
+        // Two renewals must fit into what is left of the lease after one period.
+        check("call_ms", raw.call_ms, 1, ttl / 4)?;
+        Ok(Self {
+            ttl: Millis(ttl),
+            task_ttl: Millis(raw.task_ttl_ms),
+            margin: Millis(raw.margin_ms),
+            call: Millis(raw.call_ms),
+        })
+    }
+}
+
+fn check(field: &'static str, value: u64, least: u64, most: u64) -> Result<(), TermsError> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(TermsError {
+        field,
+        value,
+        least,
+        most,
+    })
+}
+
+impl fmt::Display for TermsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            field,
+            value,
+            least,
+            most,
+        } = self;
+        write!(f, "{field} is {value}, allowed is {least} to {most}")
+    }
+}
+
+impl std::error::Error for TermsError {}
--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -1,1 +1,18 @@
 //! Coordination parts to embed: leases, claims, membership, feeds, journals and limits.
+
+pub mod dispatch;
+pub mod keeper;
+pub mod lease;
+pub mod limit;
+pub mod membership;
+pub mod retry;
+
+pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
+pub use keeper::{Batch, Holder, Keeper, Wish};
+pub use lease::{
+    Held, Lapsed, Permit, RawTerms, Released, Renewal, Seeking, Sought, Terms, TermsError,
+    WorkerLease,
+};
+pub use limit::{Adaptive, Outcome, SetAside, Standing};
+pub use membership::{Heard, Heartbeat, Leaving, Member, Members, rendezvous};
+pub use retry::Budget;
--- /dev/null
+++ b/crates/dotterel-coord/src/limit/set_aside.rs
@@ -0,0 +1,189 @@
+//! Setting aside VMs that fail what they start.
+
+use dotterel_kernel::{Millis, VmId};
+
+/// How many starts a VM's failure rate is taken over.
+const WINDOW: u32 = 20;
+
+/// A VM is not judged on fewer starts than this.
+const MIN_STARTS: u32 = 5;
+
+/// A VM is set aside when it fails at least this share of its starts, in percent.
+const FAILING_PERCENT: u32 = 50;
+
+/// A VM is set aside only when its rate is at least so many times that of its peers.
+const PEER_FACTOR: u32 = 3;
+
+/// At most one VM in so many is set aside; more failing ones point to another cause.
+const MAX_SHARE: usize = 2;
+
+/// The time before the first probe, in milliseconds.
+const FIRST_PROBE_MS: u64 = 5_000;
+
+/// The longest time between two probes, in milliseconds.
+const LAST_PROBE_MS: u64 = 320_000;
+
+/// How many probes in a row must succeed before a VM takes work again.
+const PROBES: u32 = 2;
+
+/// Whether a VM gets work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Normal,
+    /// It gets one task at a time, to see whether it fails it.
+    Probe,
+    /// It gets none until this time.
+    Aside(Millis),
+}
+
+#[derive(Clone, Debug)]
+struct History {
+    vm: VmId,
+    starts: u32,
+    failures: u32,
+    aside: Option<Aside>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Aside {
+    probe_at: Millis,
+    wait: Millis,
+    passed: u32,
+}
+
+/// The failure rates of a node's VMs.
+///
+/// A task may fail through its own fault, so a VM is judged against its peers, which run tasks of
+/// the same classes.
+#[derive(Clone, Debug, Default)]
+pub struct SetAside {
+    /// Sorted by VM.
+    vms: Vec<History>,
+}
+
+impl SetAside {
+    /// Counts a task that ended on a VM, and returns the VM's standing afterwards.
+    pub fn ended(&mut self, vm: &VmId, failed: bool, now: Millis) -> Standing {
+        let place = self.place(vm);
+        if self.vms[place].aside.is_some() {
+            self.probed(place, failed, now);
+        } else {
+            self.vms[place].count(failed);
+            if failed && self.fails_more(place) {
+                self.vms[place].aside = Some(Aside::new(now));
+            }
+        }
+        self.standing(vm, now)
+    }
+
+    /// Returns whether a VM gets work.
+    #[must_use]
+    pub fn standing(&self, vm: &VmId, now: Millis) -> Standing {
+        let found = self.position(vm).ok().map(|place| &self.vms[place]);
+        match found.and_then(|history| history.aside) {
+            None => Standing::Normal,
+            Some(aside) if now >= aside.probe_at => Standing::Probe,
+            Some(aside) => Standing::Aside(aside.probe_at),
+        }
+    }
+
+    /// Notes that a probe was sent, so that no second one is until it ends or a wait is over.
+    pub fn probing(&mut self, vm: &VmId, now: Millis) {
+        let place = self.place(vm);
+        if let Some(aside) = &mut self.vms[place].aside {
+            aside.probe_at = now + aside.wait;
+        }
+    }
+
+    /// Forgets a VM.
+    pub fn remove(&mut self, vm: &VmId) {
+        if let Ok(place) = self.position(vm) {
+            self.vms.remove(place);
+        }
+    }
+
+    fn probed(&mut self, place: usize, failed: bool, now: Millis) {
+        let history = &mut self.vms[place];
+        let Some(aside) = &mut history.aside else {
+            return;
+        };
+        if failed {
+            aside.failed(now);
+            return;
+        }
+        aside.passed += 1;
+        aside.probe_at = now;
+        if aside.passed >= PROBES {
+            history.aside = None;
+            history.starts = 0;
+            history.failures = 0;
+        }
+    }
+
+    /// Returns true when a VM fails far more of its starts than its peers do.
+    fn fails_more(&self, place: usize) -> bool {
+        let own = &self.vms[place];
+        if own.starts < MIN_STARTS || own.failures * 100 < own.starts * FAILING_PERCENT {
+            return false;
+        }
+        let aside = self.vms.iter().filter(|vm| vm.aside.is_some()).count();
+        if (aside + 1) * MAX_SHARE > self.vms.len() {
+            return false;
+        }
+        let peers = self
+            .vms
+            .iter()
+            .filter(|vm| vm.vm != own.vm && vm.aside.is_none());
+        let (failures, starts) = peers.fold((0, 0), |(failures, starts), vm| {
+            (failures + vm.failures, starts + vm.starts)
+        });
+        // Compares own.failures / own.starts with PEER_FACTOR * failures / starts.
+        starts > 0 && own.failures * starts >= PEER_FACTOR * failures * own.starts
+    }
+
+    fn place(&mut self, vm: &VmId) -> usize {
+        self.position(vm).unwrap_or_else(|place| {
+            let history = History {
+                vm: vm.clone(),
+                starts: 0,
+                failures: 0,
+                aside: None,
+            };
+            self.vms.insert(place, history);
+            place
+        })
+    }
+
+    fn position(&self, vm: &VmId) -> Result<usize, usize> {
+        self.vms.binary_search_by(|it| it.vm.cmp(vm))
+    }
+}
+
+impl History {
+    /// Counts a start; older starts weigh less and less.
+    const fn count(&mut self, failed: bool) {
+        if self.starts >= WINDOW {
+            self.starts /= 2;
+            self.failures /= 2;
+        }
+        self.starts += 1;
+        self.failures += failed as u32;
+    }
+}
+
+impl Aside {
+    const fn new(now: Millis) -> Self {
+        Self {
+            probe_at: Millis(now.0 + FIRST_PROBE_MS),
+            wait: Millis(FIRST_PROBE_MS),
+            passed: 0,
+        }
+    }
+
+    fn failed(&mut self, now: Millis) {
+        self.passed = 0;
+        self.wait = Millis((self.wait.0 * 2).min(LAST_PROBE_MS));
+        self.probe_at = now + self.wait;
+    }
+}
