Add HTTP clients of the platform and the workers, and servers around the models

A client tells a call that was not sent from one whose outcome is unknown. An answer counts only at its announced length; a call without an answer in time makes the next ones use new connections; a run is watched over other connections, so that it ends in bounded time when its own has gone silent.

The stand-in serves its models over HTTP, embedded as a cluster or as a program with an administrator's port.

--- /dev/null
+++ b/crates/dotterel-platform/src/api.rs
@@ -0,0 +1,66 @@
+//! The HTTP shape of the traits, shared by clients and servers.
+//!
+//! Every call is a POST to one of these paths. Bodies are `postcard` encodings: the arguments of
+//! the trait's method as a tuple there, its success value back. Status 200 carries a value, status
+//! 503 the reason why the call had no effect. An answer always announces its length.
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Names the calling node, so that the other side can tell callers apart.
+pub const CALLER_HEADER: &str = "dotterelrelay-caller";
+
+/// [`Table::get`](crate::Table::get).
+pub const TABLE_GET: &str = "/v1/table/get";
+/// [`Table::scan`](crate::Table::scan).
+pub const TABLE_SCAN: &str = "/v1/table/scan";
+/// [`Table::commit`](crate::Table::commit).
+pub const TABLE_COMMIT: &str = "/v1/table/commit";
+/// [`ObjectStore::put`](crate::ObjectStore::put).
+pub const STORE_PUT: &str = "/v1/store/put";
+/// [`ObjectStore::get`](crate::ObjectStore::get).
+pub const STORE_GET: &str = "/v1/store/get";
+/// [`ObjectStore::list`](crate::ObjectStore::list).
+pub const STORE_LIST: &str = "/v1/store/list";
+/// [`VmList::list`](crate::VmList::list).
+pub const VM_LIST: &str = "/v1/vms/list";
+/// [`Upstream::acquire`](crate::Upstream::acquire).
+pub const ACQUIRE: &str = "/v1/lease/acquire";
+/// [`Upstream::renew`](crate::Upstream::renew).
+pub const RENEW: &str = "/v1/lease/renew";
+/// [`Upstream::release`](crate::Upstream::release).
+pub const RELEASE: &str = "/v1/lease/release";
+/// [`Upstream::run`](crate::Upstream::run).
+pub const RUN: &str = "/v1/tasks/run";
+/// [`Upstream::launch`](crate::Upstream::launch).
+pub const LAUNCH: &str = "/v1/tasks/launch";
+/// [`Upstream::state`](crate::Upstream::state).
+pub const STATE: &str = "/v1/tasks/state";
+/// [`Upstream::stop`](crate::Upstream::stop).
+pub const STOP: &str = "/v1/tasks/stop";
+/// [`Upstream::press`](crate::Upstream::press).
+pub const PRESS: &str = "/v1/tasks/press";
+
+/// Encodes a body.
+///
+/// # Panics
+///
+/// Panics when the value's `Serialize` fails, which none of the traits' types does.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    let encoded = postcard::to_stdvec(value);
+    encoded.expect("the traits' types always encode").into()
+}
+
+/// Decodes a whole body.
+///
+/// # Errors
+///
+/// Returns the fault when the body is anything but exactly one value.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, postcard::Error> {
+    match postcard::take_from_bytes(body)? {
+        (value, []) => Ok(value),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
+    }
+}
--- /dev/null
+++ b/crates/dotterel-platform/src/client/platform.rs
@@ -0,0 +1,95 @@
+//! HTTP clients of the platform's services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterel_kernel::NodeId;
+
+use super::wire::{Limits, Wire};
+use crate::api;
+use crate::error::CallError;
+use crate::store::{Commit, ObjectStore, Row, Table, Write};
+use crate::vm_list::{Listing, VmList};
+
+/// A [`Table`] over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpTable(Arc<Wire>);
+
+/// An [`ObjectStore`] over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore(Arc<Wire>);
+
+/// A [`VmList`] over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpVmList(Arc<Wire>);
+
+impl HttpTable {
+    /// Returns a client that opens connections when they are needed.
+    #[must_use]
+    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
+        Self(Arc::new(Wire::new(addr, caller, limits)))
+    }
+}
+
+impl HttpStore {
+    /// Returns a client that opens connections when they are needed.
+    #[must_use]
+    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
+        Self(Arc::new(Wire::new(addr, caller, limits)))
+    }
+}
+
+impl HttpVmList {
+    /// Returns a client that opens connections when they are needed.
+    #[must_use]
+    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
+        Self(Arc::new(Wire::new(addr, caller, limits)))
+    }
+}
+
+#[async_trait]
+impl Table for HttpTable {
+    async fn get(&self, key: &str) -> Result<Option<Row>, CallError> {
+        self.0.call(api::TABLE_GET, &key).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, CallError> {
+        let ask = (prefix, after, limit);
+        self.0.call(api::TABLE_SCAN, &ask).await
+    }
+
+    async fn commit(&self, writes: &[Write]) -> Result<Commit, CallError> {
+        self.0.call(api::TABLE_COMMIT, &writes).await
+    }
+}
+
+#[async_trait]
+impl ObjectStore for HttpStore {
+    async fn put(&self, name: &str, value: Bytes) -> Result<(), CallError> {
+        self.0.call(api::STORE_PUT, &(name, value)).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, CallError> {
+        self.0.call(api::STORE_GET, &name).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<CompactString>, CallError> {
+        let ask = (prefix, after, limit);
+        self.0.call(api::STORE_LIST, &ask).await
+    }
+}
+
+#[async_trait]
+impl VmList for HttpVmList {
+    async fn list(&self) -> Result<Listing, CallError> {
+        self.0.call(api::VM_LIST, &()).await
+    }
+}
--- a/crates/dotterel-platform/src/lib.rs
+++ b/crates/dotterel-platform/src/lib.rs
@@ -5,11 +5,14 @@
 //! certainly had no effect or may have had one, because that difference decides what may be
 //! retried and what may be told to a caller.
 
+pub mod api;
+pub mod client;
 pub mod error;
 pub mod store;
 pub mod upstream;
 pub mod vm_list;
 
+pub use client::{HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits};
 pub use error::CallError;
 pub use store::{Commit, ObjectStore, Row, Table, Version, Write};
 pub use upstream::{
--- a/crates/dotterel-standin/src/gate.rs
+++ b/crates/dotterel-standin/src/gate.rs
@@ -14,6 +14,34 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Gives a model the methods that every model has: handles for callers, and faults.
+macro_rules! faulty {
+    ($model:ident) => {
+        impl $model {
+            /// Returns a handle for a named caller, to whom faults may apply alone.
+            #[must_use]
+            pub fn of(&self, caller: &str) -> Self {
+                Self {
+                    gate: self.gate.of(caller),
+                    ..self.clone()
+                }
+            }
+
+            /// Returns the present faults.
+            #[must_use]
+            pub fn faults(&self) -> $crate::faults::Faults {
+                self.gate.faults()
+            }
+
+            /// Changes the faults.
+            pub fn set_faults(&self, change: impl FnOnce(&mut $crate::faults::Faults)) {
+                self.gate.set(change);
+            }
+        }
+    };
+}
+pub(crate) use faulty;
+
 /// The way from one caller to a model.
 #[derive(Clone, Debug)]
 pub(crate) struct Gate {
--- a/crates/dotterel-standin/src/main.rs
+++ b/crates/dotterel-standin/src/main.rs
@@ -1,3 +1,206 @@
-//! Stand-ins for the platform and its workers, with faults, for tests and trials.
+//! Runs stand-ins for the platform and its workers.
 
-fn main() {}
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, anyhow, bail};
+use clap::Parser;
+use compact_str::CompactString;
+use dotterel_kernel::{Clock, Size};
+use dotterel_standin::{Cluster, WorkerPlan};
+use serde::Deserialize;
+use tokio::signal::unix::{SignalKind, signal};
+
+const EXAMPLES: &str = "\
+Examples:
+  dotterel-standin --platform 127.0.0.1:7000 --worker w1=127.0.0.1:7101 --worker w2=127.0.0.1:7102
+  dotterel-standin --file cluster.toml --admin 127.0.0.1:7001
+  curl -X PUT http://127.0.0.1:7001/v1/faults/table -d '{\"down_ms\":5000}'
+
+A file lists workers:
+  [[worker]]
+  id = \"w1\"
+  addr = \"127.0.0.1:7101\"
+  data_centre = \"dc1\"   # the options' value when left out, as all that follow
+  region = \"region-1\"
+  slots = 8
+  connections = 64
+  milli_cores = 32000
+  memory_mb = 65536
+  accelerators = 0";
+
+/// Stand-ins for the platform and its workers, with faults, for tests and trials.
+#[derive(Debug, Parser)]
+#[command(version, after_help = EXAMPLES)]
+struct Options {
+    /// Address of the platform: table, object store and list of VMs.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:7000")]
+    platform: SocketAddr,
+    /// A worker and its address; may be repeated.
+    #[arg(long = "worker", value_name = "ID=ADDR")]
+    workers: Vec<WorkerArg>,
+    /// A TOML file that lists more workers.
+    #[arg(long, value_name = "FILE")]
+    file: Option<PathBuf>,
+    /// Address of the administrator's port, which sets faults.
+    #[arg(long, value_name = "ADDR")]
+    admin: Option<SocketAddr>,
+    /// Data centre of the workers.
+    #[arg(long, default_value = "dc1")]
+    data_centre: CompactString,
+    /// Region of the workers.
+    #[arg(long, default_value = "region-1")]
+    region: CompactString,
+    /// Slots of each worker.
+    #[arg(long, default_value_t = 8)]
+    slots: u32,
+    /// Connections of each worker.
+    #[arg(long, default_value_t = 64)]
+    connections: u32,
+    /// Thousandths of a core of each worker.
+    #[arg(long, default_value_t = 32_000)]
+    milli_cores: u32,
+    /// Memory of each worker in megabytes.
+    #[arg(long, default_value_t = 65_536)]
+    memory_mb: u32,
+    /// Accelerators of each worker.
+    #[arg(long, default_value_t = 0)]
+    accelerators: u32,
+}
+
+/// The value of `--worker`.
+#[derive(Clone, Debug)]
+struct WorkerArg {
+    id: CompactString,
+    addr: SocketAddr,
+}
+
+impl std::str::FromStr for WorkerArg {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (id, addr) = text
+            .split_once('=')
+            .ok_or_else(|| anyhow!("`{text}` is not of the form ID=ADDR"))?;
+        if id.is_empty() {
+            bail!("the worker's name is empty");
+        }
+        Ok(Self {
+            id: id.into(),
+            addr: addr.parse().with_context(|| format!("address `{addr}`"))?,
+        })
+    }
+}
+
+/// The file of `--file`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFile {
+    #[serde(default)]
+    worker: Vec<RawWorker>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawWorker {
+    id: CompactString,
+    addr: SocketAddr,
+    data_centre: Option<CompactString>,
+    region: Option<CompactString>,
+    slots: Option<u32>,
+    connections: Option<u32>,
+    milli_cores: Option<u32>,
+    memory_mb: Option<u32>,
+    accelerators: Option<u32>,
+}
+
+impl Options {
+    fn capacity(&self) -> Size {
+        Size {
+            milli_cores: self.milli_cores,
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+            slots: self.slots,
+            connections: self.connections,
+        }
+    }
+
+    fn plan(&self, id: &CompactString, addr: SocketAddr) -> WorkerPlan {
+        WorkerPlan {
+            vm: id.as_str().into(),
+            data_centre: self.data_centre.as_str().into(),
+            region: self.region.as_str().into(),
+            capacity: self.capacity(),
+            addr,
+        }
+    }
+
+    fn listed_plan(&self, raw: &RawWorker) -> WorkerPlan {
+        let base = self.capacity();
+        let mut plan = self.plan(&raw.id, raw.addr);
+        plan.capacity = Size {
+            milli_cores: raw.milli_cores.unwrap_or(base.milli_cores),
+            memory_mb: raw.memory_mb.unwrap_or(base.memory_mb),
+            accelerators: raw.accelerators.unwrap_or(base.accelerators),
+            slots: raw.slots.unwrap_or(base.slots),
+            connections: raw.connections.unwrap_or(base.connections),
+        };
+        if let Some(name) = &raw.data_centre {
+            plan.data_centre = name.as_str().into();
+        }
+        if let Some(name) = &raw.region {
+            plan.region = name.as_str().into();
+        }
+        plan
+    }
+
+    fn plans(&self) -> anyhow::Result<Vec<WorkerPlan>> {
+        let args = self.workers.iter();
+        let mut plans: Vec<_> = args.map(|arg| self.plan(&arg.id, arg.addr)).collect();
+        if let Some(path) = &self.file {
+            let file = read(path)?;
+            plans.extend(file.worker.iter().map(|raw| self.listed_plan(raw)));
+        }
+        Ok(plans)
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<RawFile> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    toml::from_str(&text).with_context(|| path.display().to_string())
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let options = Options::parse();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut builder = Cluster::builder(Clock::system()).platform(options.platform);
+    if let Some(addr) = options.admin {
+        builder = builder.admin(addr);
+    }
+    for plan in options.plans()? {
+        builder = builder.worker(plan);
+    }
+    let cluster = builder.start().await?;
+    announce(&cluster)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        outcome = tokio::signal::ctrl_c() => outcome?,
+    }
+    Ok(())
+}
+
+/// Prints one line that tells a waiting parent that everything listens.
+fn announce(cluster: &Cluster) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    write!(out, "ready platform={}", cluster.platform_addr())?;
+    if let Some(addr) = cluster.admin_addr() {
+        write!(out, " admin={addr}")?;
+    }
+    for (worker, addr) in cluster.workers().iter().zip(cluster.worker_addrs()) {
+        write!(out, " {}={addr}", worker.vm())?;
+    }
+    writeln!(out)?;
+    out.flush()
+}
--- /dev/null
+++ b/crates/dotterel-standin/src/server/admin.rs
@@ -0,0 +1,164 @@
+//! The administrator's HTTP port: sets faults and reads what workers saw.
+//!
+//! | call | effect |
+//! | --- | --- |
+//! | `GET /v1/faults` | the faults of all models |
+//! | `PUT /v1/faults/{model}` | replaces a model's faults; `down_ms` is a span from now |
+//! | `POST /v1/hush/{model}` | makes the model's open connections silent for good |
+//! | `PUT /v1/leaving/{vm}` with `true` or `false` | the worker leaves or stays |
+//! | `POST /v1/restart/{vm}` | restarts the worker |
+//! | `PUT /v1/vms/state/{vm}` with `"live"` or `"leaving"` | the list's word on a VM |
+//! | `PUT /v1/vms/entry` with a listed VM | adds a VM to the list |
+//! | `PUT /v1/vms/lag` with milliseconds | the list's lag |
+//! | `PUT /v1/vms/frozen` with `true` or `false` | stops the list's updates |
+//! | `GET /v1/witness/{vm}` | what the worker saw |
+//! | `GET /v1/violations` | what must never happen and did |
+//! | `GET /v1/table` | how often the table was used |
+//!
+//! Models are `table`, `store`, `vms` and the workers by name.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_trait::async_trait;
+use compact_str::CompactString;
+use dotterel_kernel::{Clock, Millis};
+use dotterel_platform::{ListedVm, VmState};
+use http::Method;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::{Api, Call, PlatformApi, Reply};
+use crate::faults::Faults;
+use crate::witness;
+use crate::worker::FakeWorker;
+
+/// Faults as an administrator writes them.
+#[derive(Debug, Deserialize)]
+struct FaultOrder {
+    #[serde(flatten)]
+    faults: Faults,
+    down_ms: Option<Millis>,
+}
+
+/// The administrator's view of a platform and its workers.
+#[derive(Clone, Debug)]
+pub(crate) struct AdminApi {
+    pub(crate) clock: Clock,
+    pub(crate) platform: PlatformApi,
+    pub(crate) workers: Vec<FakeWorker>,
+    /// The switch that silences a model's connections, by the model's name.
+    pub(crate) hushers: Vec<(CompactString, Arc<AtomicU64>)>,
+}
+
+#[async_trait]
+impl Api for AdminApi {
+    async fn answer(&self, call: Call) -> Reply {
+        let path = call.path.strip_prefix("/v1/").unwrap_or_default();
+        let (topic, name) = path.split_once('/').unwrap_or((path, ""));
+        let outcome = match (&call.method, topic) {
+            (&Method::GET, _) => self.read(topic, name),
+            (&Method::PUT, "faults") => self.put_faults(name, &call),
+            (&Method::PUT, "vms") => self.put_vms(name, &call),
+            (&Method::PUT, "leaving") => self.put_leaving(name, &call),
+            (&Method::POST, "restart") => self.restart(name),
+            (&Method::POST, "hush") => self.hush(name),
+            _ => Ok(Reply::not_found()),
+        };
+        outcome.unwrap_or_else(Reply::refused)
+    }
+}
+
+type Outcome = Result<Reply, String>;
+
+impl AdminApi {
+    fn worker(&self, name: &str) -> Result<&FakeWorker, String> {
+        let found = self.workers.iter().find(|w| w.vm().as_str() == name);
+        found.ok_or_else(|| format!("no worker is named `{name}`"))
+    }
+
+    fn read(&self, topic: &str, name: &str) -> Outcome {
+        Ok(match topic {
+            "faults" => Reply::json(&self.faults()),
+            "witness" => Reply::json(&self.worker(name)?.witness()),
+            "violations" => Reply::json(&self.violations()),
+            "table" => Reply::json(&self.platform.table.counts()),
+            _ => Reply::not_found(),
+        })
+    }
+
+    fn faults(&self) -> Vec<(CompactString, Faults)> {
+        let platform = &self.platform;
+        let mut all = vec![
+            ("store".into(), platform.store.faults()),
+            ("table".into(), platform.table.faults()),
+            ("vms".into(), platform.vms.faults()),
+        ];
+        all.extend(self.workers.iter().map(|w| (w.vm().0, w.faults())));
+        all
+    }
+
+    fn violations(&self) -> Vec<witness::Violation> {
+        let mut found = witness::over_capacity(&self.workers);
+        found.extend(witness::two_places(&self.workers));
+        found
+    }
+
+    fn put_faults(&self, model: &str, call: &Call) -> Outcome {
+        let mut order: FaultOrder = parse(call)?;
+        if let Some(span) = order.down_ms {
+            order.faults.down_until = self.clock.now() + span;
+        }
+        let set = |faults: &mut Faults| *faults = order.faults;
+        match model {
+            "table" => self.platform.table.set_faults(set),
+            "store" => self.platform.store.set_faults(set),
+            "vms" => self.platform.vms.set_faults(set),
+            vm => self.worker(vm)?.set_faults(set),
+        }
+        Ok(done())
+    }
+
+    fn put_vms(&self, name: &str, call: &Call) -> Outcome {
+        let vms = &self.platform.vms;
+        match name {
+            "lag" => vms.set_lag(parse(call)?),
+            "frozen" => vms.freeze(parse(call)?),
+            "entry" => vms.put(parse::<ListedVm>(call)?),
+            _ => match name.strip_prefix("state/") {
+                Some(vm) => vms.set_state(vm, parse::<VmState>(call)?),
+                None => return Ok(Reply::not_found()),
+            },
+        }
+        Ok(done())
+    }
+
+    fn put_leaving(&self, vm: &str, call: &Call) -> Outcome {
+        self.worker(vm)?.set_leaving(parse(call)?);
+        Ok(done())
+    }
+
+    fn restart(&self, vm: &str) -> Outcome {
+        self.worker(vm)?.restart();
+        Ok(done())
+    }
+
+    fn hush(&self, model: &str) -> Outcome {
+        let served = match model {
+            "table" | "store" | "vms" => "platform",
+            vm => vm,
+        };
+        let husher = self.hushers.iter().find(|entry| entry.0 == served);
+        let (_, count) = husher.ok_or_else(|| format!("no model is named `{model}`"))?;
+        count.fetch_add(1, Ordering::SeqCst);
+        Ok(done())
+    }
+}
+
+fn parse<T: DeserializeOwned>(call: &Call) -> Result<T, String> {
+    serde_json::from_slice(&call.body).map_err(|fault| fault.to_string())
+}
+
+fn done() -> Reply {
+    Reply::json(&"done")
+}
--- /dev/null
+++ b/crates/dotterel-standin/src/server/platform.rs
@@ -0,0 +1,78 @@
+//! The platform over HTTP.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterel_platform::{ObjectStore, Table, VmList, Write, api};
+
+use super::{Api, Call, Reply};
+use crate::store::FakeStore;
+use crate::table::FakeTable;
+use crate::vm_list::FakeVmList;
+
+/// The platform's three services behind one address.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformApi {
+    /// The table.
+    pub(crate) table: FakeTable,
+    /// The object store.
+    pub(crate) store: FakeStore,
+    /// The list of VMs.
+    pub(crate) vms: FakeVmList,
+}
+
+#[async_trait]
+impl Api for PlatformApi {
+    async fn answer(&self, call: Call) -> Reply {
+        let reply = match call.path.as_str() {
+            path if path.starts_with("/v1/table/") => self.table_call(&call).await,
+            path if path.starts_with("/v1/store/") => self.store_call(&call).await,
+            api::VM_LIST => Ok(Reply::of(self.vms.of(&call.caller).list().await)
+                .truncated(self.vms.faults().truncate)),
+            _ => Ok(Reply::not_found()),
+        };
+        reply.unwrap_or_else(|fault| Reply::refused(fault.to_string()))
+    }
+}
+
+impl PlatformApi {
+    async fn table_call(&self, call: &Call) -> Result<Reply, postcard::Error> {
+        let table = self.table.of(&call.caller);
+        let reply = match call.path.as_str() {
+            api::TABLE_GET => {
+                let key: CompactString = api::decode(&call.body)?;
+                Reply::of(table.get(&key).await)
+            }
+            api::TABLE_SCAN => {
+                let ask: (CompactString, CompactString, usize) = api::decode(&call.body)?;
+                Reply::of(table.scan(&ask.0, &ask.1, ask.2).await)
+            }
+            api::TABLE_COMMIT => {
+                let writes: Vec<Write> = api::decode(&call.body)?;
+                Reply::of(table.commit(&writes).await)
+            }
+            _ => Reply::not_found(),
+        };
+        Ok(reply.truncated(table.faults().truncate))
+    }
+
+    async fn store_call(&self, call: &Call) -> Result<Reply, postcard::Error> {
+        let store = self.store.of(&call.caller);
+        let reply = match call.path.as_str() {
+            api::STORE_PUT => {
+                let (name, value): (CompactString, Bytes) = api::decode(&call.body)?;
+                Reply::of(store.put(&name, value).await)
+            }
+            api::STORE_GET => {
+                let name: CompactString = api::decode(&call.body)?;
+                Reply::of(store.get(&name).await)
+            }
+            api::STORE_LIST => {
+                let ask: (CompactString, CompactString, usize) = api::decode(&call.body)?;
+                Reply::of(store.list(&ask.0, &ask.1, ask.2).await)
+            }
+            _ => Reply::not_found(),
+        };
+        Ok(reply.truncated(store.faults().truncate))
+    }
+}
--- a/crates/dotterel-standin/src/store.rs
+++ b/crates/dotterel-standin/src/store.rs
@@ -10,8 +10,7 @@
 use dotterel_kernel::Clock;
 use dotterel_platform::{CallError, ObjectStore};
 
-use crate::faults::Faults;
-use crate::gate::{Gate, lock};
+use crate::gate::{Gate, faulty, lock};
 
 type Objects = BTreeMap<CompactString, Bytes>;
 
@@ -22,6 +21,8 @@
     objects: Arc<Mutex<Objects>>,
 }
 
+faulty!(FakeStore);
+
 impl FakeStore {
     /// Returns an empty store.
     #[must_use]
@@ -31,26 +32,6 @@
             objects: Arc::default(),
         }
     }
-
-    /// Returns a handle for a named caller, to whom faults may apply alone.
-    #[must_use]
-    pub fn of(&self, caller: &str) -> Self {
-        Self {
-            gate: self.gate.of(caller),
-            objects: self.objects.clone(),
-        }
-    }
-
-    /// Returns the present faults.
-    #[must_use]
-    pub fn faults(&self) -> Faults {
-        self.gate.faults()
-    }
-
-    /// Changes the faults.
-    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.gate.set(change);
-    }
 }
 
 fn list(objects: &Objects, prefix: &str, after: &str, limit: usize) -> Vec<CompactString> {
--- a/crates/dotterel-standin/src/table.rs
+++ b/crates/dotterel-standin/src/table.rs
@@ -11,8 +11,7 @@
 use dotterel_platform::{CallError, Commit, Row, Table, Version, Write};
 use serde::{Deserialize, Serialize};
 
-use crate::faults::Faults;
-use crate::gate::{Gate, lock};
+use crate::gate::{Gate, faulty, lock};
 
 /// How often a table was used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +41,8 @@
     state: Arc<Mutex<State>>,
 }
 
+faulty!(FakeTable);
+
 impl FakeTable {
     /// Returns an empty table.
     #[must_use]
@@ -52,26 +53,6 @@
         }
     }
 
-    /// Returns a handle for a named caller, to whom faults may apply alone.
-    #[must_use]
-    pub fn of(&self, caller: &str) -> Self {
-        Self {
-            gate: self.gate.of(caller),
-            state: self.state.clone(),
-        }
-    }
-
-    /// Returns the present faults.
-    #[must_use]
-    pub fn faults(&self) -> Faults {
-        self.gate.faults()
-    }
-
-    /// Changes the faults.
-    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.gate.set(change);
-    }
-
     /// Returns how often the table was used.
     #[must_use]
     pub fn counts(&self) -> TableCounts {
--- a/crates/dotterel-standin/src/vm_list.rs
+++ b/crates/dotterel-standin/src/vm_list.rs
@@ -6,8 +6,7 @@
 use dotterel_kernel::{Clock, Millis};
 use dotterel_platform::{CallError, ListedVm, Listing, VmList, VmState};
 
-use crate::faults::Faults;
-use crate::gate::{Gate, lock};
+use crate::gate::{Gate, faulty, lock};
 
 #[derive(Debug, Default)]
 struct State {
@@ -24,6 +23,8 @@
     state: Arc<Mutex<State>>,
 }
 
+faulty!(FakeVmList);
+
 impl FakeVmList {
     /// Returns an empty list without lag.
     #[must_use]
@@ -34,26 +35,6 @@
         }
     }
 
-    /// Returns a handle for a named caller, to whom faults may apply alone.
-    #[must_use]
-    pub fn of(&self, caller: &str) -> Self {
-        Self {
-            gate: self.gate.of(caller),
-            state: self.state.clone(),
-        }
-    }
-
-    /// Returns the present faults.
-    #[must_use]
-    pub fn faults(&self) -> Faults {
-        self.gate.faults()
-    }
-
-    /// Changes the faults.
-    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.gate.set(change);
-    }
-
     /// Says how far the list lags.
     pub fn set_lag(&self, lag: Millis) {
         lock(&self.state).lag = lag;
--- a/crates/dotterel-standin/src/witness.rs
+++ b/crates/dotterel-standin/src/witness.rs
@@ -2,11 +2,13 @@
 
 use dotterel_kernel::{JobId, Millis, RequestId, Size, TaskId, VmId};
 
+use serde::Serialize;
+
 use crate::seen::{CutCause, Event, RunInfo};
 use crate::worker::FakeWorker;
 
 /// One run of a task on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Run {
     /// The worker.
     pub vm: VmId,
@@ -19,7 +21,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum RunEnd {
     /// To its end, with this status.
     Finished(u16),
@@ -28,7 +30,7 @@
 }
 
 /// Something that must never happen.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Violation {
     /// A worker was given more than it can hold.
     OverCapacity {
--- a/crates/dotterel-standin/src/worker.rs
+++ b/crates/dotterel-standin/src/worker.rs
@@ -14,8 +14,7 @@
 };
 use tokio::sync::Notify;
 
-use crate::faults::Faults;
-use crate::gate::{Gate, lock};
+use crate::gate::{Gate, faulty, lock};
 use crate::seen::Seen;
 use crate::workload::{JsonWorkload, Workload};
 use state::State;
@@ -32,6 +31,8 @@
     workload: Arc<dyn Workload>,
 }
 
+faulty!(FakeWorker);
+
 impl FakeWorker {
     /// Returns a worker that runs [`JsonWorkload`].
     #[must_use]
@@ -59,26 +60,6 @@
         self
     }
 
-    /// Returns a handle for a named caller, to whom faults may apply alone.
-    #[must_use]
-    pub fn of(&self, caller: &str) -> Self {
-        Self {
-            gate: self.gate.of(caller),
-            ..self.clone()
-        }
-    }
-
-    /// Returns the present faults.
-    #[must_use]
-    pub fn faults(&self) -> Faults {
-        self.gate.faults()
-    }
-
-    /// Changes the faults.
-    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.gate.set(change);
-    }
-
     /// Returns the worker's name.
     #[must_use]
     pub fn vm(&self) -> VmId {
--- /dev/null
+++ b/crates/dotterel-standin/tests/http.rs
@@ -0,0 +1,274 @@
+//! The HTTP clients tell exactly whether a failed call may have had an effect.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use dotterel_kernel::{Clock, Epoch, Incarnation, Millis, Size, TaskId};
+use dotterel_platform::{
+    Acquire, CallError, Commit, HttpStore, HttpTable, HttpUpstream, HttpVmList, LeaseAnswer,
+    Limits, ObjectStore, Owner, Refusal, Start, Started, Table, TaskState, Upstream, Version,
+    VmList, Write,
+};
+use dotterel_standin::{Cluster, EVERYONE, witness};
+
+const LIMITS: Limits = Limits {
+    connect: Millis(1000),
+    call: Millis(2000),
+    connections: 4,
+};
+
+const CAPACITY: Size = Size {
+    milli_cores: 8000,
+    memory_mb: 8192,
+    accelerators: 0,
+    slots: 8,
+    connections: 64,
+};
+
+async fn cluster() -> Cluster {
+    Cluster::builder(Clock::system())
+        .workers("dc1", "r1", 1, CAPACITY)
+        .start()
+        .await
+        .expect("loopback has free ports")
+}
+
+fn table(cluster: &Cluster) -> HttpTable {
+    HttpTable::new(cluster.platform_addr(), &"a".into(), LIMITS)
+}
+
+fn upstream(cluster: &Cluster) -> HttpUpstream {
+    HttpUpstream::new(cluster.worker_addrs()[0], &"a".into(), LIMITS)
+}
+
+async fn lease(upstream: &HttpUpstream) -> Epoch {
+    let ask = Acquire {
+        owner: Owner {
+            node: "a".into(),
+            incarnation: Incarnation(1),
+        },
+        ttl: Millis::secs(60),
+    };
+    match upstream.acquire(&ask).await {
+        Ok(LeaseAnswer::Granted(grant)) => grant.epoch,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn start(epoch: Epoch) -> Start {
+    Start {
+        epoch,
+        task: TaskId::mint(),
+        request: None,
+        job: None,
+        service: "quotes".into(),
+        class: "count".into(),
+        size: Size {
+            slots: 1,
+            ..Size::ZERO
+        },
+        task_ttl: Millis::secs(60),
+        timeout: Millis::secs(60),
+    }
+}
+
+fn put(key: &str) -> Vec<Write> {
+    vec![Write {
+        key: key.into(),
+        expect: Version::ABSENT,
+        value: Some(Bytes::from_static(b"value")),
+    }]
+}
+
+/// Returns an address at which nothing listens.
+fn nowhere() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    listener.local_addr().expect("the listener is bound")
+}
+
+#[tokio::test]
+async fn the_platform_answers_over_http() {
+    let cluster = cluster().await;
+    let (addr, node) = (cluster.platform_addr(), "a".into());
+    let store = HttpStore::new(addr, &node, LIMITS);
+    let vms = HttpVmList::new(addr, &node, LIMITS);
+    let table = table(&cluster);
+
+    let commit = table.commit(&put("k")).await;
+    let row = table.get("k").await;
+    let rows = table.scan("", "", 9).await;
+    let stored = store.put("o", Bytes::from_static(b"x")).await;
+    let names = store.list("", "", 9).await;
+    let object = store.get("o").await;
+    let listing = vms.list().await;
+
+    assert!(matches!(commit, Ok(Commit::Applied(_))));
+    assert_eq!(rows, row.map(|row| row.into_iter().collect()));
+    assert_eq!(stored, Ok(()));
+    assert_eq!(names, Ok(vec!["o".into()]));
+    assert_eq!(object, Ok(Some(Bytes::from_static(b"x"))));
+    assert!(matches!(listing, Ok(listing) if listing.vms[0].id == "dc1-w001"));
+}
+
+#[tokio::test]
+async fn a_refused_connection_sends_nothing() {
+    let table = HttpTable::new(nowhere(), &"a".into(), LIMITS);
+
+    let commit = table.commit(&put("k")).await;
+
+    assert!(matches!(commit, Err(CallError::NotSent(_))), "{commit:?}");
+}
+
+#[tokio::test]
+async fn an_outage_is_told_as_without_effect() {
+    let cluster = cluster().await;
+    cluster
+        .table()
+        .set_faults(|faults| faults.down_until = Millis::MAX);
+
+    let commit = table(&cluster).commit(&put("k")).await;
+
+    assert!(
+        matches!(commit, Err(CallError::Unavailable(_))),
+        "{commit:?}"
+    );
+    assert_eq!(cluster.table().peek(""), []);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_unknown() {
+    let cluster = cluster().await;
+    cluster.table().set_faults(|faults| faults.lose_answers = 1);
+
+    let commit = table(&cluster).commit(&put("k")).await;
+
+    assert!(matches!(commit, Err(CallError::Unknown(_))), "{commit:?}");
+    assert_eq!(cluster.table().peek("").len(), 1);
+}
+
+#[tokio::test]
+async fn a_dropped_call_is_unknown() {
+    let cluster = cluster().await;
+    cluster.table().set_faults(|faults| faults.drop_calls = 1);
+
+    let commit = table(&cluster).commit(&put("k")).await;
+
+    assert!(matches!(commit, Err(CallError::Unknown(_))), "{commit:?}");
+    assert_eq!(cluster.table().peek(""), []);
+}
+
+#[tokio::test]
+async fn a_truncated_answer_is_never_whole() {
+    let cluster = cluster().await;
+    let upstream = upstream(&cluster);
+    let epoch = lease(&upstream).await;
+    let worker = &cluster.workers()[0];
+    worker.set_faults(|faults| faults.truncate = true);
+    let start = start(epoch);
+
+    let cut = upstream.run(&start, Bytes::from(vec![7; 10_000])).await;
+    worker.set_faults(|faults| faults.truncate = false);
+    let state = upstream.state(start.task).await;
+
+    assert!(matches!(cut, Err(CallError::Unknown(_))), "{cut:?}");
+    assert!(matches!(state, Ok(TaskState::Finished(answer)) if answer.body.len() == 10_000));
+}
+
+#[tokio::test]
+async fn a_silent_platform_is_unknown_in_bounded_time() {
+    let cluster = cluster().await;
+    let table = table(&cluster);
+    cluster
+        .table()
+        .set_faults(|faults| faults.silent.push(EVERYONE.into()));
+
+    let silent = table.commit(&put("k")).await;
+    cluster.table().set_faults(|faults| faults.silent.clear());
+    let later = table.commit(&put("k")).await;
+
+    assert!(matches!(silent, Err(CallError::Unknown(_))), "{silent:?}");
+    assert!(matches!(later, Ok(Commit::Applied(_))), "{later:?}");
+}
+
+#[tokio::test]
+async fn silent_connections_are_replaced() {
+    let cluster = cluster().await;
+    let table = table(&cluster);
+    table.get("k").await.expect("no fault is set");
+    cluster.hush_platform();
+
+    let silent = table.get("k").await;
+    let replaced = table.get("k").await;
+
+    assert!(matches!(silent, Err(CallError::Unknown(_))), "{silent:?}");
+    assert_eq!(replaced, Ok(None));
+}
+
+#[tokio::test]
+async fn a_run_on_a_silent_connection_finds_its_answer() {
+    let cluster = cluster().await;
+    let upstream = upstream(&cluster);
+    let start = start(lease(&upstream).await);
+    let body = Bytes::from_static(br#"{"run_ms":3000}"#);
+    let hush = async {
+        while witness::runs(&cluster.workers()).is_empty() {
+            tokio::task::yield_now().await;
+        }
+        cluster.hush_worker(0);
+    };
+
+    let (outcome, ()) = tokio::join!(upstream.run(&start, body.clone()), hush);
+
+    let Ok(Started::Finished(answer)) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(answer.body, body);
+    assert_eq!(witness::runs(&cluster.workers()).len(), 1);
+}
+
+#[tokio::test]
+async fn a_run_that_never_arrived_is_unknown_and_can_be_barred() {
+    let cluster = cluster().await;
+    let upstream = upstream(&cluster);
+    let start = start(lease(&upstream).await);
+    // One run leaves an idle connection behind, which goes silent before the next run uses it.
+    let warm = Start {
+        task: TaskId::mint(),
+        ..start.clone()
+    };
+    upstream
+        .run(&warm, Bytes::new())
+        .await
+        .expect("no fault is set");
+    cluster.hush_worker(0);
+
+    let lost = upstream.run(&start, Bytes::new()).await;
+    let stopped = upstream.stop(start.task).await;
+    let again = upstream.run(&start, Bytes::new()).await;
+
+    assert!(matches!(lost, Err(CallError::Unknown(_))), "{lost:?}");
+    assert_eq!(stopped, Ok(dotterel_platform::StopAnswer::Barred));
+    assert_eq!(again, Ok(Started::Refused(Refusal::Stopped)));
+    assert_eq!(witness::runs(&cluster.workers()).len(), 1);
+}
+
+#[tokio::test]
+async fn runs_beyond_the_connections_are_not_sent() {
+    let cluster = cluster().await;
+    let upstream = upstream(&cluster);
+    let epoch = lease(&upstream).await;
+    let long = Bytes::from_static(br#"{"run_ms":60000}"#);
+    let mut held = tokio::task::JoinSet::new();
+    for _ in 0..LIMITS.connections {
+        let (upstream, start, body) = (upstream.clone(), start(epoch), long.clone());
+        held.spawn(async move { upstream.run(&start, body).await });
+    }
+    while cluster.workers()[0].used().slots < 4 {
+        tokio::task::yield_now().await;
+    }
+
+    let beyond = upstream.run(&start(epoch), long).await;
+
+    assert!(matches!(beyond, Err(CallError::NotSent(_))), "{beyond:?}");
+    assert_eq!(cluster.workers()[0].used().slots, 4);
+}
