--- /dev/null
+++ b/crates/dotterel-coord/src/feed.rs
@@ -0,0 +1,311 @@
+//! The documents of all services, with compare-and-set on their revisions.
+//!
+//! The platform's table arbitrates: the row `documents/{service}` holds the revision, the text and
+//! the mark of the write, and [`Feed::apply`] replaces it only when the operator knew the current
+//! revision. A head row names the latest changes, so that [`Feed::poll`] costs one read while
+//! nothing changes. Nodes pass accepted revisions to each other; [`Feed::offer`] takes a higher
+//! revision that this node can parse and never a lower one, so nothing reverts on a node.
+//!
+//! A fresh node that cannot read the table takes the snapshots of all peers that it can reach; the
+//! highest revision of each service stays. A service without a revision is not served.
+//!
+//! An accepted revision that only unreachable nodes have seen cannot be known to a fresh node
+//! without the table; it comes in force as soon as either the table or such a peer is reached.
+
+mod apply;
+mod head;
+mod row;
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use dotterel_kernel::{Clock, Document, DocumentError, Millis, Revision, Service};
+use dotterel_platform::{CallError, Table};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+pub use apply::Applied;
+
+use head::{Head, Sequence};
+use row::DocumentRow;
+
+/// Rhythm and limits of the feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// The longest time between two polls of the table.
+    pub period: Millis,
+    /// The pause after a call that failed.
+    pub backoff: Millis,
+    /// The longest that one poll may take.
+    pub timeout: Millis,
+    /// The most rows asked for in one scan.
+    pub page: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            period: Millis(1000),
+            backoff: Millis(100),
+            timeout: Millis(1000),
+            page: 64,
+        }
+    }
+}
+
+/// A document that is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// Its service.
+    pub service: Service,
+    /// Its revision.
+    pub revision: Revision,
+    /// The TOML as accepted.
+    pub text: CompactString,
+    /// The same, checked.
+    pub document: Document,
+}
+
+/// The documents in force, sorted by service.
+pub type InForce = Arc<Vec<Arc<Accepted>>>;
+
+/// A document as nodes pass it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Passed {
+    /// Its service.
+    pub service: Service,
+    /// Its revision.
+    pub revision: Revision,
+    /// The TOML as accepted.
+    pub text: CompactString,
+}
+
+/// The answer to [`Feed::offer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offered {
+    /// The document is in force now.
+    Accepted,
+    /// This node holds this revision or a higher one.
+    Held(Revision),
+    /// This node cannot use the document.
+    Invalid(DocumentError),
+}
+
+/// The outcome of one poll of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Polled {
+    /// The table was read; so many documents came in force.
+    Read(usize),
+    /// The table could not be read.
+    Failed,
+}
+
+/// The documents as one node holds them; clones share the state.
+#[derive(Clone)]
+pub struct Feed {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    table: Arc<dyn Table>,
+    clock: Clock,
+    config: Config,
+    in_force: watch::Sender<InForce>,
+    cursor: tokio::sync::Mutex<Option<Sequence>>,
+}
+
+impl Feed {
+    /// Returns a feed that holds no document yet.
+    #[must_use]
+    pub fn new(table: Arc<dyn Table>, clock: Clock, config: Config) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                table,
+                clock,
+                config,
+                in_force: watch::Sender::new(InForce::default()),
+                cursor: tokio::sync::Mutex::new(None),
+            }),
+        }
+    }
+
+    /// Returns the document of a service; none means that the service is not served.
+    #[must_use]
+    pub fn in_force(&self, service: &Service) -> Option<Arc<Accepted>> {
+        let documents = self.inner.in_force.borrow();
+        let index = position(&documents, service).ok()?;
+        documents.get(index).map(Arc::clone)
+    }
+
+    /// Returns a channel that shows the documents in force and wakes at every change.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<InForce> {
+        self.inner.in_force.subscribe()
+    }
+
+    /// Returns the revisions in force, sorted by service.
+    #[must_use]
+    pub fn revisions(&self) -> Vec<(Service, Revision)> {
+        let documents = self.inner.in_force.borrow();
+        documents
+            .iter()
+            .map(|held| (held.service.clone(), held.revision))
+            .collect()
+    }
+
+    /// Returns all documents in force, for a fresh node.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<Passed> {
+        self.newer_than(&[])
+    }
+
+    /// Returns the documents that a peer lacks, given its revisions sorted by service.
+    #[must_use]
+    pub fn newer_than(&self, revisions: &[(Service, Revision)]) -> Vec<Passed> {
+        let documents = self.inner.in_force.borrow();
+        documents
+            .iter()
+            .filter(|held| {
+                let known = revisions.binary_search_by(|(service, _)| service.cmp(&held.service));
+                known.map_or(true, |index| revisions[index].1 < held.revision)
+            })
+            .map(|held| Passed {
+                service: held.service.clone(),
+                revision: held.revision,
+                text: held.text.clone(),
+            })
+            .collect()
+    }
+
+    /// Takes an accepted document from a peer or from the table.
+    ///
+    /// Peers only pass on what the table has confirmed, so a higher revision is always the truth.
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "the document is in force either way"
+    )]
+    pub fn offer(&self, service: &Service, revision: Revision, text: &str) -> Offered {
+        if let Some(held) = self.in_force(service)
+            && held.revision >= revision
+        {
+            return Offered::Held(held.revision);
+        }
+        let document = match checked(service, text) {
+            Ok(document) => document,
+            Err(fault) => {
+                log::error!(service:% = service, revision:% = revision, fault:% = fault; "document not usable");
+                return Offered::Invalid(fault);
+            }
+        };
+        self.put(Accepted {
+            service: service.clone(),
+            revision,
+            text: text.into(),
+            document,
+        })
+    }
+
+    /// Polls the table at jittered intervals until the future is dropped.
+    pub async fn run(&self) {
+        loop {
+            let limit = self.inner.config.timeout.duration();
+            if tokio::time::timeout(limit, self.poll()).await.is_err() {
+                log::warn!("documents not read in time");
+            }
+            tokio::time::sleep(self.pause().duration()).await;
+        }
+    }
+
+    /// Reads from the table what has changed since the last poll.
+    pub async fn poll(&self) -> Polled {
+        let mut cursor = self.inner.cursor.lock().await;
+        match self.catch_up(&mut cursor).await {
+            Ok(count) => Polled::Read(count),
+            Err(fault) => {
+                log::debug!(fault:% = fault; "documents not read");
+                Polled::Failed
+            }
+        }
+    }
+
+    async fn catch_up(&self, cursor: &mut Option<Sequence>) -> Result<usize, CallError> {
+        let head = Head::read(&*self.inner.table).await?.head;
+        let changed = cursor.and_then(|seen| head.changed_since(seen));
+        let count = match changed {
+            Some(services) => self.read_rows(&services).await?,
+            None => self.scan().await?,
+        };
+        *cursor = Some(head.sequence());
+        Ok(count)
+    }
+
+    async fn read_rows(&self, services: &[Service]) -> Result<usize, CallError> {
+        let mut count = 0;
+        for service in services {
+            let stored = DocumentRow::read(&*self.inner.table, service).await?;
+            count += usize::from(stored.row.is_some_and(|row| self.take(service, &row)));
+        }
+        Ok(count)
+    }
+
+    async fn scan(&self) -> Result<usize, CallError> {
+        let mut count = 0;
+        let mut after = CompactString::default();
+        loop {
+            let page = self.inner.config.page;
+            let rows = self.inner.table.scan(row::PREFIX, &after, page).await?;
+            for raw in &rows {
+                let Some((service, row)) = DocumentRow::decode(raw) else {
+                    log::error!(key:% = raw.key; "document row has no known encoding");
+                    continue;
+                };
+                count += usize::from(self.take(&service, &row));
+            }
+            match rows.last() {
+                Some(last) if rows.len() == page => after = last.key.clone(),
+                _ => return Ok(count),
+            }
+        }
+    }
+
+    fn take(&self, service: &Service, row: &DocumentRow) -> bool {
+        self.offer(service, row.revision, &row.text) == Offered::Accepted
+    }
+
+    /// Brings a document in force unless a higher revision came meanwhile.
+    fn put(&self, accepted: Accepted) -> Offered {
+        let mut outcome = Offered::Accepted;
+        self.inner.in_force.send_if_modified(|documents| {
+            match position(documents, &accepted.service) {
+                Ok(index) if documents[index].revision >= accepted.revision => {
+                    outcome = Offered::Held(documents[index].revision);
+                    return false;
+                }
+                Ok(index) => Arc::make_mut(documents)[index] = Arc::new(accepted),
+                Err(index) => Arc::make_mut(documents).insert(index, Arc::new(accepted)),
+            }
+            true
+        });
+        outcome
+    }
+
+    fn pause(&self) -> Millis {
+        let period = self.inner.config.period.0;
+        Millis(rand::rng().random_range(period * 6 / 10..=period))
+    }
+}
+
+/// Parses a document and checks that it describes the service.
+fn checked(service: &Service, text: &str) -> Result<Document, DocumentError> {
+    let document = Document::parse(text)?;
+    if document.service != *service {
+        let allowed = service.0.clone();
+        return Err(DocumentError::new("service", &document.service, allowed));
+    }
+    Ok(document)
+}
+
+fn position(documents: &[Arc<Accepted>], service: &Service) -> Result<usize, usize> {
+    documents.binary_search_by(|held| held.service.cmp(service))
+}
--- /dev/null
+++ b/crates/dotterel-coord/src/journal.rs
@@ -0,0 +1,247 @@
+//! The journal of one node's requests, shipped to the object store.
+//!
+//! A node keeps the records of its open requests and of the last closed ones in memory, and counts
+//! by class and hour. [`Journal::run`] writes what changed to the object store in segments named
+//! `journal/{node}/{incarnation}/{seq}`. A segment holds the latest state of every record that
+//! changed, so a request that came and went between two segments is written once, and a segment
+//! written twice after a lost answer counts once.
+//!
+//! While the store is down, changed records wait in memory up to a bound. Closed records that are
+//! pushed out before they were shipped are named as a [`Gap`] in the next segment. What a dead
+//! node had not shipped is a gap as well, from the end of its last segment on; requests that were
+//! open there have the fate `unknown`, never `not-run`.
+
+mod account;
+mod memory;
+mod reader;
+mod segment;
+mod tally;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dotterel_kernel::{
+    Account, Attempt, Clock, Fate, Gap, Incarnation, Millis, NodeId, Record, RequestId, Service,
+};
+use dotterel_platform::{CallError, ObjectStore};
+use tokio::sync::Notify;
+
+pub use account::merge;
+pub use reader::{Found, Reader};
+pub use segment::Segment;
+
+use memory::Memory;
+
+/// Limits and rhythm of a journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// The longest time between two segments while records change.
+    pub period: Millis,
+    /// The number of changed records that ships a segment early.
+    pub burst: usize,
+    /// The most records in one segment.
+    pub segment: usize,
+    /// The number of closed records kept in memory.
+    pub recent: usize,
+    /// The number of hours counted by class.
+    pub hours: u64,
+    /// The most ranges of dropped records that are told apart.
+    pub gaps: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            period: Millis::secs(1),
+            burst: 512,
+            segment: 2048,
+            recent: 8192,
+            hours: 48,
+            gaps: 16,
+        }
+    }
+}
+
+/// The outcome of one attempt to ship.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shipped {
+    /// Nothing had changed.
+    Nothing,
+    /// A segment with so many records was written.
+    Segment(usize),
+    /// The store did not confirm the segment; its records stay in memory.
+    Failed,
+}
+
+/// The journal of one life of a node; clones share the state.
+#[derive(Clone)]
+pub struct Journal {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    node: NodeId,
+    incarnation: Incarnation,
+    clock: Clock,
+    store: Arc<dyn ObjectStore>,
+    config: Config,
+    memory: Mutex<Memory>,
+    full: Notify,
+    shipping: tokio::sync::Mutex<()>,
+}
+
+impl Journal {
+    /// Returns an empty journal.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        clock: Clock,
+        store: Arc<dyn ObjectStore>,
+        config: Config,
+    ) -> Self {
+        let memory = Memory::new(config, clock.now());
+        Self {
+            inner: Arc::new(Inner {
+                node,
+                incarnation,
+                clock,
+                store,
+                config,
+                memory: Mutex::new(memory),
+                full: Notify::new(),
+                shipping: tokio::sync::Mutex::new(()),
+            }),
+        }
+    }
+
+    /// Adds the record of a request that was received.
+    pub fn open(&self, record: Record) {
+        self.memory().open(record);
+        self.wake();
+    }
+
+    /// Changes the record of an open request; without effect on others.
+    pub fn update(&self, request: RequestId, change: impl FnOnce(&mut Record)) {
+        if !self.memory().update(request, change) {
+            log::debug!(request:% = request; "no open record to change");
+        }
+        self.wake();
+    }
+
+    /// Adds a start to the record of an open request.
+    pub fn start(&self, request: RequestId, attempt: Attempt) {
+        self.update(request, |record| {
+            record.started = Some(attempt.sent);
+            record.attempts.push(attempt);
+        });
+    }
+
+    /// Settles the fate of an open request.
+    pub fn close(&self, request: RequestId, fate: Fate) {
+        let now = self.inner.clock.now();
+        self.update(request, |record| {
+            record.ended = Some(now);
+            record.fate = Some(fate);
+        });
+    }
+
+    /// Returns the record of a request, if this node remembers it.
+    #[must_use]
+    pub fn get(&self, request: RequestId) -> Option<Record> {
+        self.memory().get(request).cloned()
+    }
+
+    /// Returns this node's own account since the hour that contains `since`.
+    #[must_use]
+    pub fn account(&self, service: Option<&Service>, since: Millis) -> Account {
+        let now = self.inner.clock.now();
+        let memory = self.memory();
+        let mut gaps = Vec::new();
+        if let Some(start) = memory.uncounted(since) {
+            gaps.push(self.gap(start, "older than the journal keeps in memory"));
+        }
+        Account {
+            as_of: now,
+            nodes: vec![self.inner.node.clone()],
+            gaps,
+            lines: memory.lines(service, since, now),
+        }
+    }
+
+    /// Ships segments until the future is dropped.
+    pub async fn run(&self) {
+        loop {
+            let full = self.inner.full.notified();
+            // Either the period is over or enough records have changed.
+            let _ = tokio::time::timeout(self.inner.config.period.duration(), full).await;
+            while let Shipped::Segment(count) = self.ship().await {
+                if count < self.inner.config.segment {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Ships one segment of what has changed since the last one.
+    pub async fn ship(&self) -> Shipped {
+        let _one = self.inner.shipping.lock().await;
+        let Some(draft) = self.memory().draft(self.inner.clock.now()) else {
+            return Shipped::Nothing;
+        };
+        let segment = Segment {
+            node: self.inner.node.clone(),
+            incarnation: self.inner.incarnation,
+            seq: draft.seq,
+            since: draft.since,
+            until: draft.until,
+            gaps: draft
+                .dropped
+                .iter()
+                .map(|dropped| self.gap(dropped.since, &dropped.cause()))
+                .collect(),
+            records: draft.records.clone(),
+        };
+        match self
+            .inner
+            .store
+            .put(&segment.name(), segment.encode())
+            .await
+        {
+            Ok(()) => {
+                self.memory().shipped(&draft);
+                Shipped::Segment(draft.records.len())
+            }
+            Err(fault) => {
+                log::warn!(node:% = self.inner.node, fault:% = fault; "journal segment not shipped");
+                self.memory().failed(matches!(fault, CallError::Unknown(_)));
+                Shipped::Failed
+            }
+        }
+    }
+
+    /// Returns the number of records whose latest state is not shipped.
+    #[must_use]
+    pub fn unshipped(&self) -> usize {
+        self.memory().unshipped()
+    }
+
+    fn gap(&self, since: Millis, cause: &str) -> Gap {
+        Gap {
+            node: self.inner.node.clone(),
+            incarnation: self.inner.incarnation,
+            since,
+            cause: cause.into(),
+        }
+    }
+
+    fn wake(&self) {
+        if self.unshipped() >= self.inner.config.burst {
+            self.inner.full.notify_one();
+        }
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        let lock = &self.inner.memory;
+        lock.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/dotterel-coord/src/journal/reader.rs
@@ -0,0 +1,200 @@
+//! Reads the shipped journals of nodes, also after their death.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use dotterel_kernel::{
+    Account, Fate, Gap, Incarnation, Millis, NodeId, Record, RequestId, Service,
+};
+use dotterel_platform::{CallError, ObjectStore};
+
+use super::segment::{Segment, last_name, life_of, life_prefix, node_prefix};
+use super::tally::Tally;
+
+/// The most names asked for in one listing.
+const PAGE: usize = 1000;
+
+/// What the shipped journal of one life says of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// The request, with its settled fate.
+    Settled(Record),
+    /// The request was open in the last segment that names it, so its fate is unknown.
+    Lost(Record),
+    /// No segment names the request.
+    Absent(Gap),
+}
+
+/// Reads journals from the object store.
+#[derive(Clone)]
+pub struct Reader {
+    store: Arc<dyn ObjectStore>,
+}
+
+/// One life's journal as shipped.
+#[derive(Default)]
+struct Life {
+    records: Vec<Record>,
+    gaps: Vec<Gap>,
+    until: Millis,
+}
+
+impl Reader {
+    /// Returns a reader of the journals in a store.
+    #[must_use]
+    pub fn new(store: Arc<dyn ObjectStore>) -> Self {
+        Self { store }
+    }
+
+    /// Returns the account of a life that has ended.
+    ///
+    /// Requests that were open in its last segment count as `unknown`. What came after that
+    /// segment is a gap.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be read; nothing has changed then.
+    pub async fn account(
+        &self,
+        node: &NodeId,
+        incarnation: Incarnation,
+        service: Option<&Service>,
+        since: Millis,
+    ) -> Result<Account, CallError> {
+        let life = self.life(node, incarnation).await?;
+        let mut tally = Tally::default();
+        for record in life.records {
+            tally.count(None, &lost(record));
+        }
+        let tail = tail_gap(node, incarnation, life.until);
+        Ok(Account {
+            as_of: life.until,
+            nodes: vec![node.clone()],
+            gaps: life.gaps.into_iter().chain([tail]).collect(),
+            lines: tally.lines(service, since),
+        })
+    }
+
+    /// Looks a request up in the journal of one life.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be read; nothing has changed then.
+    pub async fn lookup(
+        &self,
+        node: &NodeId,
+        incarnation: Incarnation,
+        request: RequestId,
+    ) -> Result<Found, CallError> {
+        let mut latest = None;
+        let mut until = Millis::ZERO;
+        for name in self.names(node, incarnation).await? {
+            let Some(segment) = self.segment(&name).await? else {
+                continue;
+            };
+            until = until.max(segment.until);
+            let index = segment
+                .records
+                .binary_search_by_key(&request, |record| record.request);
+            if let Ok(index) = index {
+                latest = segment.records.into_iter().nth(index);
+            }
+        }
+        Ok(match latest {
+            None => Found::Absent(tail_gap(node, incarnation, until)),
+            Some(record) if record.fate.is_some() => Found::Settled(record),
+            Some(record) => Found::Lost(lost(record)),
+        })
+    }
+
+    /// Returns the lives of a node that have shipped anything, the oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be read; nothing has changed then.
+    pub async fn lives(&self, node: &NodeId) -> Result<Vec<Incarnation>, CallError> {
+        let prefix = node_prefix(node);
+        let mut lives = Vec::new();
+        let mut after = CompactString::default();
+        loop {
+            let names = self.store.list(&prefix, &after, 1).await?;
+            let Some(life) = names.first().and_then(|name| life_of(&prefix, name)) else {
+                return Ok(lives);
+            };
+            lives.push(life);
+            after = last_name(node, life);
+        }
+    }
+
+    async fn life(&self, node: &NodeId, incarnation: Incarnation) -> Result<Life, CallError> {
+        let mut life = Life::default();
+        for name in self.names(node, incarnation).await? {
+            let Some(segment) = self.segment(&name).await? else {
+                continue;
+            };
+            life.add(segment);
+        }
+        Ok(life)
+    }
+
+    async fn names(
+        &self,
+        node: &NodeId,
+        incarnation: Incarnation,
+    ) -> Result<Vec<CompactString>, CallError> {
+        let prefix = life_prefix(node, incarnation);
+        let mut names: Vec<CompactString> = Vec::new();
+        loop {
+            let after = names.last().cloned().unwrap_or_default();
+            let page = self.store.list(&prefix, &after, PAGE).await?;
+            let full = page.len() == PAGE;
+            names.extend(page);
+            if !full {
+                return Ok(names);
+            }
+        }
+    }
+
+    async fn segment(&self, name: &str) -> Result<Option<Segment>, CallError> {
+        let value = self.store.get(name).await?;
+        let segment = value.as_deref().and_then(Segment::decode);
+        if segment.is_none() {
+            log::error!(name; "journal segment is missing or has no known encoding");
+        }
+        Ok(segment)
+    }
+}
+
+impl Life {
+    /// Adds a later segment, whose records replace earlier ones.
+    fn add(&mut self, segment: Segment) {
+        self.until = self.until.max(segment.until);
+        self.gaps = segment.gaps;
+        for record in segment.records {
+            match self
+                .records
+                .binary_search_by_key(&record.request, |known| known.request)
+            {
+                Ok(index) => self.records[index] = record,
+                Err(index) => self.records.insert(index, record),
+            }
+        }
+    }
+}
+
+/// Returns an open record as it stands after the death of its node.
+const fn lost(mut record: Record) -> Record {
+    if record.fate.is_none() {
+        record.fate = Some(Fate::Unknown);
+    }
+    record
+}
+
+fn tail_gap(node: &NodeId, incarnation: Incarnation, since: Millis) -> Gap {
+    Gap {
+        node: node.clone(),
+        incarnation,
+        since,
+        cause: "the node ended without shipping what came after".into(),
+    }
+}
