Add placement policies, learned run times and quotas to the scheduler

Queued tasks stand in one lane per class, so a head that cannot start is tried once per change of capacity instead of once per queued task. Free VMs are found through an index by free slots. Declared run times give way to a decayed histogram of finished tasks.

Mutations that they catch: - no fit check in choice.rs and Fleet::hold: no_vm_holds_more_than_its_capacity - quota not asked in Scheduler::place: no_team_holds_more_than_its_quota - next leaves the task queued: every_task_ends_in_exactly_one_way and three more - holds of a removed VM not collected: finished_work_gives_all_quota_back

--- /dev/null
+++ b/crates/dotterel-kernel/src/fleet/total.rs
@@ -0,0 +1,82 @@
+//! Sums over a fleet, kept up to date with every change.
+
+use super::Vm;
+use crate::size::Size;
+
+/// Sums over the VMs of a fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Capacity of the VMs that accept work.
+    pub capacity: Size,
+    /// Slots held on all VMs.
+    pub running: u32,
+    /// Slots held by long work on all VMs.
+    pub long: u32,
+    /// Each distinct capacity with its number of VMs.
+    shapes: Vec<(Size, u32)>,
+}
+
+impl Totals {
+    /// Returns true when an empty VM of some present shape could hold `size`.
+    #[must_use]
+    pub fn could_hold(&self, size: &Size) -> bool {
+        self.shapes.iter().any(|(shape, _)| size.fits(shape))
+    }
+
+    /// Returns the largest part of any resource that `size` takes of the accepting VMs.
+    #[must_use]
+    pub fn share(&self, size: &Size) -> f64 {
+        let part = |asked: u32, all: u32| match (asked, all) {
+            (0, _) => 0.0,
+            (_, 0) => 1.0,
+            _ => f64::from(asked) / f64::from(all),
+        };
+        part(size.slots, self.capacity.slots)
+            .max(part(size.milli_cores, self.capacity.milli_cores))
+            .max(part(size.memory_mb, self.capacity.memory_mb))
+            .max(part(size.accelerators, self.capacity.accelerators))
+            .max(part(size.connections, self.capacity.connections))
+    }
+
+    pub(super) fn add(&mut self, vm: &Vm) {
+        if vm.accepting {
+            self.capacity = self.capacity.plus(&vm.capacity);
+        }
+        self.running += vm.used.slots;
+        self.long += vm.long_slots;
+        match self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
+            Some(shape) => shape.1 += 1,
+            None => self.shapes.push((vm.capacity, 1)),
+        }
+    }
+
+    pub(super) fn subtract(&mut self, vm: &Vm) {
+        if vm.accepting {
+            self.capacity = self.capacity.minus(&vm.capacity);
+        }
+        self.running -= vm.used.slots;
+        self.long -= vm.long_slots;
+        if let Some(shape) = self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
+            shape.1 -= 1;
+        }
+        self.shapes.retain(|shape| shape.1 > 0);
+    }
+
+    pub(super) fn accepting(&mut self, capacity: &Size, accepting: bool) {
+        self.capacity = if accepting {
+            self.capacity.plus(capacity)
+        } else {
+            self.capacity.minus(capacity)
+        };
+    }
+
+    pub(super) fn taken(&mut self, slots: u32, long: u32) {
+        self.running += slots;
+        self.long += long;
+    }
+
+    pub(super) fn given(&mut self, slots: u32, long: u32) {
+        self.running -= slots;
+        self.long -= long;
+    }
+}
--- a/crates/dotterel-kernel/src/lib.rs
+++ b/crates/dotterel-kernel/src/lib.rs
@@ -28,6 +28,9 @@
 pub mod fleet;
 pub mod id;
 pub mod plugin;
+pub mod quota;
+pub mod rate;
+pub mod runtime;
 pub mod scheduler;
 pub mod size;
 pub mod time;
@@ -37,12 +40,14 @@
 };
 pub use document::{Class, Document, DocumentError, Kind, Spill, Urgency};
 pub use fate::{Fate, Reason};
-pub use fleet::{Fleet, Hold, HoldKey, Vm, VmKey};
+pub use fleet::{Fleet, Hold, HoldKey, Totals, Vm, VmKey};
 pub use id::{
     CallerKey, DataCentre, Epoch, Incarnation, JobId, NodeId, Region, RequestId, Revision, Service,
     TaskId, Team, VmId,
 };
-pub use plugin::{Admission, Candidate, Filter, Order, PolicySet, Score};
-pub use scheduler::{Placement, Scheduler, Submit, WaitKey, Waiting};
+pub use plugin::{Admission, Ask, Candidate, Filter, Order, PolicySet, Scan, Score};
+pub use quota::{Allotment, Lender, Quotas, TeamKey};
+pub use runtime::Runtimes;
+pub use scheduler::{Load, Placement, Scheduler, Submit, WaitKey, Waiting};
 pub use size::Size;
 pub use time::{Clock, Millis};
--- a/crates/dotterel-kernel/src/plugin.rs
+++ b/crates/dotterel-kernel/src/plugin.rs
@@ -34,6 +34,17 @@
     pub vm: &'a Vm,
     /// What is free on it.
     pub room: Size,
+    /// Whether it is kept clear for another task that has waited long.
+    pub kept: bool,
+}
+
+/// Which VMs a decision looks at first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scan {
+    /// Those with the fewest free slots.
+    Tight,
+    /// Those with the most free slots.
+    Wide,
 }
 
 /// Rules a VM out for a task.
@@ -52,6 +63,11 @@
 
     /// Returns a rating; the highest sum over all scores wins.
     fn score(&self, ask: &Ask, candidate: &Candidate<'_>, load: &Load) -> f64;
+
+    /// Returns which VMs are likely to be rated highest, or none when the score has no say.
+    fn scan(&self, _ask: &Ask) -> Option<Scan> {
+        None
+    }
 }
 
 /// Orders waiting tasks.
@@ -60,7 +76,7 @@
     fn name(&self) -> &'static str;
 
     /// Returns the sort key of a waiting task; the lowest goes first.
-    fn key(&self, waiting: &Waiting) -> u64;
+    fn key(&self, waiting: &Waiting, load: &Load) -> u64;
 }
 
 /// Decides whether a task may wait at all.
@@ -134,6 +150,13 @@
         Ok(set)
     }
 
+    /// Returns which VMs to look at first for a task: the first score with a say decides.
+    #[must_use]
+    pub fn scan(&self, ask: &Ask) -> Scan {
+        let mut wishes = self.scores.iter().filter_map(|score| score.scan(ask));
+        wishes.next().unwrap_or(Scan::Tight)
+    }
+
     /// Adds one plug-in.
     pub fn push(&mut self, part: Part) {
         match part {
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -2,17 +2,42 @@
 //!
 //! The scheduler is a plain data structure without timers: callers pass the time in. A task that
 //! cannot start at once waits in the queue; [`Scheduler::next`] hands out queued tasks as room
-//! appears and [`Scheduler::expire`] those whose start deadline has passed.
+//! appears and [`Scheduler::expire`] those whose start deadline has passed. What
+//! [`Scheduler::finish`] is told of run times replaces what documents declare.
+
+mod choice;
+mod class;
+mod clearing;
+mod demand;
+mod load;
+mod queue;
+
+pub use load::Load;
 
 use compact_str::CompactString;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, new_key_type};
 
 use crate::fate::Reason;
 use crate::fleet::{Fleet, Hold, HoldKey, VmKey};
 use crate::id::{Service, VmId};
-use crate::plugin::{Ask, Candidate, PolicySet};
+use crate::plugin::{Ask, PolicySet};
+use crate::quota::{Quotas, TeamKey};
+use crate::runtime::Runtimes;
 use crate::time::Millis;
 
+use choice::{Choice, choose};
+use class::{ClassKey, Classes};
+use clearing::Clearing;
+use demand::Demand;
+use queue::{Block, Head, Item, Queue};
+
+/// VMs that one call of [`Scheduler::next`] looks at before it leaves the rest to the next call.
+const LOOKED_LIMIT: u32 = 16_384;
+/// How long a blocked class waits for its next try when no capacity came free.
+const RETRY: Millis = Millis(50);
+/// The longest run time that counts for the demand of a class.
+const WORK_LIMIT: Millis = Millis::secs(3600);
+
 new_key_type! {
     /// Names one waiting task in a [`Scheduler`].
     pub struct WaitKey;
@@ -61,15 +86,11 @@
     Refused(Reason),
 }
 
-/// What the plug-ins may know of the present load.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Tasks that wait.
-    pub queued: u32,
-    /// Tasks that run.
-    pub running: u32,
-    /// Slots on all owned VMs that accept work.
-    pub slots: u32,
+/// What a hold counts against.
+#[derive(Clone, Copy, Debug)]
+struct Tag {
+    class: ClassKey,
+    team: Option<TeamKey>,
 }
 
 /// The queue, the fleet and the policy of one node.
@@ -77,10 +98,12 @@
 pub struct Scheduler {
     fleet: Fleet,
     policy: PolicySet,
-    waiting: SlotMap<WaitKey, Waiting>,
-    /// Order key and arrival number of each waiting task, sorted.
-    queue: Vec<(u64, u64, WaitKey)>,
-    arrivals: u64,
+    quotas: Quotas,
+    classes: Classes,
+    queue: Queue,
+    demand: Demand,
+    clearing: Clearing,
+    tags: SecondaryMap<HoldKey, Tag>,
     load: Load,
 }
 
@@ -91,9 +114,12 @@
         Self {
             fleet: Fleet::default(),
             policy,
-            waiting: SlotMap::with_key(),
-            queue: Vec::new(),
-            arrivals: 0,
+            quotas: Quotas::default(),
+            classes: Classes::default(),
+            queue: Queue::default(),
+            demand: Demand::default(),
+            clearing: Clearing::default(),
+            tags: SecondaryMap::new(),
             load: Load::default(),
         }
     }
@@ -109,7 +135,18 @@
         &mut self.fleet
     }
 
-    /// Returns the present load.
+    /// Returns the teams' allotments.
+    #[must_use]
+    pub const fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
+    /// Returns the teams' allotments for changes.
+    pub const fn quotas_mut(&mut self) -> &mut Quotas {
+        &mut self.quotas
+    }
+
+    /// Returns the load that the last decision was based on.
     #[must_use]
     pub const fn load(&self) -> &Load {
         &self.load
@@ -118,34 +155,66 @@
     /// Returns a waiting task.
     #[must_use]
     pub fn waiting(&self, key: WaitKey) -> Option<&Waiting> {
-        self.waiting.get(key)
+        self.queue.get(key).map(|item| &item.task)
+    }
+
+    /// Returns the run times learned of a class.
+    pub fn runtimes(&mut self, service: &Service, class: &str) -> &Runtimes {
+        let key = self.classes.key(service, class);
+        self.classes.runtimes(key)
     }
 
     /// Places a task now, queues it or refuses it.
-    pub fn submit(&mut self, task: Waiting, now: Millis) -> Submit {
-        self.refresh();
+    pub fn submit(&mut self, mut task: Waiting, now: Millis) -> Submit {
+        self.settle();
+        let class = self.classes.key(&task.service, &task.class);
+        self.classes.correct(class, &mut task.ask);
+        let team = self.quotas.team(&task.service);
+        self.observe(&task.ask, class, team, now);
         for admission in &self.policy.admissions {
             if let Err(reason) = admission.judge(&task, &self.load, now) {
                 return Submit::Refused(reason);
             }
         }
-        if self.queue.is_empty()
-            && let Some(placement) = self.place(&task.ask, now)
+        let work = self.work(&task.ask);
+        self.demand.add(&task.ask, work, now);
+        self.load.turn = team.map_or(now, |key| self.quotas.charge(key, work, now));
+        // Queued tasks of other classes could not use the present room.
+        if self.load.class_queued == 0
+            && let Ok(placement) = self.place(&task.ask, class, team, now)
         {
             return Submit::Placed(placement);
         }
-        Submit::Queued(self.enqueue(task))
+        let order = self.policy.orders.first();
+        let rank = order.map_or(0, |order| order.key(&task, &self.load));
+        let item = Item { task, class, work };
+        Submit::Queued(self.queue.push(item, rank))
     }
 
     /// Takes the next queued task that can start, with its placement.
     pub fn next(&mut self, now: Millis) -> Option<(WaitKey, Waiting, Placement)> {
-        for index in 0..self.queue.len() {
-            let (_, _, key) = self.queue[index];
-            let ask = self.waiting[key].ask;
-            if let Some(placement) = self.place(&ask, now) {
-                self.queue.remove(index);
-                let task = self.waiting.remove(key)?;
-                return Some((key, task, placement));
+        self.settle();
+        let mut looked = 0;
+        let mut index = 0;
+        while let Some(head) = self.queue.head(index)
+            && looked < LOOKED_LIMIT
+        {
+            index += 1;
+            if self.is_blocked(head, now) {
+                continue;
+            }
+            let item = self.queue.get(head.key)?;
+            let ask = item.task.ask;
+            let team = self.quotas.team(&item.task.service);
+            match self.place(&ask, head.class, team, now) {
+                Ok(placement) => {
+                    let item = self.queue.remove(head.key)?;
+                    return Some((head.key, item.task, placement));
+                }
+                Err(choice) => {
+                    looked += choice.considered;
+                    self.pass_over(head, now);
+                }
             }
         }
         None
@@ -153,96 +222,188 @@
 
     /// Takes a task out of the queue, for example because its caller left.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<Waiting> {
-        self.queue.retain(|entry| entry.2 != key);
-        self.waiting.remove(key)
+        let item = self.queue.remove(key)?;
+        if let Some(team) = self.quotas.team(&item.task.service) {
+            self.quotas.refund(team, item.work);
+        }
+        Some(item.task)
     }
 
     /// Takes out all tasks whose start deadline has passed.
     pub fn expire(&mut self, now: Millis) -> Vec<(WaitKey, Waiting)> {
-        let late = |key: &WaitKey| self.waiting[*key].deadline < now;
-        let keys: Vec<_> = self
-            .queue
-            .iter()
-            .map(|entry| entry.2)
-            .filter(late)
-            .collect();
-        keys.into_iter()
-            .filter_map(|key| self.withdraw(key).map(|task| (key, task)))
-            .collect()
-    }
-
-    /// Gives the capacity of a finished task back.
-    pub fn finish(&mut self, hold: HoldKey, _now: Millis) -> Option<Hold> {
-        self.fleet.release(hold)
-    }
-
-    fn enqueue(&mut self, task: Waiting) -> WaitKey {
-        let rank = self
-            .policy
-            .orders
-            .first()
-            .map_or(0, |order| order.key(&task));
-        self.arrivals += 1;
-        let key = self.waiting.insert(task);
-        let entry = (rank, self.arrivals, key);
-        let index = self
-            .queue
-            .partition_point(|other| (other.0, other.1) < (entry.0, entry.1));
-        self.queue.insert(index, entry);
-        key
-    }
-
-    fn place(&mut self, ask: &Ask, now: Millis) -> Option<Placement> {
-        let mut best: Option<(f64, VmKey)> = None;
-        let mut considered = 0;
-        let mut ruled_out = 0;
-        for (key, vm) in self.fleet.iter() {
-            considered += 1;
-            let candidate = Candidate {
-                vm,
-                room: vm.room(),
-            };
-            if !self.admits(ask, &candidate) {
-                ruled_out += 1;
-                continue;
-            }
-            let score: f64 = self
-                .policy
-                .scores
-                .iter()
-                .map(|s| s.score(ask, &candidate, &self.load))
-                .sum();
-            if best.is_none_or(|(top, _)| score > top) {
-                best = Some((score, key));
+        let mut expired = Vec::new();
+        while let Some(key) = self.queue.late(now) {
+            expired.extend(self.withdraw(key).map(|task| (key, task)));
+        }
+        expired
+    }
+
+    /// Gives the capacity of a finished task back and learns its run time.
+    pub fn finish(&mut self, hold: HoldKey, now: Millis) -> Option<Hold> {
+        let tag = self.tags.get(hold).copied();
+        let held = self.release(hold)?;
+        if let Some(tag) = tag {
+            self.classes.record(tag.class, now.since(held.since));
+        }
+        Some(held)
+    }
+
+    /// Gives the capacity of a task back that failed or was cut, so that its run time says nothing.
+    pub fn release(&mut self, hold: HoldKey) -> Option<Hold> {
+        self.settle();
+        let held = self.fleet.release(hold)?;
+        self.untag(hold, &held);
+        Some(held)
+    }
+
+    /// Counts an adopted hold against its class and its team's quota.
+    pub fn attribute(&mut self, hold: HoldKey, service: &Service, class: &str) {
+        let Some(held) = self.fleet.held(hold).copied() else {
+            return;
+        };
+        self.untag(hold, &held);
+        let class = self.classes.key(service, class);
+        let team = self.quotas.team(service);
+        self.tag(hold, &held, class, team);
+    }
+
+    /// Places all tasks of a gang at once, or none.
+    pub fn place_gang(
+        &mut self,
+        task: &Waiting,
+        count: u32,
+        now: Millis,
+    ) -> Option<Vec<Placement>> {
+        self.settle();
+        let class = self.classes.key(&task.service, &task.class);
+        let mut ask = task.ask;
+        self.classes.correct(class, &mut ask);
+        let team = self.quotas.team(&task.service);
+        self.observe(&ask, class, team, now);
+        let mut gang = Vec::with_capacity(count as usize);
+        for _ in 0..count {
+            match self.place(&ask, class, team, now) {
+                Ok(placement) => gang.push(placement),
+                Err(_) => {
+                    for placement in &gang {
+                        self.release(placement.hold);
+                    }
+                    return None;
+                }
             }
         }
-        let (score, vm) = best?;
-        let hold = self.fleet.hold(vm, ask.size, ask.long, now)?;
-        let id = self.fleet.get(vm)?.id.clone();
-        Some(Placement {
+        Some(gang)
+    }
+
+    fn place(
+        &mut self,
+        ask: &Ask,
+        class: ClassKey,
+        team: Option<TeamKey>,
+        now: Millis,
+    ) -> Result<Placement, Choice> {
+        if team.is_some_and(|key| !self.quotas.admits(key, &ask.size)) {
+            return Err(Choice::default());
+        }
+        self.refresh(now);
+        let kept = self.clearing.kept(class);
+        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept);
+        let placed = choice.best.and_then(|(score, vm)| {
+            let hold = self.fleet.hold(vm, ask.size, ask.long, now)?;
+            let id = self.fleet.get(vm)?.id.clone();
+            Some((score, vm, hold, id))
+        });
+        let Some((score, vm, hold, id)) = placed else {
+            return Err(choice);
+        };
+        let held = Hold {
+            vm,
+            size: ask.size,
+            long: ask.long,
+            since: now,
+        };
+        self.tag(hold, &held, class, team);
+        self.clearing.placed(class);
+        Ok(Placement {
             vm,
             id,
             hold,
             score,
-            considered,
-            ruled_out,
+            considered: choice.considered,
+            ruled_out: choice.ruled_out,
         })
     }
 
-    fn admits(&self, ask: &Ask, candidate: &Candidate<'_>) -> bool {
-        candidate.vm.accepting
-            && ask.size.fits(&candidate.room)
-            && self
-                .policy
-                .filters
-                .iter()
-                .all(|f| f.admits(ask, candidate, &self.load))
+    fn is_blocked(&self, head: Head, now: Millis) -> bool {
+        let block = self.queue.block(head.class);
+        block.is_some_and(|b| b.gains == self.fleet.gains() && now < b.until)
+    }
+
+    /// Notes that a head could not start; one that has waited long gets a VM kept clear.
+    fn pass_over(&mut self, head: Head, now: Millis) {
+        let block = Block {
+            gains: self.fleet.gains(),
+            until: now + RETRY,
+        };
+        self.queue.set_block(head.class, Some(block));
+        let Some(item) = self.queue.get(head.key) else {
+            return;
+        };
+        let team = self.quotas.team(&item.task.service);
+        if team.is_none_or(|key| self.quotas.admits(key, &item.task.ask.size)) {
+            self.clearing
+                .consider(head.class, &item.task, &self.fleet, now);
+        }
+    }
+
+    fn tag(&mut self, hold: HoldKey, held: &Hold, class: ClassKey, team: Option<TeamKey>) {
+        self.tags.insert(hold, Tag { class, team });
+        if let Some(key) = team {
+            self.quotas.take(key, &held.size);
+        }
+    }
+
+    fn untag(&mut self, hold: HoldKey, held: &Hold) {
+        let tag = self.tags.remove(hold);
+        if let Some(key) = tag.and_then(|tag| tag.team) {
+            self.quotas.give(key, &held.size);
+        }
+    }
+
+    /// Forgets the holds that went with their VMs.
+    fn settle(&mut self) {
+        while let Some((hold, held)) = self.fleet.take_lost() {
+            self.untag(hold, &held);
+        }
+    }
+
+    /// Returns the expected work of a task in milliseconds of the whole fleet.
+    fn work(&self, ask: &Ask) -> f64 {
+        ask.expected.min(WORK_LIMIT).0 as f64 * self.fleet.totals().share(&ask.size)
+    }
+
+    /// Draws up the load as it looks to one task.
+    fn observe(&mut self, ask: &Ask, class: ClassKey, team: Option<TeamKey>, now: Millis) {
+        self.refresh(now);
+        let totals = self.fleet.totals();
+        let outlook = self.demand.outlook(ask, totals, &self.queue, now);
+        self.load.class_queued = count(self.queue.waiting(class));
+        self.load.holdable = self.fleet.is_empty() || totals.could_hold(&ask.size);
+        self.load.quota = team.and_then(|key| self.quotas.get(key)).map(|a| a.limit);
+        self.load.wait = outlook.wait;
+        self.load.crowding = outlook.crowding;
     }
 
-    fn refresh(&mut self) {
-        self.load.queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        self.load.running = self.fleet.iter().map(|(_, vm)| vm.used.slots).sum();
-        let accepting = self.fleet.iter().filter(|(_, vm)| vm.accepting);
-        self.load.slots = accepting.map(|(_, vm)| vm.capacity.slots).sum();
+    fn refresh(&mut self, now: Millis) {
+        let totals = self.fleet.totals();
+        self.load.queued = count(self.queue.len());
+        self.load.running = totals.running;
+        self.load.slots = totals.capacity.slots;
+        self.load.long = totals.long;
+        self.load.short_peak = self.demand.short_peak(totals, &self.queue, now);
     }
 }
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/dotterel-kernel/src/scheduler/demand.rs
@@ -0,0 +1,91 @@
+//! How much work arrives and waits, and how long a task would wait behind it.
+
+use crate::document::Urgency;
+use crate::fleet::Totals;
+use crate::plugin::Ask;
+use crate::rate::{Peak, Rate};
+use crate::time::Millis;
+
+use super::queue::{Queue, level};
+
+/// How long an arrival counts towards the demand of its urgency.
+const DEMAND_SPAN: Millis = Millis(1000);
+/// How long a peak of short work is remembered.
+const PEAK_SPAN: Millis = Millis(60_000);
+const URGENCIES: [Urgency; 3] = [Urgency::Urgent, Urgency::Normal, Urgency::Overnight];
+
+/// Demand of short and long work by urgency.
+#[derive(Debug)]
+pub(super) struct Demand {
+    /// Short work, then long work, each by urgency, in parts of the fleet.
+    rates: [[Rate; 3]; 2],
+    peak: Peak,
+}
+
+/// The expected wait of a task.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Outlook {
+    pub(super) wait: Millis,
+    pub(super) crowding: f64,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            rates: [[Rate::over(DEMAND_SPAN); 3]; 2],
+            peak: Peak::over(PEAK_SPAN),
+        }
+    }
+}
+
+impl Demand {
+    /// Counts an admitted task.
+    pub(super) fn add(&mut self, ask: &Ask, work: f64, now: Millis) {
+        self.rates[usize::from(ask.long)][level(ask.urgency)].add(work, now);
+    }
+
+    /// Returns the slots that short work wanted at its recent peak.
+    pub(super) fn short_peak(&mut self, totals: &Totals, queue: &Queue, now: Millis) -> f64 {
+        let waiting: u32 = URGENCIES
+            .iter()
+            .map(|u| queue.backlog(false, *u).tasks)
+            .sum();
+        let level = totals.running - totals.long + waiting;
+        self.peak.note(f64::from(level), now)
+    }
+
+    /// Estimates how long a task would wait behind the work that goes first.
+    ///
+    /// Work of higher urgency that is still to arrive counts too, so that lower work is not kept
+    /// waiting for a start that the crest of the demand will not leave it.
+    pub(super) fn outlook(
+        &self,
+        ask: &Ask,
+        totals: &Totals,
+        queue: &Queue,
+        now: Millis,
+    ) -> Outlook {
+        let pool = pool(ask, totals);
+        let ahead: f64 = URGENCIES[..=level(ask.urgency)]
+            .iter()
+            .map(|urgency| queue.backlog(ask.long, *urgency).work)
+            .sum();
+        let rates = &self.rates[usize::from(ask.long)][..level(ask.urgency)];
+        let demand: f64 = rates.iter().map(|rate| rate.get(now)).sum();
+        let crowding = demand / pool;
+        let wait = match ahead {
+            0.0 => Millis::ZERO,
+            _ if crowding >= 1.0 => Millis::MAX,
+            _ => Millis((ahead / pool / (1.0 - crowding)) as u64),
+        };
+        Outlook { wait, crowding }
+    }
+}
+
+/// Returns the part of the fleet that work of this length may use.
+fn pool(ask: &Ask, totals: &Totals) -> f64 {
+    const LEAST: f64 = 0.01;
+    let slots = f64::from(totals.capacity.slots.max(1));
+    let other = if ask.long { 0 } else { totals.long };
+    (1.0 - f64::from(other) / slots).max(LEAST)
+}
--- /dev/null
+++ b/crates/dotterel-kernel/src/scheduler/load.rs
@@ -0,0 +1,31 @@
+//! What the plug-ins may know beside the task itself.
+
+use crate::size::Size;
+use crate::time::Millis;
+
+/// The present load, and how the task in question stands in it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Tasks that wait.
+    pub queued: u32,
+    /// Slots held by running tasks.
+    pub running: u32,
+    /// Slots on all owned VMs that accept work.
+    pub slots: u32,
+    /// Slots held by long work.
+    pub long: u32,
+    /// Slots that short work wanted at its recent peak.
+    pub short_peak: f64,
+    /// Tasks of the task's own class that wait.
+    pub class_queued: u32,
+    /// Whether an empty VM of some owned shape could hold the task.
+    pub holdable: bool,
+    /// The team's allotment, if the task counts against one.
+    pub quota: Option<Size>,
+    /// The expected wait behind work that goes first, by learned run times.
+    pub wait: Millis,
+    /// Capacity that more urgent work asks for, as a part of what it shares with the task.
+    pub crowding: f64,
+    /// When the team's earlier work would be served at the team's own rate.
+    pub turn: Millis,
+}
--- /dev/null
+++ b/crates/dotterel-policies/src/admission/in_time.rs
@@ -0,0 +1,32 @@
+//! Refuses what could not start before its deadline, by learned run times.
+
+use dotterel_kernel::plugin::{Part, Plugin};
+use dotterel_kernel::{Admission, Load, Millis, Reason, Urgency, Waiting};
+
+/// The part of the time left that the expected wait may fill, in tenths.
+const FILL_TENTHS: u64 = 8;
+/// From this part of the capacity on, more urgent work is the cause of a refusal.
+const CROWDED: f64 = 0.5;
+
+struct InTime;
+
+impl Admission for InTime {
+    fn name(&self) -> &'static str {
+        "in-time"
+    }
+
+    fn judge(&self, waiting: &Waiting, load: &Load, now: Millis) -> Result<(), Reason> {
+        let left = waiting.deadline.since(now).0;
+        if load.wait.0 <= left / 10 * FILL_TENTHS {
+            return Ok(());
+        }
+        if waiting.ask.urgency != Urgency::Urgent && load.crowding >= CROWDED {
+            return Err(Reason::Shed);
+        }
+        Err(Reason::Deadline)
+    }
+}
+
+inventory::submit! {
+    Plugin { name: "in-time", build: || Part::Admission(Box::new(InTime)) }
+}
--- /dev/null
+++ b/crates/dotterel-policies/src/order.rs
@@ -0,0 +1,4 @@
+//! Orders: which waiting task goes first.
+
+mod due;
+mod fifo;
--- /dev/null
+++ b/crates/dotterel-policies/src/score/random.rs
@@ -0,0 +1,28 @@
+//! Rates VMs at random, the same way in every run.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dotterel_kernel::plugin::{Part, Plugin};
+use dotterel_kernel::{Ask, Candidate, Load, Score};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+#[derive(Default)]
+struct Random {
+    drawn: AtomicU64,
+}
+
+impl Score for Random {
+    fn name(&self) -> &'static str {
+        "random"
+    }
+
+    fn score(&self, _ask: &Ask, candidate: &Candidate<'_>, _load: &Load) -> f64 {
+        let seed = self.drawn.fetch_add(1, Ordering::Relaxed);
+        let hash = xxh3_64_with_seed(candidate.vm.id.as_str().as_bytes(), seed);
+        hash as f64 / u64::MAX as f64
+    }
+}
+
+inventory::submit! {
+    Plugin { name: "random", build: || Part::Score(Box::<Random>::default()) }
+}
