--- /dev/null
+++ b/crates/dotterel-coord/tests/journal.rs
@@ -0,0 +1,169 @@
+//! The journal in calm and in an outage of the store.
+
+use std::sync::Arc;
+
+use dotterel_coord::journal::{Config, Found, Shipped, merge};
+use dotterel_coord::{Journal, Reader};
+use dotterel_kernel::{Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
+use dotterel_standin::FakeStore;
+
+const LIFE: Incarnation = Incarnation(3);
+const START: Millis = Millis::secs(86_400);
+
+struct Bench {
+    clock: Clock,
+    store: FakeStore,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let clock = Clock::starting_at(START);
+        let store = FakeStore::new(clock);
+        Self { clock, store }
+    }
+
+    fn journal(&self, node: &str, config: Config) -> Journal {
+        let store = Arc::new(self.store.clone());
+        Journal::new(node.into(), LIFE, self.clock, store, config)
+    }
+
+    fn reader(&self) -> Reader {
+        Reader::new(Arc::new(self.store.clone()))
+    }
+
+    fn record(&self, node: &str) -> Record {
+        let now = self.clock.now();
+        Record {
+            request: RequestId::mint(),
+            service: "quotes".into(),
+            class: "bracket-count".into(),
+            key: None,
+            node: node.into(),
+            arrived: now,
+            deadline: now + Millis::secs(1),
+            started: None,
+            ended: None,
+            fate: None,
+            attempts: Vec::new(),
+            flags: Vec::new(),
+        }
+    }
+
+    fn opened(&self, journal: &Journal) -> RequestId {
+        let record = self.record("a");
+        let request = record.request;
+        journal.open(record);
+        request
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn open_requests_of_a_dead_node_are_unknown_and_the_rest_is_a_gap() {
+    let bench = Bench::new();
+    let journal = bench.journal("a", Config::default());
+    let ran = bench.opened(&journal);
+    let open = bench.opened(&journal);
+    journal.close(ran, Fate::Ran);
+    assert_eq!(journal.ship().await, Shipped::Segment(2));
+    tokio::time::advance(Millis(300).duration()).await;
+    let unshipped = bench.opened(&journal);
+    drop(journal);
+
+    let account = bench
+        .reader()
+        .account(&"a".into(), LIFE, None, START)
+        .await
+        .expect("the store answers");
+
+    let line = &account.lines[0];
+    assert_eq!((line.arrived, line.ran, line.unknown), (2, 1, 1));
+    assert!(line.not_run.is_empty());
+    assert_eq!(account.gaps.len(), 1);
+    assert_eq!(account.gaps[0].since, START);
+    let reader = bench.reader();
+    let node = "a".into();
+    let look = |request| reader.lookup(&node, LIFE, request);
+    let Ok(Found::Lost(record)) = look(open).await else {
+        panic!("the open request is in the segment");
+    };
+    assert_eq!(record.fate, Some(Fate::Unknown));
+    assert!(matches!(look(ran).await, Ok(Found::Settled(_))));
+    assert!(matches!(look(unshipped).await, Ok(Found::Absent(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_pushed_out_in_an_outage_are_named() {
+    let bench = Bench::new();
+    let config = Config {
+        recent: 8,
+        ..Config::default()
+    };
+    let journal = bench.journal("a", config);
+    bench
+        .store
+        .set_faults(|faults| faults.down_until = Millis::MAX);
+    for _ in 0..20 {
+        let request = bench.opened(&journal);
+        journal.close(request, Fate::NotRun(Reason::Shed));
+    }
+    assert_eq!(journal.ship().await, Shipped::Failed);
+    bench
+        .store
+        .set_faults(|faults| faults.down_until = Millis::ZERO);
+
+    assert!(matches!(journal.ship().await, Shipped::Segment(_)));
+    let account = bench
+        .reader()
+        .account(&"a".into(), LIFE, None, START)
+        .await
+        .expect("the store answers");
+
+    assert_eq!(journal.account(None, START).lines[0].arrived, 20);
+    let dropped = 20 - account.lines[0].arrived;
+    assert!(dropped > 0);
+    let named: u64 = account
+        .gaps
+        .iter()
+        .filter(|gap| gap.cause.contains("dropped"))
+        .filter_map(|gap| gap.cause.split(' ').next()?.parse::<u64>().ok())
+        .sum();
+    assert_eq!(named, dropped);
+}
+
+#[tokio::test(start_paused = true)]
+async fn segment_written_twice_counts_once() {
+    let bench = Bench::new();
+    let journal = bench.journal("a", Config::default());
+    let request = bench.opened(&journal);
+    bench.store.set_faults(|faults| faults.lose_answers = 1);
+
+    assert_eq!(journal.ship().await, Shipped::Failed);
+    journal.close(request, Fate::Ran);
+    assert_eq!(journal.ship().await, Shipped::Segment(1));
+    let account = bench
+        .reader()
+        .account(&"a".into(), LIFE, None, START)
+        .await
+        .expect("the store answers");
+
+    assert_eq!((account.lines[0].arrived, account.lines[0].ran), (1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn accounts_of_nodes_add_up() {
+    let bench = Bench::new();
+    let (first, second) = (
+        bench.journal("a", Config::default()),
+        bench.journal("b", Config::default()),
+    );
+    first.close(bench.opened(&first), Fate::Ran);
+    second.open(bench.record("b"));
+    tokio::time::advance(Millis(700).duration()).await;
+
+    let whole = merge([first.account(None, START), second.account(None, START)]);
+
+    let line = &whole.lines[0];
+    assert_eq!((line.arrived, line.ran, line.waiting), (2, 1, 1));
+    assert_eq!(line.oldest, Millis(700));
+    assert_eq!(whole.nodes.len(), 2);
+}
--- a/crates/dotterel-kernel/src/fate.rs
+++ b/crates/dotterel-kernel/src/fate.rs
@@ -1,12 +1,13 @@
 //! What became of a request.
 
+mod codec;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
 /// The outcome of a request as the system can prove it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "fate", content = "reason")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Fate {
     /// The request ran to its end on a VM.
     Ran,
