Share claim writes between nodes and page older entries

Nodes forward changes to the node that usually writes a shard and fall back to writing it themselves.

A property over random schedules found three ways in which a key stayed locked though nothing ran: a withdrawn claim uncovered an older one in a page; a claim lost locally after a failed forward could still be written by the peer; a release was dropped with its caller. Each is mended, and the first has a test of its own. Every call to the table is bounded, and one that takes longer counts as unknown.

--- a/crates/dotterel-coord/src/claims.rs
+++ b/crates/dotterel-coord/src/claims.rs
@@ -2,16 +2,21 @@
 //!
 //! A claim is an entry in the platform's table, keyed by the service and the caller's idempotency
 //! key, that is durable before anything is dispatched. Keys are spread over shards by hash. Each
-//! shard is one row that holds the entries of the last window. A task per shard keeps the row in
-//! memory and commits a batch of changes in one write, at most one write per
-//! [`Config::pace`]. The write names the version of the cached row, so a stale cache costs a
-//! conflict and never a second winner; any number of nodes may cache the same shard.
+//! shard is one row with its latest entries; older ones stand in pages, rows that are written once.
+//! A task per shard keeps the row in memory and commits a batch of changes in one write, at most
+//! one write per [`Config::pace`]. The write names the version of the cached row, so a stale cache
+//! costs a conflict and never a second winner; any number of nodes may cache the same shard.
+//!
+//! With [`Peers`], a node forwards its changes to the node that usually writes the shard, so that
+//! claims from many nodes share writes. A wrong idea of that node is harmless, and when it does not
+//! answer, the change is committed from here.
 //!
 //! # Lost answers
 //!
 //! Every claim carries a [`WriteId`]. After a write with an unknown outcome the row is read again
 //! and the batch is judged anew: an entry with the claim's own id means that the write took effect.
 //! While the row still has the version that the lost write expected, that write may yet arrive.
+//! Only the node that asked for a claim withdraws it.
 //!
 //! # What a retry of the same key sees
 //!
@@ -29,127 +34,33 @@
 //! The table's row versions grow and are never used again, and reads see every write that was
 //! answered. Wall clocks of nodes differ by less than [`Config::skew`].
 
+mod change;
+mod claim;
 mod committer;
+mod config;
 mod entry;
+mod forward;
 mod outcome;
+mod page;
 mod row;
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use dotterel_kernel::{Clock, Millis, RequestId};
-use dotterel_platform::{Owner, Table};
+use bytes::Bytes;
+use dotterel_kernel::{Clock, Millis};
+use dotterel_platform::{CallError, ObjectStore, Owner, Table};
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use change::{Change, Peers, Verdict};
+pub use claim::{Ask, Claim, ClaimOutcome, Written};
 pub use committer::Counters;
+pub use config::Config;
 pub use entry::{ClaimKey, Entry, State, WriteId};
 pub use outcome::{Body, RecordedOutcome};
 
-use committer::{Op, Shard, Verdict};
-
-/// Limits and rhythm of the claims.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Config {
-    /// Number of shards; the same on all nodes, never changed while entries live.
-    pub shards: u32,
-    /// The most changes in one write.
-    pub batch: usize,
-    /// The shortest time between two writes of a shard by this node.
-    pub pace: Millis,
-    /// The pause after a call that failed.
-    pub backoff: Millis,
-    /// The most claims that wait for a shard's commits on this node.
-    pub queue: usize,
-    /// The most entries in a shard's row.
-    pub entries: usize,
-    /// The largest body that is recorded with an outcome, in bytes.
-    pub body: usize,
-    /// The shortest window that is accepted.
-    pub window: Millis,
-    /// By how much the wall clocks of two nodes may differ.
-    pub skew: Millis,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            shards: 16,
-            batch: 256,
-            pace: Millis(80),
-            backoff: Millis(50),
-            queue: 4096,
-            entries: 4096,
-            body: 1024,
-            window: Millis::secs(600),
-            skew: Millis::secs(30),
-        }
-    }
-}
-
-/// A request to claim a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The key.
-    pub key: ClaimKey,
-    /// Hash of the request body; a repeat must bring the same one.
-    pub digest: u64,
-    /// The request that would run.
-    pub request: RequestId,
-    /// How long the key is remembered.
-    pub window: Millis,
-    /// Until when the claim must be durable.
-    pub deadline: Millis,
-}
-
-/// The answer to [`Claims::claim`].
-#[derive(Debug)]
-pub enum ClaimOutcome {
-    /// The claim is durable: this request alone may be dispatched.
-    Won(Claim),
-    /// Another request holds the key.
-    Repeat(Entry),
-    /// Another request with another body holds the key.
-    Mismatch(RequestId),
-    /// The claim did not become durable in time; this request must not be dispatched.
-    Unavailable,
-}
-
-/// Whether a change of a claim is durable.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Written {
-    /// It is.
-    Durable,
-    /// It is not known to be; the node keeps trying in the background while it lives.
-    Pending,
-}
-
-/// A durable claim.
-///
-/// Dropping a claim changes nothing: the key stays claimed until its window ends, because the
-/// request may have been dispatched.
-#[derive(Debug)]
-#[must_use = "a claim that is neither settled nor released blocks its key"]
-pub struct Claim {
-    entry: Entry,
-    shard: u32,
-}
-
-impl Claim {
-    /// Returns the entry as written.
-    #[must_use]
-    pub const fn entry(&self) -> &Entry {
-        &self.entry
-    }
-
-    /// Returns true while the request may be dispatched.
-    ///
-    /// A holder that was paused past the window must not dispatch, because the key may have been
-    /// claimed again.
-    #[must_use]
-    pub fn dispatchable(&self, now: Millis) -> bool {
-        now < self.entry.expires
-    }
-}
+use committer::{Offer, Op, Reply, Setup, Shard};
+use forward::{Forward, detached};
 
 /// The claims as one node sees them; clones share the state.
 #[derive(Clone)]
@@ -158,11 +69,10 @@
 }
 
 struct Inner {
-    table: Arc<dyn Table>,
-    clock: Clock,
+    setup: Setup,
     owner: Owner,
-    config: Config,
-    counters: Arc<Counters>,
+    peers: Option<Arc<dyn Peers>>,
+    store: Option<Arc<dyn ObjectStore>>,
     shards: Vec<Mutex<Option<Shard>>>,
 }
 
@@ -170,21 +80,48 @@
     /// Returns the claims of one node's life; the shards' tasks start at their first use.
     #[must_use]
     pub fn new(table: Arc<dyn Table>, clock: Clock, owner: Owner, config: Config) -> Self {
-        let shards = (0..config.shards.max(1))
-            .map(|_| Mutex::new(None))
-            .collect();
+        let count = config.shards.max(1);
+        let setup = Setup {
+            table,
+            clock,
+            config,
+            counters: Arc::default(),
+        };
         Self {
             inner: Arc::new(Inner {
-                table,
-                clock,
+                setup,
                 owner,
-                config,
-                counters: Arc::default(),
-                shards,
+                peers: None,
+                store: None,
+                shards: (0..count).map(|_| Mutex::new(None)).collect(),
             }),
         }
     }
 
+    /// Forwards changes to the nodes that usually write the shards.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the claims have been cloned already.
+    #[must_use]
+    pub fn with_peers(mut self, peers: Arc<dyn Peers>) -> Self {
+        let inner = Arc::get_mut(&mut self.inner).expect("peers are set before the first clone");
+        inner.peers = Some(peers);
+        self
+    }
+
+    /// Keeps recorded bodies beyond [`Config::body`] in an object store.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the claims have been cloned already.
+    #[must_use]
+    pub fn with_store(mut self, store: Arc<dyn ObjectStore>) -> Self {
+        let inner = Arc::get_mut(&mut self.inner).expect("the store is set before the first clone");
+        inner.store = Some(store);
+        self
+    }
+
     /// Claims a key; [`ClaimOutcome::Won`] is returned only when the claim is durable.
     ///
     /// When the future is dropped before it returns, a claim that became durable is withdrawn.
@@ -192,25 +129,27 @@
         let deadline = ask.deadline;
         let index = self.shard_of(&ask.key);
         let shard = self.shard(index);
-        if shard.depth() >= self.inner.config.queue {
+        if shard.depth() >= self.config().queue {
             return ClaimOutcome::Unavailable;
         }
-        let (reply, mut answer) = oneshot::channel();
-        shard.send(Op::Claim {
-            entry: self.entry(ask),
-            deadline,
-            reply,
-            exposed: false,
-        });
-        let at = self.inner.clock.instant(deadline);
-        let verdict = match tokio::time::timeout_at(at, &mut answer).await {
-            Ok(verdict) => verdict.ok(),
-            Err(_) => {
-                answer.close();
-                answer.try_recv().ok()
-            }
+        let offer = Offer::new(self.entry(ask), shard.clone());
+        let change = Change::Claim {
+            entry: offer.entry().clone(),
+            patience: deadline.since(self.now()),
+        };
+        let forwarded = match self.forward(index, &change, deadline).await {
+            Forward::Answered(verdict) => return self.conclude(*verdict, offer, deadline),
+            Forward::Failed => true,
+            Forward::Local => false,
         };
-        self.judge(index, deadline, verdict)
+        let (reply, answer) = oneshot::channel();
+        shard.send(Op::claim(offer.entry().clone(), deadline, reply).forwarded(forwarded));
+        offer.accept();
+        match self.answer(answer, deadline).await {
+            Some(Reply::Won(offer)) => self.conclude(Verdict::Won, offer, deadline),
+            Some(Reply::Other(verdict)) => ClaimOutcome::lost(verdict),
+            None => ClaimOutcome::Unavailable,
+        }
     }
 
     /// Records the outcome of a claimed request for its repeats.
@@ -223,14 +162,18 @@
         outcome: RecordedOutcome,
         deadline: Millis,
     ) -> Written {
-        let (reply, answer) = oneshot::channel();
-        self.shard(claim.shard).send(Op::Settle {
-            key: claim.entry.key.clone(),
-            id: claim.entry.id,
-            outcome: outcome.bounded(self.inner.config.body),
-            reply: Some(reply),
-        });
-        self.written(answer, deadline).await
+        let entry = claim.entry().clone();
+        let claims = self.clone();
+        detached(async move {
+            let outcome = claims.bounded(entry.request, outcome).await;
+            let change = Change::Settle {
+                key: entry.key,
+                id: entry.id,
+                outcome,
+            };
+            claims.write(change, deadline).await
+        })
+        .await
     }
 
     /// Gives the key back after a proof that the request was not run.
@@ -239,26 +182,58 @@
     /// [`Written::Pending`] the request was not run either, but a retry may still find the key
     /// claimed.
     pub async fn release(&self, claim: Claim, deadline: Millis) -> Written {
+        let change = claim.into_withdrawal();
+        let claims = self.clone();
+        detached(async move { claims.write(change, deadline).await }).await
+    }
+
+    /// Handles a change that a peer forwarded.
+    pub async fn serve(&self, change: Change) -> Verdict {
+        let shard = self.shard(self.shard_of(change.key()));
+        if shard.depth() >= self.config().queue {
+            return Verdict::Unavailable;
+        }
+        let patience = match &change {
+            Change::Claim { patience, .. } => *patience,
+            Change::Settle { .. } | Change::Withdraw { .. } => self.config().patience,
+        };
+        let deadline = self.now() + patience;
         let (reply, answer) = oneshot::channel();
-        self.shard(claim.shard).send(Op::Withdraw {
-            key: claim.entry.key,
-            id: claim.entry.id,
-            reply: Some(reply),
-        });
-        self.written(answer, deadline).await
+        shard.send(Op::served(change, deadline, reply));
+        match self.answer(answer, deadline).await {
+            Some(Reply::Won(offer)) => {
+                offer.accept();
+                Verdict::Won
+            }
+            Some(Reply::Other(verdict)) => verdict,
+            None => Verdict::Unavailable,
+        }
+    }
+
+    /// Returns the whole recorded body; none when it was not kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object store cannot be read; nothing has changed then.
+    pub async fn body(&self, outcome: &RecordedOutcome) -> Result<Option<Bytes>, CallError> {
+        match (&outcome.body, &self.inner.store) {
+            (Body::Whole(bytes), _) => Ok(Some(bytes.clone())),
+            (Body::Object(name), Some(store)) => store.get(name).await,
+            (Body::Object(_), None) | (Body::Omitted { .. }, _) => Ok(None),
+        }
     }
 
     /// Returns the shard of a key.
     #[must_use]
     pub fn shard_of(&self, key: &ClaimKey) -> u32 {
-        let count = u64::from(self.inner.config.shards.max(1));
+        let count = u64::from(self.config().shards.max(1));
         u32::try_from(key.hash() % count).unwrap_or_default()
     }
 
     /// Returns what the claims have cost so far.
     #[must_use]
     pub fn counters(&self) -> &Counters {
-        &self.inner.counters
+        &self.inner.setup.counters
     }
 
     /// Returns the number of changes that are not yet durable.
@@ -272,7 +247,7 @@
     }
 
     fn entry(&self, ask: Ask) -> Entry {
-        let now = self.inner.clock.now();
+        let now = self.now();
         Entry {
             key: ask.key,
             id: WriteId::mint(),
@@ -280,44 +255,49 @@
             request: ask.request,
             digest: ask.digest,
             claimed: now,
-            expires: now + ask.window.max(self.inner.config.window),
+            expires: now + ask.window.max(self.config().window),
             state: State::Claimed,
         }
     }
 
-    fn judge(&self, shard: u32, deadline: Millis, verdict: Option<Verdict>) -> ClaimOutcome {
+    /// Turns a verdict on an offered claim into the claimant's outcome.
+    fn conclude(&self, verdict: Verdict, offer: Offer, deadline: Millis) -> ClaimOutcome {
         match verdict {
-            Some(Verdict::Won(offer)) if self.inner.clock.now() <= deadline => {
-                let entry = offer.accept();
-                ClaimOutcome::Won(Claim { entry, shard })
+            // A claim that came too late is withdrawn with its offer.
+            Verdict::Won if self.now() > deadline => ClaimOutcome::Unavailable,
+            Verdict::Won => ClaimOutcome::Won(offer.into_claim()),
+            Verdict::Unavailable => ClaimOutcome::Unavailable,
+            other => {
+                offer.accept();
+                ClaimOutcome::lost(other)
             }
-            Some(Verdict::Repeat(entry)) => ClaimOutcome::Repeat(entry),
-            Some(Verdict::Mismatch(request)) => ClaimOutcome::Mismatch(request),
-            Some(Verdict::Won(_) | Verdict::Full) | None => ClaimOutcome::Unavailable,
         }
     }
 
-    async fn written(&self, answer: oneshot::Receiver<()>, deadline: Millis) -> Written {
-        let at = self.inner.clock.instant(deadline);
-        match tokio::time::timeout_at(at, answer).await {
-            Ok(Ok(())) => Written::Durable,
-            Ok(Err(_)) | Err(_) => Written::Pending,
+    async fn answer<T>(&self, mut answer: oneshot::Receiver<T>, deadline: Millis) -> Option<T> {
+        let at = self.inner.setup.clock.instant(deadline);
+        match tokio::time::timeout_at(at, &mut answer).await {
+            Ok(answer) => answer.ok(),
+            Err(_) => {
+                answer.close();
+                answer.try_recv().ok()
+            }
         }
     }
 
     fn shard(&self, index: u32) -> Shard {
         let lock = &self.inner.shards[index as usize];
         let mut slot = lock.lock().unwrap_or_else(PoisonError::into_inner);
-        slot.get_or_insert_with(|| {
-            Shard::spawn(
-                index,
-                Arc::clone(&self.inner.table),
-                self.inner.clock,
-                self.inner.config,
-                Arc::clone(&self.inner.counters),
-            )
-        })
-        .clone()
+        slot.get_or_insert_with(|| Shard::spawn(index, self.inner.setup.clone()))
+            .clone()
+    }
+
+    fn config(&self) -> &Config {
+        &self.inner.setup.config
+    }
+
+    fn now(&self) -> Millis {
+        self.inner.setup.clock.now()
     }
 }
 
--- a/crates/dotterel-coord/src/claims/committer.rs
+++ b/crates/dotterel-coord/src/claims/committer.rs
@@ -1,19 +1,25 @@
 //! The task that commits the changes of one shard.
 
 mod batch;
+mod cache;
+mod op;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use compact_str::{CompactString, format_compact};
-use dotterel_kernel::{Clock, Millis, RequestId};
+use dotterel_kernel::{Clock, Millis};
 use dotterel_platform::{CallError, Commit, Table, Version, Write};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
-use super::Config;
-use super::entry::{ClaimKey, Entry, WriteId};
-use super::outcome::RecordedOutcome;
-use super::row::ShardRow;
+use super::change::Change;
+use super::config::Config;
+use super::entry::Entry;
+use super::page::{self, Indexed, PageRef};
+use crate::lease::bounded;
+use batch::Judged;
+use cache::Cache;
+
+pub(super) use op::{Offer, Op, Reply, Shard};
 
 /// What the claims of a node have cost.
 #[derive(Debug, Default)]
@@ -22,148 +28,50 @@
     pub won: AtomicU64,
     /// Changes that became durable: claims, outcomes and withdrawals.
     pub changes: AtomicU64,
-    /// Writes sent to the table.
+    /// Transactions sent to the table.
     pub writes: AtomicU64,
-    /// Writes that met another version.
+    /// Rows in those transactions.
+    pub rows: AtomicU64,
+    /// Bytes in those transactions.
+    pub bytes: AtomicU64,
+    /// Transactions that met another version.
     pub conflicts: AtomicU64,
-    /// Writes whose answer was lost.
+    /// Transactions whose answer was lost.
     pub lost: AtomicU64,
     /// Reads of a row.
     pub reads: AtomicU64,
 }
 
-/// A change of the shard that waits for its commit.
-#[derive(Debug)]
-pub(super) enum Op {
-    /// Claims a key.
-    Claim {
-        entry: Entry,
-        deadline: Millis,
-        reply: oneshot::Sender<Verdict>,
-        /// True once a write with this entry has left.
-        exposed: bool,
-    },
-    /// Records an outcome.
-    Settle {
-        key: ClaimKey,
-        id: WriteId,
-        outcome: RecordedOutcome,
-        reply: Option<oneshot::Sender<()>>,
-    },
-    /// Gives a key back.
-    Withdraw {
-        key: ClaimKey,
-        id: WriteId,
-        reply: Option<oneshot::Sender<()>>,
-    },
-}
-
-/// The answer to [`Op::Claim`].
-#[derive(Debug)]
-pub(super) enum Verdict {
-    Won(Offer),
-    Repeat(Entry),
-    Mismatch(RequestId),
-    /// The shard has no room for another entry.
-    Full,
-}
-
-/// A durable claim on its way to the claimant; one that is never accepted is withdrawn.
-#[derive(Debug)]
-pub(super) struct Offer {
-    entry: Option<Entry>,
-    shard: Shard,
-}
-
-impl Offer {
-    /// Takes the claim over.
-    pub(super) fn accept(mut self) -> Entry {
-        self.entry.take().expect("an offer is accepted once")
+impl Counters {
+    fn add(counter: &AtomicU64, count: usize) {
+        counter.fetch_add(count as u64, Ordering::Relaxed);
     }
 }
 
-impl Drop for Offer {
-    fn drop(&mut self) {
-        if let Some(entry) = self.entry.take() {
-            self.shard.send(Op::Withdraw {
-                key: entry.key,
-                id: entry.id,
-                reply: None,
-            });
-        }
-    }
+/// What all shards of a node share.
+#[derive(Clone)]
+pub(super) struct Setup {
+    pub(super) table: Arc<dyn Table>,
+    pub(super) clock: Clock,
+    pub(super) config: Config,
+    pub(super) counters: Arc<Counters>,
 }
 
-/// The way to a shard's task.
-#[derive(Clone, Debug)]
-pub(super) struct Shard {
-    ops: mpsc::UnboundedSender<Op>,
-    depth: Arc<AtomicUsize>,
-}
-
-impl Shard {
-    /// Starts the task of a shard; it ends when its last sender is gone.
-    pub(super) fn spawn(
-        index: u32,
-        table: Arc<dyn Table>,
-        clock: Clock,
-        config: Config,
-        counters: Arc<Counters>,
-    ) -> Self {
-        let (ops, inbox) = mpsc::unbounded_channel();
-        let shard = Self {
-            ops,
-            depth: Arc::default(),
-        };
-        let committer = Committer {
-            key: format_compact!("claims/{index:05}"),
-            table,
-            clock,
-            config,
-            counters,
-            depth: Arc::clone(&shard.depth),
-            ops: shard.ops.downgrade(),
-            inbox,
-            batch: Vec::new(),
-            cache: None,
-            doubt: None,
-            next: Millis::ZERO,
-        };
-        tokio::spawn(committer.run());
-        shard
-    }
-
-    /// Queues a change.
-    pub(super) fn send(&self, op: Op) {
-        self.depth.fetch_add(1, Ordering::Relaxed);
-        if self.ops.send(op).is_err() {
-            self.depth.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
-
-    /// Returns the number of changes that are not durable.
-    pub(super) fn depth(&self) -> usize {
-        self.depth.load(Ordering::Relaxed)
-    }
-}
-
-/// A row as last seen.
-struct Cached {
-    version: Version,
-    row: ShardRow,
+/// Whether a step got on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The batch is done, or is to be judged again at once.
+    Done,
+    /// A call failed.
+    Failed,
 }
 
 struct Committer {
-    key: CompactString,
-    table: Arc<dyn Table>,
-    clock: Clock,
-    config: Config,
-    counters: Arc<Counters>,
-    depth: Arc<AtomicUsize>,
-    ops: mpsc::WeakUnboundedSender<Op>,
+    setup: Setup,
+    cache: Cache,
+    shard: op::Link,
     inbox: mpsc::UnboundedReceiver<Op>,
     batch: Vec<Op>,
-    cache: Option<Cached>,
     /// The version that a write of unknown outcome expected: while the row has it, that write may
     /// still take effect.
     doubt: Option<Version>,
@@ -174,9 +82,10 @@
 impl Committer {
     async fn run(mut self) {
         while self.gather().await {
-            if !self.step().await {
-                let until = self.clock.now() + self.config.backoff;
-                self.clock.sleep_until(until).await;
+            if self.step().await == Step::Failed {
+                self.answer_known();
+                let backoff = self.setup.config.backoff;
+                tokio::time::sleep(backoff.duration()).await;
             }
         }
     }
@@ -189,8 +98,8 @@
             };
             self.batch.push(op);
         }
-        self.clock.sleep_until(self.next).await;
-        while self.batch.len() < self.config.batch {
+        self.setup.clock.sleep_until(self.next).await;
+        while self.batch.len() < self.setup.config.batch {
             let Ok(op) = self.inbox.try_recv() else {
                 break;
             };
@@ -199,145 +108,183 @@
         true
     }
 
-    /// Tries to make the batch durable once; returns false when a call failed.
-    async fn step(&mut self) -> bool {
+    /// Tries to make the batch durable once.
+    async fn step(&mut self) -> Step {
         self.drop_late();
         if self.batch.is_empty() {
-            return true;
+            return Step::Done;
         }
-        let fresh = self.cache.is_none();
-        if fresh && !self.read().await {
-            return false;
+        let cached = self.cache.is_current();
+        if !self.refresh().await {
+            return Step::Failed;
         }
-        let Some(cached) = self.cache.as_ref() else {
-            return false;
+        let keys = self.batch.iter().map(|op| op.change.key());
+        let Some(older) = self.cache.older(keys).await else {
+            self.cache.forget();
+            return Step::Failed;
         };
-        let judged = batch::judge(
-            &cached.row,
-            &self.batch,
-            self.horizon(),
-            self.config.entries,
-        );
-        if judged.hit && !fresh {
-            self.cache = None;
-            return true;
+        let judged = Judged::new(&self.cache.row, &older, &self.batch, &self.rules());
+        if judged.changed || self.must_write() {
+            return self.commit(judged).await;
         }
-        if !judged.changed && !self.must_write(cached.version) {
-            self.answer(judged.verdicts);
+        if cached {
+            // No write will prove that the row is the newest, so a read has to.
+            self.cache.forget();
+            return Step::Done;
+        }
+        self.answer(judged);
+        Step::Done
+    }
+
+    /// Reads the row again unless the cached one is thought to be current.
+    async fn refresh(&mut self) -> bool {
+        if self.cache.is_current() {
             return true;
         }
-        let expect = cached.version;
-        self.commit(expect, judged).await
+        if !self.cache.read().await {
+            return false;
+        }
+        if self.doubt != Some(self.cache.version) {
+            self.doubt = None;
+        }
+        true
     }
 
     /// Replaces claims that nobody waits for by withdrawals, or drops them if no write left.
     fn drop_late(&mut self) {
-        let now = self.clock.now();
+        let now = self.setup.clock.now();
         let before = self.batch.len();
         self.batch = std::mem::take(&mut self.batch)
             .into_iter()
-            .filter_map(|op| batch::prune(op, now))
+            .filter_map(|op| op.pruned(now))
             .collect();
-        let dropped = before - self.batch.len();
-        self.depth.fetch_sub(dropped, Ordering::Relaxed);
+        self.shard.done(before - self.batch.len());
     }
 
-    /// Returns the time before which windows have ended on every node's clock.
-    fn horizon(&self) -> Millis {
-        self.clock.now() - self.config.skew
+    fn rules(&self) -> batch::Rules {
+        let config = &self.setup.config;
+        batch::Rules {
+            horizon: self.setup.clock.now() - config.skew,
+            bar: self.setup.clock.now() + config.bar,
+            pages: config.pages,
+        }
     }
 
     /// A withdrawal must supersede a write that may still arrive with the entry in it.
-    fn must_write(&self, version: Version) -> bool {
-        let withdraws = self
-            .batch
-            .iter()
-            .any(|op| matches!(op, Op::Withdraw { .. }));
-        withdraws && self.doubt == Some(version)
+    fn must_write(&self) -> bool {
+        let mut changes = self.batch.iter().map(|op| &op.change);
+        let withdraws = changes.any(|change| matches!(change, Change::Withdraw { .. }));
+        withdraws && self.doubt == Some(self.cache.version)
     }
 
-    async fn read(&mut self) -> bool {
-        self.counters.reads.fetch_add(1, Ordering::Relaxed);
-        let row = match self.table.get(&self.key).await {
-            Ok(row) => row,
+    async fn commit(&mut self, mut judged: Judged) -> Step {
+        let sealed = self.seal(&mut judged);
+        let writes = self.writes(&judged, sealed.as_ref());
+        self.next = self.setup.clock.now() + self.setup.config.pace;
+        self.count(&writes);
+        let call = self.setup.table.commit(&writes);
+        match bounded(self.setup.config.call, call).await {
+            Ok(Commit::Applied(versions)) => self.applied(judged, &versions, sealed),
+            Ok(Commit::Conflict { .. }) => {
+                Counters::add(&self.setup.counters.conflicts, 1);
+                self.cache.forget();
+                Step::Done
+            }
+            Err(CallError::Unknown(_)) => {
+                Counters::add(&self.setup.counters.lost, 1);
+                self.doubt = Some(self.cache.version);
+                self.cache.forget();
+                for op in &mut self.batch {
+                    op.exposed = true;
+                }
+                Step::Failed
+            }
             Err(fault) => {
-                log::debug!(shard:% = self.key, fault:% = fault; "claim shard not read");
-                return false;
+                log::debug!(shard:% = self.cache.key, fault:% = fault; "claim shard not written");
+                Step::Failed
             }
-        };
-        let cached = match row {
-            None => Some(Cached {
-                version: Version::ABSENT,
-                row: ShardRow::default(),
-            }),
-            Some(row) => ShardRow::decode(&row.value).map(|content| Cached {
-                version: row.version,
-                row: content,
-            }),
-        };
-        if cached.is_none() {
-            log::error!(shard:% = self.key; "claim shard has no known encoding");
-        }
-        self.cache = cached;
-        if let Some(cached) = &self.cache
-            && self.doubt != Some(cached.version)
-        {
-            self.doubt = None;
         }
-        self.cache.is_some()
     }
 
-    async fn commit(&mut self, expect: Version, judged: batch::Judged) -> bool {
-        let write = Write {
-            key: self.key.clone(),
-            expect,
+    fn seal(&self, judged: &mut Judged) -> Option<(PageRef, Vec<Entry>)> {
+        let full = judged.row.len() > self.setup.config.entries;
+        full.then(|| judged.row.seal())
+    }
+
+    /// Returns the row's write, then that of a new page, then the deletions of expired pages.
+    fn writes(&self, judged: &Judged, sealed: Option<&(PageRef, Vec<Entry>)>) -> Vec<Write> {
+        let mut writes = vec![Write {
+            key: self.cache.key.clone(),
+            expect: self.cache.version,
             value: Some(judged.row.encode()),
-        };
-        batch::expose(&mut self.batch);
-        self.next = self.clock.now() + self.config.pace;
-        self.counters.writes.fetch_add(1, Ordering::Relaxed);
-        match self.table.commit(std::slice::from_ref(&write)).await {
-            Ok(Commit::Applied(versions)) => {
-                let Some(version) = versions.first().copied() else {
-                    return self.lost(expect);
-                };
-                self.doubt = None;
-                self.cache = Some(Cached {
-                    version,
-                    row: judged.row,
-                });
-                self.answer(judged.verdicts);
-                true
-            }
-            Ok(Commit::Conflict { .. }) => {
-                self.counters.conflicts.fetch_add(1, Ordering::Relaxed);
-                self.cache = None;
-                true
-            }
-            Err(CallError::Unknown(_)) => self.lost(expect),
-            Err(fault) => {
-                log::debug!(shard:% = self.key, fault:% = fault; "claim shard not written");
-                false
-            }
+        }];
+        if let Some((page, entries)) = sealed {
+            writes.push(Write {
+                key: page::key(&self.cache.key, page.number),
+                expect: Version::ABSENT,
+                value: Some(page::encode(entries)),
+            });
         }
+        let gone = self.cache.pages.iter().filter(|page| !judged.lists(page));
+        writes.extend(gone.map(|page| Write {
+            key: page::key(&self.cache.key, page.number),
+            expect: page.version,
+            value: None,
+        }));
+        writes
     }
 
-    fn lost(&mut self, expect: Version) -> bool {
-        self.counters.lost.fetch_add(1, Ordering::Relaxed);
-        self.cache = None;
-        self.doubt = Some(expect);
-        false
+    fn applied(
+        &mut self,
+        judged: Judged,
+        versions: &[Version],
+        sealed: Option<(PageRef, Vec<Entry>)>,
+    ) -> Step {
+        self.doubt = None;
+        self.cache.pages.retain(|page| judged.lists(page));
+        if let Some((page, entries)) = sealed {
+            let version = versions.get(1).copied().unwrap_or_default();
+            let indexed = Indexed::new(page.number, version, &entries);
+            self.cache.pages.push(indexed);
+        }
+        let version = versions.first().copied().unwrap_or_default();
+        self.cache.replace(version, judged.row.clone());
+        self.answer(judged);
+        Step::Done
+    }
+
+    fn count(&self, writes: &[Write]) {
+        let counters = &self.setup.counters;
+        let values = writes.iter().filter_map(|write| write.value.as_ref());
+        Counters::add(&counters.writes, 1);
+        Counters::add(&counters.rows, writes.len());
+        Counters::add(&counters.bytes, values.map(bytes::Bytes::len).sum());
     }
 
     /// Answers the whole batch, whose changes are durable.
-    fn answer(&mut self, verdicts: Vec<batch::Answer>) {
+    fn answer(&mut self, judged: Judged) {
         let done = self.batch.len();
-        self.counters
-            .changes
-            .fetch_add(done as u64, Ordering::Relaxed);
-        for (op, verdict) in self.batch.drain(..).zip(verdicts) {
-            batch::reply(op, verdict, &self.ops, &self.depth, &self.counters);
+        Counters::add(&self.setup.counters.changes, done);
+        for (op, verdict) in self.batch.drain(..).zip(judged.verdicts) {
+            if verdict == super::Verdict::Won {
+                Counters::add(&self.setup.counters.won, 1);
+            }
+            op.answer(verdict, &self.shard);
+        }
+        self.shard.done(done);
+    }
+
+    /// Answers claims whose key was taken when the row was last read, while it cannot be read.
+    fn answer_known(&mut self) {
+        let before = self.batch.len();
+        let mut rest = Vec::with_capacity(before);
+        for op in self.batch.drain(..) {
+            match batch::known(&self.cache.row, &op) {
+                Some(verdict) => op.answer(verdict, &self.shard),
+                None => rest.push(op),
+            }
         }
-        self.depth.fetch_sub(done, Ordering::Relaxed);
+        self.batch = rest;
+        self.shard.done(before - self.batch.len());
     }
 }
--- a/crates/dotterel-coord/src/claims/committer/batch.rs
+++ b/crates/dotterel-coord/src/claims/committer/batch.rs
@@ -1,160 +1,166 @@
-//! How a batch of changes is judged against a row.
+//! How a batch of changes is judged against a shard.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use dotterel_kernel::Millis;
 
-use dotterel_kernel::{Millis, RequestId};
-use tokio::sync::mpsc;
+use super::op::Op;
+use crate::claims::change::{Change, Verdict};
+use crate::claims::entry::{ClaimKey, Entry, State, WriteId};
+use crate::claims::page::Indexed;
+use crate::claims::row::{ShardRow, blocks};
 
-use super::{Counters, Offer, Op, Shard, Verdict};
-use crate::claims::entry::{Entry, State};
-use crate::claims::row::ShardRow;
-
-/// What a change comes to once the row is durable.
-pub(super) enum Answer {
-    Won,
-    Repeat(Entry),
-    Mismatch(RequestId),
-    Full,
-    Written,
+/// What a batch is judged by.
+pub(super) struct Rules {
+    /// Windows that ended before this time are over on every node's clock.
+    pub(super) horizon: Millis,
+    /// Until when withdrawn claims are barred.
+    pub(super) bar: Millis,
+    /// The most pages of a shard.
+    pub(super) pages: usize,
 }
 
-/// A batch applied to a row.
+/// A batch applied to a shard.
 pub(super) struct Judged {
     /// The row with the batch applied.
     pub(super) row: ShardRow,
-    /// Whether the row differs from the one before.
+    /// Whether the row must be written.
     pub(super) changed: bool,
-    /// Whether a claim met an entry that may have changed since the row was read.
-    pub(super) hit: bool,
-    /// One answer for each change of the batch.
-    pub(super) verdicts: Vec<Answer>,
+    /// One verdict for each change of the batch, true once the row is durable.
+    pub(super) verdicts: Vec<Verdict>,
 }
 
-/// Applies a batch to a row.
-pub(super) fn judge(base: &ShardRow, batch: &[Op], horizon: Millis, limit: usize) -> Judged {
-    let mut judged = Judged {
-        row: base.clone(),
-        changed: false,
-        hit: false,
-        verdicts: Vec::with_capacity(batch.len()),
-    };
-    judged.row.expire(horizon);
-    for op in batch {
-        let answer = apply(&mut judged, base, op, limit);
-        judged.verdicts.push(answer);
-    }
-    judged
+/// The shard while a batch is applied.
+struct Work<'a> {
+    row: ShardRow,
+    /// Entries of the batch's keys in pages, those of newer pages first.
+    older: &'a [Entry],
+    rules: &'a Rules,
+    changed: bool,
 }
 
-fn apply(judged: &mut Judged, base: &ShardRow, op: &Op, limit: usize) -> Answer {
-    match op {
-        Op::Claim { entry, .. } => claim(judged, base, entry, limit),
-        Op::Settle {
-            key, id, outcome, ..
-        } => {
-            judged.changed |= judged.row.settle(key, *id, outcome);
-            Answer::Written
-        }
-        Op::Withdraw { key, id, .. } => {
-            judged.changed |= judged.row.withdraw(key, *id);
-            Answer::Written
+impl Judged {
+    /// Applies a batch to a row, given the entries of its keys in pages.
+    pub(super) fn new(base: &ShardRow, older: &[Entry], batch: &[Op], rules: &Rules) -> Self {
+        let mut work = Work {
+            row: base.clone(),
+            older,
+            rules,
+            changed: false,
+        };
+        work.row.expire(rules.horizon);
+        let verdicts = batch.iter().map(|op| work.apply(&op.change)).collect();
+        Self {
+            row: work.row,
+            changed: work.changed,
+            verdicts,
         }
     }
+
+    /// Returns true when the row still names the page.
+    pub(super) fn lists(&self, page: &Indexed) -> bool {
+        let mut listed = self.row.pages.iter();
+        listed.any(|named| named.number == page.number)
+    }
 }
 
-fn claim(judged: &mut Judged, base: &ShardRow, entry: &Entry, limit: usize) -> Answer {
-    let Some(found) = judged.row.find(&entry.key) else {
-        if judged.row.len() >= limit {
-            return Answer::Full;
+impl Work<'_> {
+    fn apply(&mut self, change: &Change) -> Verdict {
+        match change {
+            Change::Claim { entry, .. } => self.claim(entry),
+            Change::Settle { key, id, outcome } => {
+                if let Some(entry) = self.own(key, *id) {
+                    self.put(Entry {
+                        state: State::Done(outcome.clone()),
+                        ..entry
+                    });
+                }
+                Verdict::Written
+            }
+            Change::Withdraw { entry, mark } => {
+                self.withdraw(entry, *mark);
+                Verdict::Written
+            }
         }
-        judged.row.insert(entry.clone());
-        judged.changed = true;
-        return Answer::Won;
-    };
-    if found.id == entry.id {
-        return Answer::Won;
     }
-    let known = base.find(&entry.key).is_some();
-    judged.hit |= known && found.state == State::Claimed;
-    if found.digest == entry.digest {
-        Answer::Repeat(found.clone())
-    } else {
-        Answer::Mismatch(found.request)
-    }
-}
 
-/// Turns a claim that nobody waits for into a withdrawal; none when no write of it left.
-pub(super) fn prune(op: Op, now: Millis) -> Option<Op> {
-    match op {
-        Op::Claim {
-            entry,
-            deadline,
-            reply,
-            exposed,
-        } if reply.is_closed() || deadline <= now => exposed.then_some(Op::Withdraw {
-            key: entry.key,
-            id: entry.id,
-            reply: None,
-        }),
-        other => Some(other),
+    fn claim(&mut self, entry: &Entry) -> Verdict {
+        if self.row.bars(entry.id) {
+            return Verdict::Unavailable;
+        }
+        match self.find(&entry.key) {
+            Some(found) if found.id == entry.id => own_verdict(found),
+            Some(found) if blocks(found) => taken(found.clone(), entry),
+            _ => self.win(entry),
+        }
     }
-}
 
-/// Marks the claims of a batch as written to a call that leaves.
-pub(super) fn expose(batch: &mut [Op]) {
-    for op in batch {
-        if let Op::Claim { exposed, .. } = op {
-            *exposed = true;
+    fn win(&mut self, entry: &Entry) -> Verdict {
+        if self.row.pages.len() >= self.rules.pages {
+            return Verdict::Unavailable;
         }
+        self.put(entry.clone());
+        Verdict::Won
     }
-}
 
-/// Tells the one who asked for a change.
-pub(super) fn reply(
-    op: Op,
-    answer: Answer,
-    ops: &mpsc::WeakUnboundedSender<Op>,
-    depth: &Arc<AtomicUsize>,
-    counters: &Counters,
-) {
-    match op {
-        Op::Claim { entry, reply, .. } => {
-            let Some(verdict) = verdict(entry, answer, ops, depth, counters) else {
-                return;
-            };
-            // A refused verdict is dropped, and an offer in it withdraws the claim.
-            drop(reply.send(verdict));
+    fn withdraw(&mut self, entry: &Entry, mark: bool) {
+        if mark && !self.row.bars(entry.id) {
+            self.row.bar(entry.id, self.rules.bar);
+            self.changed = true;
         }
-        Op::Settle { reply, .. } | Op::Withdraw { reply, .. } => {
-            if let Some(reply) = reply {
-                // Nobody waits for it any more when this fails.
-                let _ = reply.send(());
-            }
+        let Some(found) = self.own(&entry.key, entry.id) else {
+            return;
+        };
+        if self.older.iter().all(|older| older.key != entry.key) {
+            self.row.remove(&entry.key);
+            self.changed = true;
+            return;
         }
+        // An entry in a page cannot be removed, but one in the row stands above it.
+        self.put(Entry {
+            state: State::Released,
+            ..found
+        });
+    }
+
+    /// Returns the entry of a claim that is neither settled nor withdrawn.
+    fn own(&self, key: &ClaimKey, id: WriteId) -> Option<Entry> {
+        let entry = self.find(key)?;
+        let open = entry.id == id && entry.state == State::Claimed;
+        open.then(|| entry.clone())
+    }
+
+    fn find(&self, key: &ClaimKey) -> Option<&Entry> {
+        let older = || self.older.iter().find(|entry| entry.key == *key);
+        let found = self.row.find(key).or_else(older)?;
+        (found.expires >= self.rules.horizon).then_some(found)
+    }
+
+    fn put(&mut self, entry: Entry) {
+        self.row.put(entry);
+        self.changed = true;
     }
 }
 
-fn verdict(
-    entry: Entry,
-    answer: Answer,
-    ops: &mpsc::WeakUnboundedSender<Op>,
-    depth: &Arc<AtomicUsize>,
-    counters: &Counters,
-) -> Option<Verdict> {
-    match answer {
-        Answer::Won => {
-            counters.won.fetch_add(1, Ordering::Relaxed);
-            let ops = ops.upgrade()?;
-            let depth = Arc::clone(depth);
-            Some(Verdict::Won(Offer {
-                entry: Some(entry),
-                shard: Shard { ops, depth },
-            }))
-        }
-        Answer::Repeat(found) => Some(Verdict::Repeat(found)),
-        Answer::Mismatch(request) => Some(Verdict::Mismatch(request)),
-        Answer::Full => Some(Verdict::Full),
-        Answer::Written => None,
+/// Returns what an unwritten claim gets from the last known row; none when that cannot tell.
+pub(super) fn known(row: &ShardRow, op: &Op) -> Option<Verdict> {
+    let Change::Claim { entry, .. } = &op.change else {
+        return None;
+    };
+    let found = row.find(&entry.key)?;
+    let other = !op.exposed && found.id != entry.id && blocks(found);
+    other.then(|| taken(found.clone(), entry))
+}
+
+fn own_verdict(found: &Entry) -> Verdict {
+    match found.state {
+        State::Claimed => Verdict::Won,
+        State::Released | State::Done(_) => Verdict::Unavailable,
+    }
+}
+
+fn taken(found: Entry, entry: &Entry) -> Verdict {
+    if found.digest == entry.digest {
+        Verdict::Repeat(found)
+    } else {
+        Verdict::Mismatch(found.request)
     }
 }
--- a/crates/dotterel-coord/src/claims/outcome.rs
+++ b/crates/dotterel-coord/src/claims/outcome.rs
@@ -23,7 +23,7 @@
     Whole(Bytes),
     /// The whole body stands in the object store under this name.
     Object(CompactString),
-    /// The body was larger than the bound and is not kept.
+    /// The body was too large for the entry, and no object store took it.
     Omitted {
         /// Its length in bytes.
         length: u64,
@@ -42,17 +42,14 @@
             body: Body::Whole(body),
         }
     }
+}
 
-    /// Replaces a body of more than `limit` bytes by its length and hash.
-    pub(super) fn bounded(mut self, limit: usize) -> Self {
-        if let Body::Whole(bytes) = &self.body
-            && bytes.len() > limit
-        {
-            self.body = Body::Omitted {
-                length: bytes.len() as u64,
-                digest: xxh3_64(bytes),
-            };
+impl Body {
+    /// Returns what is kept of a body that is too large.
+    pub(super) fn omitted(bytes: &Bytes) -> Self {
+        Self::Omitted {
+            length: bytes.len() as u64,
+            digest: xxh3_64(bytes),
         }
-        self
     }
 }
--- a/crates/dotterel-coord/src/claims/row.rs
+++ b/crates/dotterel-coord/src/claims/row.rs
@@ -5,12 +5,28 @@
 use serde::{Deserialize, Serialize};
 
 use super::entry::{ClaimKey, Entry, State, WriteId};
-use super::outcome::RecordedOutcome;
+use super::page::PageRef;
 
-/// The entries of a shard, sorted by key.
+/// The latest entries of a shard, sorted by key, and the list of its pages.
+///
+/// An entry in the row stands above one of the same key in a page, and a newer page above an older
+/// one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ShardRow {
     entries: Vec<Entry>,
+    /// Claims that were withdrawn while a peer might still write them, sorted by mark.
+    barred: Vec<Barred>,
+    /// The pages, the oldest first.
+    pub(super) pages: Vec<PageRef>,
+    /// The number of the next page.
+    next: u64,
+}
+
+/// A claim that must not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Barred {
+    id: WriteId,
+    until: Millis,
 }
 
 impl ShardRow {
@@ -26,65 +42,76 @@
             .into()
     }
 
-    /// Returns the number of entries.
+    /// Returns the number of entries in the row itself.
     pub(super) const fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Returns the entry of a key.
+    /// Returns the entry of a key in the row itself.
     pub(super) fn find(&self, key: &ClaimKey) -> Option<&Entry> {
-        let index = self.position(key).ok()?;
+        let index = position(&self.entries, key).ok()?;
         self.entries.get(index)
     }
 
-    /// Adds an entry whose key has none.
-    pub(super) fn insert(&mut self, entry: Entry) {
-        if let Err(index) = self.position(&entry.key) {
-            self.entries.insert(index, entry);
+    /// Writes the entry of a key.
+    pub(super) fn put(&mut self, entry: Entry) {
+        match position(&self.entries, &entry.key) {
+            Ok(index) => self.entries[index] = entry,
+            Err(index) => self.entries.insert(index, entry),
         }
     }
 
-    /// Records an outcome; returns false when nothing changed.
-    pub(super) fn settle(
-        &mut self,
-        key: &ClaimKey,
-        id: WriteId,
-        outcome: &RecordedOutcome,
-    ) -> bool {
-        let Some(index) = self.own(key, id) else {
-            return false;
-        };
-        let entry = &mut self.entries[index];
-        if entry.state != State::Claimed {
-            return false;
+    /// Removes the entry of a key from the row itself.
+    pub(super) fn remove(&mut self, key: &ClaimKey) {
+        if let Ok(index) = position(&self.entries, key) {
+            self.entries.remove(index);
         }
-        entry.state = State::Done(outcome.clone());
-        true
     }
 
-    /// Removes an entry that is still claimed; returns false when nothing changed.
-    pub(super) fn withdraw(&mut self, key: &ClaimKey, id: WriteId) -> bool {
-        let Some(index) = self.own(key, id) else {
-            return false;
-        };
-        if self.entries[index].state != State::Claimed {
-            return false;
+    /// Keeps a claim from being written.
+    pub(super) fn bar(&mut self, id: WriteId, until: Millis) {
+        if let Err(index) = self.barred.binary_search_by_key(&id, |barred| barred.id) {
+            self.barred.insert(index, Barred { id, until });
         }
-        self.entries.remove(index);
-        true
     }
 
-    /// Removes the entries whose window ended before `time`.
+    /// Returns true for a claim that must not be written.
+    pub(super) fn bars(&self, id: WriteId) -> bool {
+        let found = self.barred.binary_search_by_key(&id, |barred| barred.id);
+        found.is_ok()
+    }
+
+    /// Removes what ended before `time`.
     pub(super) fn expire(&mut self, time: Millis) {
+        self.barred.retain(|barred| barred.until >= time);
         self.entries.retain(|entry| entry.expires >= time);
+        self.pages.retain(|page| page.expires >= time);
     }
 
-    fn own(&self, key: &ClaimKey, id: WriteId) -> Option<usize> {
-        let index = self.position(key).ok()?;
-        (self.entries[index].id == id).then_some(index)
+    /// Moves all entries to a new page.
+    pub(super) fn seal(&mut self) -> (PageRef, Vec<Entry>) {
+        let entries = std::mem::take(&mut self.entries);
+        let page = PageRef {
+            number: self.next,
+            expires: latest(&entries),
+        };
+        self.next += 1;
+        self.pages.push(page);
+        (page, entries)
     }
+}
 
-    fn position(&self, key: &ClaimKey) -> Result<usize, usize> {
-        self.entries.binary_search_by(|entry| entry.key.cmp(key))
-    }
+/// Returns the place of a key in a list sorted by key.
+pub(super) fn position(entries: &[Entry], key: &ClaimKey) -> Result<usize, usize> {
+    entries.binary_search_by(|entry| entry.key.cmp(key))
+}
+
+fn latest(entries: &[Entry]) -> Millis {
+    let ends = entries.iter().map(|entry| entry.expires);
+    ends.max().unwrap_or_default()
+}
+
+/// Returns true for an entry that keeps others from the key.
+pub(super) fn blocks(entry: &Entry) -> bool {
+    entry.state != State::Released
 }
--- a/crates/dotterel-coord/src/feed.rs
+++ b/crates/dotterel-coord/src/feed.rs
@@ -27,8 +27,9 @@
 
 pub use apply::Applied;
 
-use head::{Head, Sequence};
-use row::DocumentRow;
+use crate::lease::bounded;
+use head::{Head, Sequence, StoredHead};
+use row::{DocumentRow, Stored};
 
 /// Rhythm and limits of the feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +38,8 @@
     pub period: Millis,
     /// The pause after a call that failed.
     pub backoff: Millis,
-    /// The longest that one poll may take.
-    pub timeout: Millis,
+    /// The longest that a call to the table may take before its outcome counts as unknown.
+    pub call: Millis,
     /// The most rows asked for in one scan.
     pub page: usize,
 }
@@ -48,7 +49,7 @@
         Self {
             period: Millis(1000),
             backoff: Millis(100),
-            timeout: Millis(1000),
+            call: Millis(700),
             page: 64,
         }
     }
@@ -209,11 +210,11 @@
     /// Polls the table at jittered intervals until the future is dropped.
     pub async fn run(&self) {
         loop {
-            let limit = self.inner.config.timeout.duration();
-            if tokio::time::timeout(limit, self.poll()).await.is_err() {
-                log::warn!("documents not read in time");
-            }
-            tokio::time::sleep(self.pause().duration()).await;
+            let pause = match self.poll().await {
+                Polled::Read(_) => self.pause(),
+                Polled::Failed => self.inner.config.backoff,
+            };
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 
@@ -230,7 +231,7 @@
     }
 
     async fn catch_up(&self, cursor: &mut Option<Sequence>) -> Result<usize, CallError> {
-        let head = Head::read(&*self.inner.table).await?.head;
+        let head = self.head().await?.head;
         let changed = cursor.and_then(|seen| head.changed_since(seen));
         let count = match changed {
             Some(services) => self.read_rows(&services).await?,
@@ -243,7 +244,7 @@
     async fn read_rows(&self, services: &[Service]) -> Result<usize, CallError> {
         let mut count = 0;
         for service in services {
-            let stored = DocumentRow::read(&*self.inner.table, service).await?;
+            let stored = self.row(service).await?;
             count += usize::from(stored.row.is_some_and(|row| self.take(service, &row)));
         }
         Ok(count)
@@ -254,7 +255,8 @@
         let mut after = CompactString::default();
         loop {
             let page = self.inner.config.page;
-            let rows = self.inner.table.scan(row::PREFIX, &after, page).await?;
+            let call = self.inner.table.scan(row::PREFIX, &after, page);
+            let rows = bounded(self.inner.config.call, call).await?;
             for raw in &rows {
                 let Some((service, row)) = DocumentRow::decode(raw) else {
                     log::error!(key:% = raw.key; "document row has no known encoding");
@@ -269,6 +271,16 @@
         }
     }
 
+    async fn row(&self, service: &Service) -> Result<Stored, CallError> {
+        let call = DocumentRow::read(&*self.inner.table, service);
+        bounded(self.inner.config.call, call).await
+    }
+
+    async fn head(&self) -> Result<StoredHead, CallError> {
+        let call = Head::read(&*self.inner.table);
+        bounded(self.inner.config.call, call).await
+    }
+
     fn take(&self, service: &Service, row: &DocumentRow) -> bool {
         self.offer(service, row.revision, &row.text) == Offered::Accepted
     }
--- a/crates/dotterel-coord/src/feed/apply.rs
+++ b/crates/dotterel-coord/src/feed/apply.rs
@@ -5,9 +5,10 @@
 use dotterel_platform::{CallError, Commit, Write};
 use uuid::Uuid;
 
-use super::head::{self, Head, StoredHead};
-use super::row::{self, DocumentRow, Mark, Stored};
+use super::head::{self, StoredHead};
+use super::row::{self, Mark, Stored};
 use super::{Feed, checked};
+use crate::lease::bounded;
 
 /// The outcome of [`Feed::apply`].
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,20 +96,20 @@
     }
 
     async fn attempt(&self, edit: &Edit<'_>, maybe: &mut bool) -> Attempt {
-        let table = &*self.inner.table;
-        let Ok(stored) = DocumentRow::read(table, edit.service).await else {
+        let Ok(stored) = self.row(edit.service).await else {
             return Attempt::Failed;
         };
         if let Some(applied) = self.verdict(edit, &stored) {
             return Attempt::Over(applied);
         }
-        let Ok(head) = Head::read(table).await else {
+        let Ok(head) = self.head().await else {
             return Attempt::Failed;
         };
         let writes = self.writes(edit, &stored, &head);
         // Until the call returns, the write may have taken effect.
         let before = std::mem::replace(maybe, true);
-        match table.commit(&writes).await {
+        let call = self.inner.table.commit(&writes);
+        match bounded(self.inner.config.call, call).await {
             Ok(Commit::Applied(_)) => {
                 let current = stored.row.unwrap_or_default().revision;
                 Attempt::Over(self.accept(edit, current.next()))
--- a/crates/dotterel-coord/src/journal.rs
+++ b/crates/dotterel-coord/src/journal.rs
@@ -29,6 +29,7 @@
 pub use reader::{Found, Reader};
 pub use segment::Segment;
 
+use crate::lease::bounded;
 use memory::Memory;
 
 /// Limits and rhythm of a journal.
@@ -36,6 +37,8 @@
 pub struct Config {
     /// The longest time between two segments while records change.
     pub period: Millis,
+    /// The longest that a write may take before its outcome counts as unknown.
+    pub call: Millis,
     /// The number of changed records that ships a segment early.
     pub burst: usize,
     /// The most records in one segment.
@@ -52,6 +55,7 @@
     fn default() -> Self {
         Self {
             period: Millis::secs(1),
+            call: Millis::secs(2),
             burst: 512,
             segment: 2048,
             recent: 8192,
@@ -201,12 +205,9 @@
                 .collect(),
             records: draft.records.clone(),
         };
-        match self
-            .inner
-            .store
-            .put(&segment.name(), segment.encode())
-            .await
-        {
+        let name = segment.name();
+        let put = self.inner.store.put(&name, segment.encode());
+        match bounded(self.inner.config.call, put).await {
             Ok(()) => {
                 self.memory().shipped(&draft);
                 Shipped::Segment(draft.records.len())
--- a/crates/dotterel-coord/tests/claims.rs
+++ b/crates/dotterel-coord/tests/claims.rs
@@ -244,3 +244,29 @@
     assert!(matches!(outcome, ClaimOutcome::Unavailable));
     assert!(bench.table.peek("claims/").is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn withdrawn_claim_does_not_uncover_an_older_one_in_a_page() {
+    let bench = Bench::new();
+    let config = Config {
+        shards: 1,
+        entries: 1,
+        ..Config::default()
+    };
+    let node = bench.node_with("a", config);
+    let ClaimOutcome::Won(first) = node.claim(bench.ask("order-1", "palette")).await else {
+        panic!("the key is free");
+    };
+    // The second entry fills the row, and both move to a page.
+    let _other = node.claim(bench.ask("order-2", "palette")).await;
+    node.release(first, bench.soon()).await;
+    let ClaimOutcome::Won(second) = node.claim(bench.ask("order-1", "palette")).await else {
+        panic!("the key was released");
+    };
+
+    node.release(second, bench.soon()).await;
+    let third = node.claim(bench.ask("order-1", "palette")).await;
+
+    assert_eq!(bench.table.peek("claims/").len(), 2);
+    assert!(matches!(third, ClaimOutcome::Won(_)), "{third:?}");
+}
