--- /dev/null
+++ b/crates/dotterel-entry/src/settings.rs
@@ -0,0 +1,147 @@
+//! Settings of a node, checked.
+//!
+//! [`RawSettings`] is the TOML as written. [`Settings`] is the same after every value has been
+//! checked; the error names the field, the value and what is allowed.
+
+mod raw;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use compact_str::CompactString;
+use dotterel_coord::Terms;
+use dotterel_kernel::{DataCentre, Millis, NodeId, Region};
+use dotterel_mesh::{Identity, Peer};
+
+pub use raw::{RawHttp, RawLog, RawMesh, RawPeer, RawPolicy, RawSettings, RawShutdown};
+
+/// The checked settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's name.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its region.
+    pub region: Region,
+    /// The IP address and port of the platform's services.
+    pub platform: SocketAddr,
+    /// Callers' HTTP.
+    pub http: Http,
+    /// Links to other nodes.
+    pub mesh: Links,
+    /// The log.
+    pub log: Log,
+    /// The names of the plug-ins that place work.
+    pub plugins: Vec<CompactString>,
+    /// How long leases last.
+    pub terms: Terms,
+    /// The longest that a planned stop waits for requests in flight.
+    pub grace: Millis,
+}
+
+/// Settings of callers' HTTP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Http {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// The longest request body in bytes.
+    pub body: usize,
+    /// The most requests in flight at one time.
+    pub requests: usize,
+}
+
+/// Settings of the links to other nodes.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// Where peers reach this node; none means where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// The node's certificate, key and trusted authorities.
+    pub identity: Identity,
+    /// Nodes known from the start; others are found by the platform's list.
+    pub peers: Vec<Peer>,
+}
+
+/// Settings of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Log {
+    /// The lowest level that is written.
+    pub level: log::LevelFilter,
+    /// How lines look.
+    pub format: Format,
+}
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// One fault in the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// Path of the faulty field, for example `http.listen`.
+    pub field: CompactString,
+    /// The value as written.
+    pub value: CompactString,
+    /// What is allowed there.
+    pub allowed: CompactString,
+}
+
+impl Settings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found, with its field, value and allowed range.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let raw: RawSettings = toml::from_str(text)
+            .map_err(|fault| SettingsError::new("settings", fault.message(), "settings in TOML"))?;
+        Self::try_from(raw)
+    }
+
+    /// Reads, parses and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Settings::parse`]; a file that cannot be read is a fault of its own.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|fault| {
+            let value = compact_str::format_compact!("{}: {fault}", path.display());
+            SettingsError::new("file", value, "a readable file")
+        })?;
+        Self::parse(&text)
+    }
+}
+
+impl SettingsError {
+    pub(crate) fn new(
+        field: impl Into<CompactString>,
+        value: impl fmt::Display,
+        allowed: impl Into<CompactString>,
+    ) -> Self {
+        Self {
+            field: field.into(),
+            value: compact_str::format_compact!("{value}"),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "setting `{}`: got {}, allowed: {}",
+            self.field, self.value, self.allowed
+        )
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/dotterel-entry/src/settings/raw.rs
@@ -0,0 +1,278 @@
+//! Settings as written, and their check.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use compact_str::{CompactString, format_compact};
+use dotterel_coord::{RawTerms, Terms};
+use dotterel_kernel::{DataCentre, Millis, NodeId, Region};
+use dotterel_mesh::{Identity, Peer};
+use serde::{Deserialize, Serialize};
+
+use super::{Format, Http, Links, Log, Settings, SettingsError};
+
+const NAME_LIMIT: usize = 63;
+const BODY_MOST_BYTES: usize = 16 << 20;
+const REQUESTS_MOST: usize = 1 << 20;
+const GRACE_MOST_MS: u64 = 3_600_000;
+const PEM_START: &str = "-----BEGIN";
+
+/// Settings as written in TOML.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// See [`Settings::node`].
+    pub node: CompactString,
+    /// See [`Settings::data_centre`].
+    pub data_centre: CompactString,
+    /// See [`Settings::region`].
+    pub region: CompactString,
+    /// See [`Settings::platform`].
+    pub platform: CompactString,
+    /// See [`Settings::http`].
+    pub http: RawHttp,
+    /// See [`Settings::mesh`].
+    pub mesh: RawMesh,
+    /// See [`Settings::log`].
+    #[serde(default)]
+    pub log: RawLog,
+    /// See [`Settings::plugins`].
+    #[serde(default)]
+    pub policy: RawPolicy,
+    /// See [`Settings::terms`].
+    #[serde(default)]
+    pub lease: RawTerms,
+    /// See [`Settings::grace`].
+    #[serde(default)]
+    pub shutdown: RawShutdown,
+    /// See [`Links::peers`].
+    #[serde(default, rename = "peer")]
+    pub peers: Vec<RawPeer>,
+}
+
+/// The table `http`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawHttp {
+    /// See [`Http::listen`].
+    pub listen: CompactString,
+    /// See [`Http::body`].
+    #[serde(default = "body_default")]
+    pub body_limit_bytes: usize,
+    /// See [`Http::requests`].
+    #[serde(default = "requests_default")]
+    pub request_limit: usize,
+}
+
+/// The table `mesh`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawMesh {
+    /// See [`Links::listen`].
+    pub listen: CompactString,
+    /// See [`Links::advertise`].
+    #[serde(default)]
+    pub advertise: Option<CompactString>,
+    /// The node's certificate: PEM text, or the path of a file that holds it.
+    pub certificate: String,
+    /// The node's private key: PEM text, or the path of a file that holds it.
+    pub key: String,
+    /// The trusted authorities: PEM text, or the path of a file that holds it.
+    pub authorities: String,
+}
+
+/// One table of the array `peer`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPeer {
+    /// The peer's name.
+    pub node: CompactString,
+    /// Where it listens for links.
+    pub addr: CompactString,
+}
+
+/// The table `log`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawLog {
+    /// See [`Log::level`].
+    pub level: CompactString,
+    /// See [`Log::format`].
+    pub format: CompactString,
+}
+
+/// The table `policy`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawPolicy {
+    /// See [`Settings::plugins`].
+    pub plugins: Vec<CompactString>,
+}
+
+/// The table `shutdown`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawShutdown {
+    /// See [`Settings::grace`].
+    pub grace_ms: u64,
+}
+
+impl Default for RawLog {
+    fn default() -> Self {
+        Self {
+            level: "info".into(),
+            format: "text".into(),
+        }
+    }
+}
+
+impl Default for RawPolicy {
+    fn default() -> Self {
+        let plugins = crate::DEFAULT_PLUGINS;
+        Self {
+            plugins: plugins.iter().map(|name| (*name).into()).collect(),
+        }
+    }
+}
+
+impl Default for RawShutdown {
+    fn default() -> Self {
+        Self { grace_ms: 60_000 }
+    }
+}
+
+const fn body_default() -> usize {
+    1 << 20
+}
+
+const fn requests_default() -> usize {
+    20_000
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
+        let node = NodeId(check_name("node", &raw.node)?);
+        let mesh = check_mesh(&node, &raw.mesh, &raw.peers)?;
+        Ok(Self {
+            data_centre: DataCentre(check_name("data_centre", &raw.data_centre)?),
+            region: Region(check_name("region", &raw.region)?),
+            platform: check_addr("platform", &raw.platform)?,
+            http: check_http(&raw.http)?,
+            mesh,
+            log: check_log(&raw.log)?,
+            plugins: check_plugins(raw.policy.plugins)?,
+            terms: check_terms(raw.lease)?,
+            grace: Millis(check_range(
+                "shutdown.grace_ms",
+                raw.shutdown.grace_ms,
+                1,
+                GRACE_MOST_MS,
+            )?),
+            node,
+        })
+    }
+}
+
+fn check_name(field: &str, name: &CompactString) -> Result<CompactString, SettingsError> {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    let edge = name.starts_with('-') || name.ends_with('-');
+    if name.is_empty() || name.len() > NAME_LIMIT || edge || !name.chars().all(allowed) {
+        let range = "1 to 63 of a-z, 0-9 and -, not - at an end";
+        return Err(SettingsError::new(field, name, range));
+    }
+    Ok(name.clone())
+}
+
+fn check_addr(field: impl Into<CompactString>, text: &str) -> Result<SocketAddr, SettingsError> {
+    SocketAddr::from_str(text)
+        .map_err(|_| SettingsError::new(field, text, "an IP address and port, as 10.0.0.1:8080"))
+}
+
+fn check_range<T>(field: &str, value: T, least: T, most: T) -> Result<T, SettingsError>
+where
+    T: PartialOrd + fmt::Display,
+{
+    if value < least || value > most {
+        let range = format_compact!("{least} to {most}");
+        return Err(SettingsError::new(field, value, range));
+    }
+    Ok(value)
+}
+
+fn check_http(raw: &RawHttp) -> Result<Http, SettingsError> {
+    let body = raw.body_limit_bytes;
+    let requests = raw.request_limit;
+    Ok(Http {
+        listen: check_addr("http.listen", &raw.listen)?,
+        body: check_range("http.body_limit_bytes", body, 1, BODY_MOST_BYTES)?,
+        requests: check_range("http.request_limit", requests, 1, REQUESTS_MOST)?,
+    })
+}
+
+fn check_mesh(node: &NodeId, raw: &RawMesh, peers: &[RawPeer]) -> Result<Links, SettingsError> {
+    let certificate = check_pem("mesh.certificate", &raw.certificate)?;
+    let key = check_pem("mesh.key", &raw.key)?;
+    let authorities = check_pem("mesh.authorities", &raw.authorities)?;
+    let identity = Identity::from_pem(node, &certificate, &key, &authorities)
+        .map_err(|fault| SettingsError::new("mesh", fault, "a certificate for this node"))?;
+    let advertise = raw.advertise.as_deref();
+    Ok(Links {
+        listen: check_addr("mesh.listen", &raw.listen)?,
+        advertise: advertise
+            .map(|text| check_addr("mesh.advertise", text))
+            .transpose()?,
+        identity,
+        peers: peers.iter().map(check_peer).collect::<Result<_, _>>()?,
+    })
+}
+
+fn check_peer(raw: &RawPeer) -> Result<Peer, SettingsError> {
+    Ok(Peer {
+        node: NodeId(check_name("peer.node", &raw.node)?),
+        addr: check_addr(format_compact!("peer.{}.addr", raw.node), &raw.addr)?,
+    })
+}
+
+fn check_pem(field: &str, text: &str) -> Result<String, SettingsError> {
+    if text.trim_start().starts_with(PEM_START) {
+        return Ok(text.to_owned());
+    }
+    std::fs::read_to_string(text).map_err(|fault| {
+        let value = format_compact!("{text}: {fault}");
+        SettingsError::new(field, value, "PEM text or a readable file")
+    })
+}
+
+fn check_log(raw: &RawLog) -> Result<Log, SettingsError> {
+    let level = raw.level.parse().map_err(|_| {
+        let range = "off, error, warn, info, debug or trace";
+        SettingsError::new("log.level", &raw.level, range)
+    })?;
+    let format = match raw.format.as_str() {
+        "text" => Format::Text,
+        "json" => Format::Json,
+        other => return Err(SettingsError::new("log.format", other, "text or json")),
+    };
+    Ok(Log { level, format })
+}
+
+fn check_plugins(names: Vec<CompactString>) -> Result<Vec<CompactString>, SettingsError> {
+    for name in &names {
+        if dotterel_kernel::PolicySet::named([name.as_str()]).is_err() {
+            let range = "names of registered plug-ins";
+            return Err(SettingsError::new("policy.plugins", name, range));
+        }
+    }
+    Ok(names)
+}
+
+fn check_terms(raw: RawTerms) -> Result<Terms, SettingsError> {
+    Terms::try_from(raw).map_err(|fault| {
+        let field = format_compact!("lease.{}", fault.field);
+        let range = format_compact!("{} to {}", fault.least, fault.most);
+        SettingsError::new(field, fault.value, range)
+    })
+}
