--- /dev/null
+++ b/crates/dotterel-entry/src/front.rs
@@ -0,0 +1,57 @@
+//! Callers' and operators' HTTP.
+
+mod account;
+mod answer;
+mod documents;
+mod record;
+mod requests;
+mod status;
+
+use std::sync::Arc;
+
+use salvo::catcher::Catcher;
+use salvo::prelude::{Router, Service};
+
+use crate::app::App;
+
+/// The header of a caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// The header of the longest wait for a start, in milliseconds.
+pub const DEADLINE_HEADER: &str = "dotterelrelay-deadline-ms";
+
+/// The header of the request's identifier.
+pub const REQUEST_HEADER: &str = "dotterelrelay-request";
+
+/// The header of the fate in one word.
+pub const FATE_HEADER: &str = "dotterelrelay-fate";
+
+/// The header of the reason why a request did not run.
+pub const REASON_HEADER: &str = "dotterelrelay-reason";
+
+/// The header of the VM that answered.
+pub const UPSTREAM_HEADER: &str = "dotterelrelay-upstream";
+
+/// Returns the service with all routes.
+#[must_use]
+pub fn service(app: &Arc<App>) -> Service {
+    let v1 = Router::with_path("v1")
+        .push(
+            Router::with_path("services/{service}/requests/{class}")
+                .post(requests::Post(app.clone())),
+        )
+        .push(Router::with_path("requests/{id}").get(record::Get(app.clone())))
+        .push(
+            Router::with_path("documents/{service}")
+                .get(documents::Get(app.clone()))
+                .put(documents::Put(app.clone())),
+        )
+        .push(Router::with_path("account").get(account::Get(app.clone())))
+        .push(Router::with_path("status").get(status::Status(app.clone())));
+    let root = Router::new()
+        .push(v1)
+        .push(Router::with_path("healthz").get(status::Healthy))
+        .push(Router::with_path("readyz").get(status::Ready(app.clone())))
+        .push(Router::with_path("metrics").get(status::Metrics(app.clone())));
+    Service::new(root).catcher(Catcher::new(answer::NoRoute))
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/front/status.rs
@@ -0,0 +1,69 @@
+//! `GET /v1/status`, `/healthz`, `/readyz` and `/metrics`.
+
+use std::sync::Arc;
+
+use dotterel_kernel::Status as Body;
+use salvo::http::StatusCode;
+use salvo::prelude::{Response, handler};
+
+use super::answer::{Refusal, header, json};
+use crate::app::App;
+
+/// Tells the state of the node.
+pub(super) struct Status(pub(super) Arc<App>);
+
+#[handler]
+impl Status {
+    async fn handle(&self, res: &mut Response) {
+        let app = &self.0;
+        let status = Body {
+            node: app.node().clone(),
+            incarnation: app.incarnation,
+            data_centre: app.settings.data_centre.clone(),
+            ready: app.ready(),
+            platform: app.platform.get(),
+            peers: app.peers.status(app.clock.now()),
+            vms: app.workers.status(),
+            documents: app.feed.revisions(),
+        };
+        json(res, StatusCode::OK, &status);
+    }
+}
+
+/// Answers while the process serves at all.
+pub(super) struct Healthy;
+
+#[handler]
+impl Healthy {
+    async fn handle(&self, res: &mut Response) {
+        header(res, "content-type", "text/plain");
+        res.body("ok\n");
+    }
+}
+
+/// Tells the balancer whether to send requests.
+pub(super) struct Ready(pub(super) Arc<App>);
+
+#[handler]
+impl Ready {
+    async fn handle(&self, res: &mut Response) {
+        if self.0.ready() {
+            header(res, "content-type", "text/plain");
+            res.body("ready\n");
+            return;
+        }
+        let text = "the node is starting or stopping";
+        Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "node", text).write(res);
+    }
+}
+
+/// Returns the metrics.
+pub(super) struct Metrics(pub(super) Arc<App>);
+
+#[handler]
+impl Metrics {
+    async fn handle(&self, res: &mut Response) {
+        header(res, "content-type", "text/plain; version=0.0.4");
+        res.body(self.0.metrics.text(&self.0));
+    }
+}
--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -1,1 +1,31 @@
 //! The entry daemon: callers' HTTP, worker ownership, claims, jobs, documents and the account.
+//!
+//! [`Node::start`] runs a whole node inside the calling process; the binary `dotterel-entry` does
+//! that with [`Settings`] read from a file.
+//!
+//! The way of a request: [`front`] checks it, [`requests`] claims and places it, [`workers`] sets
+//! capacity apart on a VM that this node owns, or [`peers`] names a node that has some, and
+//! [`requests`] dispatches it and settles its fate in the journal.
+
+pub mod app;
+pub mod front;
+pub mod logging;
+pub mod messages;
+pub mod metrics;
+pub mod node;
+pub mod ownership;
+pub mod peers;
+pub mod requests;
+pub mod settings;
+pub mod workers;
+
+pub use app::App;
+pub use node::{Node, Parts, StartError};
+pub use settings::{Settings, SettingsError};
+pub use workers::Workers;
+
+// The plug-ins register themselves when their crate is linked.
+use dotterel_policies as _;
+
+/// The plug-ins that are used when the settings name none.
+pub const DEFAULT_PLUGINS: [&str; 0] = [];
--- /dev/null
+++ b/crates/dotterel-entry/src/messages.rs
@@ -0,0 +1,123 @@
+//! What nodes tell each other.
+//!
+//! Points in time differ between nodes, so messages carry spans. Records and accounts travel as
+//! JSON, because their shapes are those of the operators' interface.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterel_coord::Heartbeat;
+use dotterel_coord::feed::Passed;
+use dotterel_kernel::{
+    Attempt, Incarnation, Millis, Reason, RequestId, Revision, Service, TaskId,
+};
+use dotterel_mesh::Protocol;
+use dotterel_platform::{Answer, ListedVm};
+use serde::{Deserialize, Serialize};
+
+/// The messages of the mesh.
+#[derive(Debug)]
+pub struct Messages;
+
+impl Protocol for Messages {
+    type Call = Call;
+    type Reply = Reply;
+}
+
+/// What a node asks of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Call {
+    /// The caller lives.
+    Beat(Heartbeat),
+    /// Run a task on one of your VMs.
+    Submit(Submit),
+    /// Tell what became of a task, and never run it if you have not seen it.
+    Settle {
+        /// The task.
+        task: TaskId,
+        /// The life that got the task.
+        incarnation: Incarnation,
+        /// How long ago it was sent.
+        age: Millis,
+    },
+    /// Send the documents that are newer than these revisions, sorted by service.
+    Documents(Vec<(Service, Revision)>),
+    /// A document was accepted; take it over if it is newer.
+    Push(Passed),
+    /// Send your account.
+    Account {
+        /// One service, or all.
+        service: Option<Service>,
+        /// From when on.
+        since: Millis,
+    },
+    /// Send the record of a request.
+    Record(RequestId),
+    /// Send the workers that the platform listed last.
+    Workers,
+}
+
+/// What the other answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// To [`Call::Beat`] and [`Call::Push`].
+    Heard,
+    /// To [`Call::Submit`] and [`Call::Settle`].
+    Done(Done),
+    /// To [`Call::Settle`]: the task waits or runs.
+    Pending,
+    /// To [`Call::Settle`]: this life never got the task and cannot tell.
+    NotMine,
+    /// To [`Call::Documents`].
+    Documents(Vec<Passed>),
+    /// To [`Call::Account`]: an account in JSON.
+    Account(Bytes),
+    /// To [`Call::Record`]: a record in JSON, if there is one.
+    Record(Option<Bytes>),
+    /// To [`Call::Workers`].
+    Workers(Vec<ListedVm>),
+    /// The call cannot be served.
+    Refused(CompactString),
+}
+
+/// A task to run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Submit {
+    /// The task, never used before.
+    pub task: TaskId,
+    /// The request that it serves.
+    pub request: RequestId,
+    /// The service.
+    pub service: Service,
+    /// The class within the service.
+    pub class: CompactString,
+    /// How long the request has waited already.
+    pub waited: Millis,
+    /// How long it may still wait for its start.
+    pub left: Millis,
+    /// Whether it may wait there, rather than start at once or not at all.
+    pub queue: bool,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The outcome of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Done {
+    /// What can be proved.
+    pub verdict: Verdict,
+    /// The start, if there was one.
+    pub attempt: Option<Attempt>,
+}
+
+/// What can be proved of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It ran to its end.
+    Ran(Answer),
+    /// It did not start and never will.
+    NotRun(Reason),
+    /// It started and was stopped before its end.
+    Cut,
+    /// Nothing.
+    Unknown,
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/node.rs
@@ -0,0 +1,310 @@
+//! One node from its start to its planned stop.
+
+use std::fmt;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, Mutex};
+
+use dotterel_coord::claims::{self, Claims};
+use dotterel_coord::feed::{self, Feed};
+use dotterel_coord::journal::{self, Journal, Reader, Shipped};
+use dotterel_coord::{Budget, Heartbeat};
+use dotterel_kernel::plugin::UnknownPlugin;
+use dotterel_kernel::{Clock, Incarnation, Millis, NodeId, PolicySet, Size};
+use dotterel_mesh::{Config, Mesh, OpenError};
+use dotterel_platform::{
+    HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits, ObjectStore, Owner, Table, VmList,
+};
+use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use salvo::{Listener, Server};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::app::{App, Flag, Gate};
+use crate::metrics::Metrics;
+use crate::ownership::{self, Connect, Keepers, Listed};
+use crate::peers::{self, Peers};
+use crate::requests::{Bodies, Recall};
+use crate::settings::Settings;
+use crate::{Workers, front};
+
+/// Retries that are allowed in ten seconds however few requests there are.
+const RETRY_FLOOR: u64 = 10;
+
+/// How long the node goes on taking requests after it has said that it is stopping.
+const LINGER: Millis = Millis(500);
+
+/// The longest that the last journal segments may take.
+const SHIP_LIMIT: Millis = Millis::secs(3);
+
+/// What a node uses of the world outside.
+#[derive(Clone)]
+pub struct Parts {
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's object store.
+    pub store: Arc<dyn ObjectStore>,
+    /// The platform's list of VMs.
+    pub list: Arc<dyn VmList>,
+    /// Makes the adapter of a listed worker.
+    pub connect: Connect,
+}
+
+impl Parts {
+    /// Returns the platform and the workers over HTTP.
+    #[must_use]
+    pub fn http(settings: &Settings) -> Self {
+        let (addr, node) = (settings.platform, settings.node.clone());
+        let limits = Limits::default();
+        Self {
+            table: Arc::new(HttpTable::new(addr, &node, limits)),
+            store: Arc::new(HttpStore::new(addr, &node, limits)),
+            list: Arc::new(HttpVmList::new(addr, &node, limits)),
+            connect: connect(node),
+        }
+    }
+}
+
+fn connect(node: NodeId) -> Connect {
+    Arc::new(move |vm| {
+        let limits = Limits::default();
+        match vm.addr.parse() {
+            Ok(addr) => Arc::new(HttpUpstream::new(addr, &node, limits)),
+            Err(fault) => {
+                log::error!(vm = vm.id.as_str(), fault:% = fault; "listed address not usable");
+                let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+                Arc::new(HttpUpstream::new(nowhere, &node, limits))
+            }
+        }
+    })
+}
+
+/// A running node.
+pub struct Node {
+    app: Arc<App>,
+    http: SocketAddr,
+    server: ServerHandle,
+    serving: JoinHandle<()>,
+    keepers: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Starts a node; it serves when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address is in use or a plug-in is not registered.
+    pub async fn start(settings: Settings, parts: Parts) -> Result<Self, StartError> {
+        let socket = UdpSocket::bind(settings.mesh.listen)
+            .map_err(|fault| StartError::Listen(settings.mesh.listen, fault))?;
+        Self::start_on(settings, parts, socket).await
+    }
+
+    /// Starts a node whose mesh uses a bound socket, for addresses that must be known before.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Node::start`].
+    pub async fn start_on(
+        settings: Settings,
+        parts: Parts,
+        socket: UdpSocket,
+    ) -> Result<Self, StartError> {
+        let listen = settings.http.listen;
+        let acceptor = TcpListener::new(listen)
+            .try_bind()
+            .await
+            .map_err(|fault| StartError::Listen(listen, std::io::Error::other(fault)))?;
+        let http = acceptor
+            .local_addr()
+            .map_err(|fault| StartError::Listen(listen, fault))?;
+        let clock = Clock::system();
+        // A later start has a higher number, because a node's wall clock moves on between starts.
+        let incarnation = Incarnation(clock.now().0);
+        let config = Config {
+            node: settings.node.clone(),
+            incarnation,
+            identity: settings.mesh.identity.clone(),
+        };
+        let (mesh, inbox) = Mesh::open(&config, socket)?;
+        let app = Arc::new(app(settings, &parts, clock, incarnation, mesh)?);
+        let tasks = vec![
+            tokio::spawn(inbox.serve(Arc::new(peers::Server(app.clone())))),
+            tokio::spawn(peers::beat(app.clone())),
+            tokio::spawn(ownership::follow_list(app.clone(), parts.list)),
+            tokio::spawn(follow_documents(app.clone())),
+            tokio::spawn(ship(app.clone())),
+        ];
+        let keepers = tokio::spawn(Keepers::new(app.clone(), parts.connect).run());
+        let (server, serving) = serve(&app, acceptor);
+        log::info!(node = app.node().as_str(), http:% = http, mesh:% = app.mesh.addr(); "serving");
+        Ok(Self {
+            app,
+            http,
+            server,
+            serving,
+            keepers,
+            tasks,
+        })
+    }
+
+    /// Returns the address of callers' HTTP.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Returns the address of the mesh.
+    #[must_use]
+    pub fn mesh_addr(&self) -> SocketAddr {
+        self.app.mesh.addr()
+    }
+
+    /// Returns what the parts of the node share.
+    #[must_use]
+    pub const fn app(&self) -> &Arc<App> {
+        &self.app
+    }
+
+    /// Stops the node: readiness goes down, leases go to their heirs, requests in flight are
+    /// answered within the grace, and the journal is shipped.
+    pub async fn stop(self) {
+        let grace = self.app.settings.grace;
+        let until = self.app.clock.now() + grace;
+        log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
+        self.app.stopping.set(true);
+        peers::announce(&self.app);
+        let handed = timeout(grace.duration(), self.keepers).await;
+        if handed.is_err() {
+            log::warn!("not all leases were handed over in time");
+        }
+        tokio::time::sleep(LINGER.duration()).await;
+        let left = until - self.app.clock.now();
+        self.server.stop_graceful(left.duration());
+        if timeout(left.duration(), self.app.gate.idle()).await.is_err() {
+            log::warn!(open = self.app.gate.taken(); "requests still open after the grace");
+        }
+        // Ends by itself once the last connection is closed, or when the grace is over.
+        let _ = timeout(left.duration(), self.serving).await;
+        let _ = timeout(SHIP_LIMIT.duration(), ship_all(&self.app)).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.app.mesh.close().await;
+        log::info!(node = self.app.node().as_str(); "stopped");
+    }
+}
+
+fn app(
+    settings: Settings,
+    parts: &Parts,
+    clock: Clock,
+    incarnation: Incarnation,
+    mesh: Mesh<crate::messages::Messages>,
+) -> Result<App, StartError> {
+    let policy = PolicySet::named(settings.plugins.iter().map(|name| name.as_str()))?;
+    let owner = Owner {
+        node: settings.node.clone(),
+        incarnation,
+    };
+    let addr = settings.mesh.advertise.unwrap_or(mesh.addr());
+    let own = Heartbeat {
+        node: settings.node.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        addr: compact_str::format_compact!("{addr}"),
+        at: clock.now(),
+        stopping: false,
+        spare: Size::ZERO,
+        documents: Vec::new(),
+    };
+    let places = u32::try_from(settings.http.requests).unwrap_or(u32::MAX);
+    Ok(App {
+        clock,
+        incarnation,
+        workers: Workers::new(policy, settings.data_centre.clone(), clock),
+        feed: Feed::new(parts.table.clone(), clock, feed::Config::default()),
+        journal: Journal::new(
+            settings.node.clone(),
+            incarnation,
+            clock,
+            parts.store.clone(),
+            journal::Config::default(),
+        ),
+        reader: Reader::new(parts.store.clone()),
+        claims: Claims::new(parts.table.clone(), clock, owner, claims::Config::default()),
+        mesh,
+        peers: Peers::new(own, clock.now()),
+        listed: Listed::default(),
+        recall: Recall::default(),
+        bodies: Bodies::default(),
+        budget: Mutex::new(Budget::new(RETRY_FLOOR)),
+        metrics: Metrics::new(),
+        gate: Arc::new(Gate::new(places)),
+        stopping: Flag::default(),
+        platform: Flag::default(),
+        settings,
+    })
+}
+
+fn serve(app: &Arc<App>, acceptor: TcpAcceptor) -> (ServerHandle, JoinHandle<()>) {
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let service = front::service(app);
+    let serving = tokio::spawn(async move {
+        server.serve(service).await;
+    });
+    (handle, serving)
+}
+
+async fn follow_documents(app: Arc<App>) {
+    app.feed.run().await;
+}
+
+async fn ship(app: Arc<App>) {
+    app.journal.run().await;
+}
+
+async fn ship_all(app: &App) {
+    while app.journal.ship().await != Shipped::Nothing {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Why a node did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address cannot be listened at.
+    Listen(SocketAddr, std::io::Error),
+    /// The mesh cannot be opened.
+    Mesh(OpenError),
+    /// A plug-in is not registered.
+    Plugin(UnknownPlugin),
+}
+
+impl From<OpenError> for StartError {
+    fn from(fault: OpenError) -> Self {
+        Self::Mesh(fault)
+    }
+}
+
+impl From<UnknownPlugin> for StartError {
+    fn from(fault: UnknownPlugin) -> Self {
+        Self::Plugin(fault)
+    }
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(addr, fault) => write!(f, "cannot listen at {addr}: {fault}"),
+            Self::Mesh(fault) => fault.fmt(f),
+            Self::Plugin(fault) => fault.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
--- /dev/null
+++ b/crates/dotterel-entry/src/peers.rs
@@ -0,0 +1,205 @@
+//! What this node knows of the others, and which of them to send work to.
+
+mod beat;
+mod serve;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use dotterel_coord::{Heard, Heartbeat, Members};
+use dotterel_kernel::{
+    DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Spill, VmId,
+};
+use dotterel_platform::Listing;
+use rand::seq::IndexedRandom;
+
+pub(crate) use beat::announce;
+pub use beat::{beat, pull};
+pub use serve::Server;
+
+/// How long a node may be silent before it counts as gone.
+pub const PATIENCE: Millis = Millis(1_500);
+
+/// How long an unlisted, silent node is remembered.
+const MEMORY: Millis = Millis::secs(3_600);
+
+/// A node that work may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The node.
+    pub node: NodeId,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// The other nodes.
+pub struct Peers {
+    state: Mutex<State>,
+}
+
+struct State {
+    members: Members,
+    /// Tasks sent to each node since its last heartbeat, sorted by node.
+    sent: Vec<(NodeId, u32)>,
+}
+
+impl Peers {
+    /// Returns a view in which only this node lives.
+    #[must_use]
+    pub const fn new(own: Heartbeat, now: Millis) -> Self {
+        Self {
+            state: Mutex::new(State {
+                members: Members::new(own, PATIENCE, now),
+                sent: Vec::new(),
+            }),
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub fn hear(&self, heartbeat: Heartbeat, now: Millis) -> Heard {
+        let mut state = self.state();
+        if let Ok(index) = state.sent_index(&heartbeat.node) {
+            state.sent[index].1 = 0;
+        }
+        state.members.hear(heartbeat, now)
+    }
+
+    /// Takes in the platform's list.
+    pub fn hear_list(&self, list: &Listing) {
+        self.state().members.hear_list(list);
+    }
+
+    /// Notes that this node is awake and replaces its own heartbeat.
+    pub fn tick(&self, own: Heartbeat, now: Millis) {
+        let mut state = self.state();
+        state.members.tick(now);
+        state.members.set_own(own);
+        state.members.prune(MEMORY, now);
+    }
+
+    /// Returns the node that should own a VM.
+    #[must_use]
+    pub fn desired_owner(&self, vm: &VmId, dc: &DataCentre, now: Millis) -> Option<NodeId> {
+        self.state().members.desired_owner(vm, dc, now).cloned()
+    }
+
+    /// Returns the node to which this one should leave a VM.
+    #[must_use]
+    pub fn heir(&self, vm: &VmId, dc: &DataCentre, now: Millis) -> Option<NodeId> {
+        self.state().members.heir(vm, dc, now).cloned()
+    }
+
+    /// Returns the live nodes.
+    #[must_use]
+    pub fn live(&self, now: Millis) -> Vec<NodeId> {
+        let state = self.state();
+        let live = state.members.live_peers(now);
+        live.map(|peer| peer.node.clone()).collect()
+    }
+
+    /// Returns the life of a node.
+    #[must_use]
+    pub fn incarnation(&self, node: &NodeId) -> Option<Incarnation> {
+        let state = self.state();
+        let peer = state.members.peer(node)?;
+        Some(peer.heartbeat.incarnation)
+    }
+
+    /// Returns the other nodes with the addresses they gave, sorted by name.
+    #[must_use]
+    pub fn heard(&self) -> Vec<Heartbeat> {
+        let state = self.state();
+        let peers = state.members.peers().iter();
+        peers.map(|peer| peer.heartbeat.clone()).collect()
+    }
+
+    /// Picks a node with spare slots: the one with more of two drawn at random, in the nearest
+    /// place that has any.
+    #[must_use]
+    pub fn spare(&self, spill: Spill, now: Millis) -> Option<Target> {
+        let mut state = self.state();
+        let target = state.pick(spill, now, true)?;
+        state.count(&target.node, 1);
+        Some(target)
+    }
+
+    /// Picks any live node within reach, for a node that owns no VM itself.
+    #[must_use]
+    pub fn any(&self, spill: Spill, now: Millis) -> Option<Target> {
+        self.state().pick(spill, now, false)
+    }
+
+    /// Notes that a node had no room after all; it gets nothing until its next heartbeat.
+    pub fn full(&self, node: &NodeId) {
+        self.state().count(node, u32::MAX);
+    }
+
+    /// Returns the status of all known nodes, sorted by name.
+    #[must_use]
+    pub fn status(&self, now: Millis) -> Vec<PeerStatus> {
+        let state = self.state();
+        let peers = state.members.peers().iter();
+        let status = |peer: &dotterel_coord::Member| PeerStatus {
+            node: peer.heartbeat.node.clone(),
+            incarnation: peer.heartbeat.incarnation,
+            data_centre: peer.heartbeat.data_centre.clone(),
+            alive: state.members.is_live(&peer.heartbeat.node, now),
+            documents: peer.heartbeat.documents.clone(),
+        };
+        peers.map(status).collect()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn sent_index(&self, node: &NodeId) -> Result<usize, usize> {
+        self.sent.binary_search_by(|entry| entry.0.cmp(node))
+    }
+
+    fn count(&mut self, node: &NodeId, tasks: u32) {
+        match self.sent_index(node) {
+            Ok(index) => self.sent[index].1 = self.sent[index].1.saturating_add(tasks),
+            Err(index) => self.sent.insert(index, (node.clone(), tasks)),
+        }
+    }
+
+    /// Returns the slots that a node should still have free.
+    fn slots(&self, heartbeat: &Heartbeat) -> u32 {
+        let sent = self.sent_index(&heartbeat.node);
+        let sent = sent.map_or(0, |index| self.sent[index].1);
+        heartbeat.spare.slots.saturating_sub(sent)
+    }
+
+    fn pick(&self, spill: Spill, now: Millis, spare: bool) -> Option<Target> {
+        let own = self.members.own();
+        for reach in [Spill::DataCentre, Spill::Region, Spill::Anywhere] {
+            if reach > spill {
+                break;
+            }
+            let near = self.members.live_peers(now).filter(|peer| {
+                !peer.stopping
+                    && within(reach, &own.data_centre, &own.region, peer)
+                    && (!spare || self.slots(peer) > 0)
+            });
+            let near: Vec<&Heartbeat> = near.collect();
+            let two = near.sample(&mut rand::rng(), 2);
+            if let Some(best) = two.max_by_key(|peer| self.slots(peer)) {
+                return Some(Target {
+                    node: best.node.clone(),
+                    incarnation: best.incarnation,
+                });
+            }
+        }
+        None
+    }
+}
+
+fn within(reach: Spill, dc: &DataCentre, region: &Region, peer: &Heartbeat) -> bool {
+    match reach {
+        Spill::DataCentre => peer.data_centre == *dc,
+        Spill::Region => peer.region == *region,
+        Spill::Anywhere => true,
+    }
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/requests/claim.rs
@@ -0,0 +1,77 @@
+//! Claims of unrepeatable requests.
+
+use dotterel_coord::claims::{
+    self, Ask, Claim, ClaimKey, ClaimOutcome, RecordedOutcome, State, Written,
+};
+use dotterel_kernel::{Millis, Reason};
+
+use super::{Outcome, Request};
+use crate::app::App;
+
+/// How long an answer waits for its record to become durable.
+const RECORD_WAIT: Millis = Millis(500);
+
+/// Claims the key of an unrepeatable request; a repeatable one needs none.
+///
+/// # Errors
+///
+/// Returns what the caller is told when the request must not be dispatched.
+pub(super) async fn claim(app: &App, request: &Request) -> Result<Option<Claim>, Outcome> {
+    if request.class.repeatable {
+        return Ok(None);
+    }
+    let Some(key) = request.key.clone() else {
+        return Err(Outcome::NotRun(Reason::ClaimUnavailable));
+    };
+    let ask = Ask {
+        key: ClaimKey {
+            service: request.service.clone(),
+            key,
+        },
+        digest: claims::digest(&request.body),
+        request: request.id,
+        window: request.class.key_window,
+        deadline: request.deadline,
+    };
+    match app.claims.claim(ask).await {
+        ClaimOutcome::Won(claim) => Ok(Some(claim)),
+        ClaimOutcome::Mismatch(earlier) => Err(Outcome::Mismatch(earlier)),
+        ClaimOutcome::Unavailable => Err(Outcome::NotRun(Reason::ClaimUnavailable)),
+        ClaimOutcome::Repeat(entry) => match entry.state {
+            State::Claimed => Err(Outcome::Earlier(entry)),
+            State::Done(outcome) => Err(Outcome::Recorded {
+                request: entry.request,
+                outcome,
+            }),
+        },
+    }
+}
+
+/// Records the outcome with the claim, or gives the key back when the request did not run.
+pub(super) async fn conclude(
+    app: &App,
+    request: &Request,
+    claim: Option<Claim>,
+    outcome: &Outcome,
+) {
+    let Some(claim) = claim else {
+        return;
+    };
+    let until = app.clock.now() + RECORD_WAIT;
+    let written = match outcome {
+        Outcome::Ran { answer, .. } => {
+            let recorded = RecordedOutcome::whole(
+                answer.status,
+                answer.content_type.clone(),
+                answer.body.clone(),
+            );
+            app.claims.settle(&claim, recorded, until).await
+        }
+        Outcome::NotRun(_) => app.claims.release(claim, until).await,
+        // The key stays claimed, because the request may have run.
+        _ => Written::Durable,
+    };
+    if written == Written::Pending {
+        log::warn!(request:% = request.id; "outcome of the claim not durable yet");
+    }
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/requests/resolve.rs
@@ -0,0 +1,56 @@
+//! Looks for the proof of an outcome after the caller was told that it is unknown.
+
+use std::sync::Arc;
+
+use dotterel_coord::claims::Claim;
+use dotterel_kernel::{Millis, Reason, TaskId, VmId};
+
+use super::attempt::Doubt;
+use super::forward::{Asked, ask};
+use super::{Outcome, Request, claim, close, serve};
+use crate::app::App;
+use crate::messages::Verdict;
+use crate::peers::Target;
+
+const ASK_PERIOD: Millis = Millis::secs(1);
+
+/// How long a node may be silent before nobody can be asked any more.
+const SILENCE_LIMIT: Millis = Millis::secs(60);
+
+/// Looks for a proof, then settles the claim and the record.
+pub(super) async fn resolve(
+    app: Arc<App>,
+    request: Request,
+    claim: Option<Claim>,
+    doubt: Doubt,
+) {
+    let (verdict, vm) = match &doubt {
+        Doubt::Here(slot) => (serve::search(&app, slot).await, slot.vm().clone()),
+        Doubt::There { target, task, sent } => {
+            (there(&app, target, *task, *sent).await, VmId::default())
+        }
+        Doubt::Cut => (None, VmId::default()),
+    };
+    let outcome = match verdict {
+        Some(Verdict::Ran(answer)) => Outcome::Ran { answer, vm },
+        Some(Verdict::NotRun(_)) => Outcome::NotRun(Reason::Refused),
+        Some(Verdict::Cut | Verdict::Unknown) | None => Outcome::Unknown,
+    };
+    claim::conclude(&app, &request, claim, &outcome).await;
+    close(&app, &request, &outcome);
+    drop(doubt);
+}
+
+async fn there(app: &App, target: &Target, task: TaskId, sent: Millis) -> Option<Verdict> {
+    let mut heard = app.clock.now();
+    while app.clock.now().since(heard) < SILENCE_LIMIT {
+        match ask(app, target, task, sent).await {
+            Asked::Done(done) => return Some(done.verdict),
+            Asked::NotMine => return None,
+            Asked::Pending => heard = app.clock.now(),
+            Asked::Silent => {}
+        }
+        tokio::time::sleep(ASK_PERIOD.duration()).await;
+    }
+    None
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/workers.rs
@@ -0,0 +1,188 @@
+//! The VMs whose worker leases this node holds, and the queue for them.
+//!
+//! [`Workers`] joins three things under one lock: the kernel's scheduler, the lease of each VM as
+//! its keeper reports it, and the tasks that run there. A [`Slot`] is capacity set apart on one
+//! VM; dropping it gives the capacity back and lets the next waiting task start.
+
+mod holder;
+mod slot;
+mod state;
+mod ticket;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dotterel_coord::Permit;
+use dotterel_kernel::scheduler::Load;
+use dotterel_kernel::{
+    Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Size, Submit, TaskId, VmId, VmStatus,
+    Waiting,
+};
+use dotterel_platform::Upstream;
+use tokio::sync::oneshot;
+
+pub use slot::Slot;
+pub use ticket::Ticket;
+
+use state::State;
+
+/// The answer to [`Workers::submit`].
+pub enum Submitted {
+    /// Capacity is set apart.
+    Placed(Slot),
+    /// The task waits.
+    Queued(Ticket),
+    /// The task is not going to start here.
+    Refused(Reason),
+}
+
+/// The VMs that this node owns; clones share them.
+#[derive(Clone)]
+pub struct Workers {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    clock: Clock,
+    data_centre: DataCentre,
+    state: Mutex<State>,
+}
+
+impl Workers {
+    /// Returns a node's view before it owns a VM.
+    #[must_use]
+    pub fn new(policy: PolicySet, data_centre: DataCentre, clock: Clock) -> Self {
+        let state = Mutex::new(State::new(Scheduler::new(policy)));
+        Self {
+            inner: Arc::new(Inner {
+                clock,
+                data_centre,
+                state,
+            }),
+        }
+    }
+
+    /// Makes a VM known before its lease is sought.
+    pub fn add(&self, vm: VmId, upstream: Arc<dyn Upstream>) {
+        self.state().add(vm, upstream);
+    }
+
+    /// Forgets a VM that is gone.
+    pub fn remove(&self, vm: &VmId) {
+        self.state().remove(vm);
+    }
+
+    /// Says that a VM is about to go, so that nothing new starts there.
+    pub fn leaving(&self, vm: &VmId, leaving: bool) {
+        self.state().set_leaving(vm, leaving);
+        self.pump();
+    }
+
+    /// Asks for capacity for a task.
+    pub fn submit(&self, task: TaskId, waiting: Waiting) -> Submitted {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        match state.scheduler.submit(waiting, now) {
+            Submit::Refused(reason) => Submitted::Refused(reason),
+            Submit::Placed(placement) => {
+                let started = state.begin(task, &placement);
+                drop(state);
+                started.map_or(Submitted::Refused(Reason::NoCapacity), |begun| {
+                    Submitted::Placed(self.slot(task, placement, begun))
+                })
+            }
+            Submit::Queued(key) => {
+                let (sender, receiver) = oneshot::channel();
+                state.wait(key, task, sender);
+                Submitted::Queued(Ticket::new(self.clone(), key, receiver))
+            }
+        }
+    }
+
+    /// Returns the VMs whose lease is held, sorted by name.
+    #[must_use]
+    pub fn status(&self) -> Vec<VmStatus> {
+        self.state().status()
+    }
+
+    /// Returns true when the lease of at least one VM is held.
+    #[must_use]
+    pub fn any(&self) -> bool {
+        !self.state().scheduler.fleet().is_empty()
+    }
+
+    /// Returns what is free on VMs that take new work, less what waits.
+    #[must_use]
+    pub fn spare(&self) -> Size {
+        self.state().spare()
+    }
+
+    /// Returns the present load.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.state().scheduler.load().clone()
+    }
+
+    /// Returns the number of tasks that this node has dispatched and that are not settled.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        self.state().live()
+    }
+
+    /// Returns the VM's adapter, while the VM is known.
+    #[must_use]
+    pub fn upstream(&self, vm: &VmId) -> Option<Arc<dyn Upstream>> {
+        self.state().upstream(vm)
+    }
+
+    /// Returns the adapters of all known VMs.
+    #[must_use]
+    pub fn upstreams(&self) -> Vec<Arc<dyn Upstream>> {
+        self.state().upstreams()
+    }
+
+    /// Hands freed capacity to waiting tasks.
+    fn pump(&self) {
+        let now = self.inner.clock.now();
+        let mut ready = Vec::new();
+        {
+            let mut state = self.state();
+            while let Some((key, _, placement)) = state.scheduler.next(now) {
+                let Some((task, sender)) = state.take_waiter(key) else {
+                    state.scheduler.finish(placement.hold, now);
+                    continue;
+                };
+                if let Some(begun) = state.begin(task, &placement) {
+                    ready.push((sender, self.slot(task, placement, begun)));
+                }
+            }
+        }
+        for (sender, slot) in ready {
+            // A slot that nobody waits for any more gives its capacity back when dropped.
+            drop(sender.send(slot));
+        }
+    }
+
+    fn slot(&self, task: TaskId, placement: Placement, begun: Begun) -> Slot {
+        Slot::new(self.clone(), task, placement, begun)
+    }
+
+    fn finish(&self, vm: &VmId, task: TaskId, forget: bool) {
+        let now = self.inner.clock.now();
+        self.state().finish(vm, task, forget, now);
+        self.pump();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.inner
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a placed task needs for its start.
+struct Begun {
+    permit: Permit,
+    epoch: Epoch,
+    upstream: Arc<dyn Upstream>,
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/workers/holder.rs
@@ -0,0 +1,109 @@
+//! What the keepers of worker leases report.
+
+use dotterel_coord::{Batch, Holder, Permit};
+use dotterel_kernel::{Millis, Scheduler, Vm, VmId};
+use dotterel_platform::{Grant, Granted, Running, TaskState};
+
+use super::Workers;
+use super::state::{Lease, Owned, Task};
+
+impl Holder for Workers {
+    fn granted(&self, grant: &Grant, permit: Option<Permit>) {
+        let now = self.inner.clock.now();
+        if let Some((owned, scheduler)) = self.state().owned(&grant.vm) {
+            lose(owned, scheduler);
+            let data_centre = self.inner.data_centre.clone();
+            let vm = Vm::new(grant.vm.clone(), data_centre, grant.capacity, grant.epoch);
+            let key = scheduler.fleet_mut().insert(vm);
+            owned.lease = Some(Lease { key, permit });
+            owned.leaving |= grant.leaving;
+            adopt_all(owned, scheduler, grant, now);
+        }
+        self.pump();
+    }
+
+    fn renewed(&self, vm: &VmId, granted: &Granted, permit: Option<Permit>) {
+        let now = self.inner.clock.now();
+        if let Some((owned, scheduler)) = self.state().owned(vm) {
+            if let Some(lease) = &mut owned.lease {
+                lease.permit = permit;
+            }
+            owned.leaving |= granted.leaving;
+            let named = std::mem::take(&mut owned.forgetting);
+            owned.forget.drain(..named);
+            reap(owned, scheduler, granted, now);
+            owned.apply(scheduler);
+        }
+        self.pump();
+    }
+
+    fn lost(&self, vm: &VmId) {
+        if let Some((owned, scheduler)) = self.state().owned(vm) {
+            lose(owned, scheduler);
+        }
+    }
+
+    fn tasks(&self, vm: &VmId) -> Batch {
+        let mut state = self.state();
+        let Some((owned, _)) = state.owned(vm) else {
+            return Batch::default();
+        };
+        owned.forgetting = owned.forget.len();
+        Batch {
+            renew: owned.tasks.iter().map(|task| task.id).collect(),
+            forget: owned.forget.clone(),
+        }
+    }
+}
+
+/// Counts what runs on the VM already, before anything new starts there.
+fn adopt_all(owned: &mut Owned, scheduler: &mut Scheduler, grant: &Grant, now: Millis) {
+    for running in &grant.running {
+        adopt(owned, scheduler, running, now);
+    }
+    owned.apply(scheduler);
+}
+
+fn adopt(owned: &mut Owned, scheduler: &mut Scheduler, running: &Running, now: Millis) {
+    let Some(lease) = &owned.lease else {
+        return;
+    };
+    let hold = scheduler
+        .fleet_mut()
+        .adopt(lease.key, running.size, false, now);
+    match owned.tasks.iter_mut().find(|task| task.id == running.task) {
+        Some(task) => task.hold = hold,
+        None => owned.tasks.push(Task {
+            id: running.task,
+            hold,
+            live: false,
+        }),
+    }
+}
+
+/// Gives back the capacity of adopted tasks that no longer run.
+fn reap(owned: &mut Owned, scheduler: &mut Scheduler, granted: &Granted, now: Millis) {
+    let runs = |task: &Task| {
+        let mut seen = granted.tasks.iter().filter(|seen| seen.task == task.id);
+        seen.any(|seen| seen.state == TaskState::Running)
+    };
+    owned.tasks.retain(|task| {
+        let stays = task.live || runs(task);
+        if !stays && let Some(hold) = task.hold {
+            scheduler.finish(hold, now);
+        }
+        stays
+    });
+}
+
+/// Takes the VM out of the fleet; open calls go on without a hold.
+fn lose(owned: &mut Owned, scheduler: &mut Scheduler) {
+    if let Some(lease) = owned.lease.take() {
+        scheduler.fleet_mut().remove(lease.key);
+    }
+    owned.tasks.retain(|task| task.live);
+    for task in &mut owned.tasks {
+        task.hold = None;
+    }
+    owned.forgetting = 0;
+}
--- /dev/null
+++ b/crates/dotterel-entry/src/workers/slot.rs
@@ -0,0 +1,85 @@
+//! Capacity set apart for one task.
+
+use std::sync::Arc;
+
+use dotterel_coord::Permit;
+use dotterel_kernel::{Epoch, Placement, TaskId, VmId};
+use dotterel_platform::Upstream;
+
+use super::{Begun, Workers};
+
+/// Capacity set apart on one VM for one task; dropping it gives the capacity back.
+///
+/// It must be kept until the task provably no longer runs and never will.
+pub struct Slot {
+    workers: Workers,
+    task: TaskId,
+    placement: Placement,
+    begun: Begun,
+    forget: bool,
+}
+
+impl Slot {
+    pub(super) const fn new(
+        workers: Workers,
+        task: TaskId,
+        placement: Placement,
+        begun: Begun,
+    ) -> Self {
+        Self {
+            workers,
+            task,
+            placement,
+            begun,
+            forget: false,
+        }
+    }
+
+    /// Returns the task.
+    #[must_use]
+    pub const fn task(&self) -> TaskId {
+        self.task
+    }
+
+    /// Returns the VM.
+    #[must_use]
+    pub const fn vm(&self) -> &VmId {
+        &self.placement.id
+    }
+
+    /// Returns how the VM was chosen.
+    #[must_use]
+    pub const fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Returns the right to start the task.
+    #[must_use]
+    pub const fn permit(&self) -> Permit {
+        self.begun.permit
+    }
+
+    /// Returns the epoch of the worker lease at the time of the placement.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.begun.epoch
+    }
+
+    /// Returns the VM's adapter.
+    #[must_use]
+    pub const fn upstream(&self) -> &Arc<dyn Upstream> {
+        &self.begun.upstream
+    }
+
+    /// Lets the VM forget the task, because its outcome is recorded.
+    pub const fn forget(&mut self) {
+        self.forget = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.workers
+            .finish(&self.placement.id, self.task, self.forget);
+    }
+}
