--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -1,13 +1,19 @@
 //! Coordination parts to embed: leases, claims, membership, feeds, journals and limits.
 
+pub mod claims;
 pub mod dispatch;
+pub mod feed;
+pub mod journal;
 pub mod keeper;
 pub mod lease;
 pub mod limit;
 pub mod membership;
 pub mod retry;
 
+pub use claims::{Claim, ClaimKey, ClaimOutcome, Claims, RecordedOutcome};
 pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
+pub use feed::{Accepted, Applied, Feed, Offered};
+pub use journal::{Journal, Reader, Segment};
 pub use keeper::{Batch, Holder, Keeper, Wish};
 pub use lease::{
     Held, Lapsed, Permit, RawTerms, Released, Renewal, Seeking, Sought, Terms, TermsError,
