--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -23,9 +23,3 @@
 pub use node::{Node, Parts, StartError};
 pub use settings::{Settings, SettingsError};
 pub use workers::Workers;
-
-// The plug-ins register themselves when their crate is linked.
-use dotterel_policies as _;
-
-/// The plug-ins that are used when the settings name none.
-pub const DEFAULT_PLUGINS: [&str; 0] = [];
--- a/crates/dotterel-entry/src/ownership.rs
+++ b/crates/dotterel-entry/src/ownership.rs
@@ -139,9 +139,9 @@
     fn follow(&mut self) {
         let now = self.app.clock.now();
         let listing = self.app.listed.listing();
-        let dc = &self.app.settings.data_centre;
+        let dc = self.app.settings.data_centre.clone();
         let workers = listing.vms.iter().filter(|vm| vm.role == Role::Worker);
-        for listed in workers.filter(|vm| vm.data_centre == *dc) {
+        for listed in workers.filter(|vm| vm.data_centre == dc) {
             self.keep(listed, now);
         }
         self.drop_missing(now);
--- a/crates/dotterel-entry/src/settings/raw.rs
+++ b/crates/dotterel-entry/src/settings/raw.rs
@@ -129,7 +129,7 @@
 
 impl Default for RawPolicy {
     fn default() -> Self {
-        let plugins = crate::DEFAULT_PLUGINS;
+        let plugins = dotterel_policies::STANDARD;
         Self {
             plugins: plugins.iter().map(|name| (*name).into()).collect(),
         }
