--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -99,7 +99,9 @@
 
 /// A place in a [`Gate`].
 #[derive(Debug)]
-pub struct Pass(#[expect(dead_code, reason = "held for its drop")] tokio::sync::OwnedSemaphorePermit);
+pub struct Pass(
+    #[expect(dead_code, reason = "held for its drop")] tokio::sync::OwnedSemaphorePermit,
+);
 
 impl Gate {
     /// Returns a gate with so many places.
--- a/crates/dotterel-entry/src/front/account.rs
+++ b/crates/dotterel-entry/src/front/account.rs
@@ -21,7 +21,9 @@
 #[handler]
 impl Get {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let service = req.query::<String>("service").map(|name| Service(name.into()));
+        let service = req
+            .query::<String>("service")
+            .map(|name| Service(name.into()));
         match since(&self.0, req) {
             Ok(since) => {
                 let account = draw_up(&self.0, service, since).await;
--- a/crates/dotterel-entry/src/front/answer.rs
+++ b/crates/dotterel-entry/src/front/answer.rs
@@ -86,6 +86,11 @@
             _ => ("request", status.canonical_reason().unwrap_or("not served")),
         };
         let path = req.uri().path();
-        Refusal::new(status, field, compact_str::format_compact!("{path}: {reason}")).write(res);
+        Refusal::new(
+            status,
+            field,
+            compact_str::format_compact!("{path}: {reason}"),
+        )
+        .write(res);
     }
 }
--- a/crates/dotterel-entry/src/front/documents.rs
+++ b/crates/dotterel-entry/src/front/documents.rs
@@ -119,7 +119,10 @@
                 .allowed("the ETag of the document, as \"3\"")
         });
     }
-    if headers.get("if-none-match").is_some_and(|value| value == "*") {
+    if headers
+        .get("if-none-match")
+        .is_some_and(|value| value == "*")
+    {
         return Ok(None);
     }
     Err(Refusal::new(
--- a/crates/dotterel-entry/src/messages.rs
+++ b/crates/dotterel-entry/src/messages.rs
@@ -7,9 +7,7 @@
 use compact_str::CompactString;
 use dotterel_coord::Heartbeat;
 use dotterel_coord::feed::Passed;
-use dotterel_kernel::{
-    Attempt, Incarnation, Millis, Reason, RequestId, Revision, Service, TaskId,
-};
+use dotterel_kernel::{Attempt, Incarnation, Millis, Reason, RequestId, Revision, Service, TaskId};
 use dotterel_mesh::Protocol;
 use dotterel_platform::{Answer, ListedVm};
 use serde::{Deserialize, Serialize};
--- a/crates/dotterel-entry/src/metrics.rs
+++ b/crates/dotterel-entry/src/metrics.rs
@@ -66,7 +66,11 @@
                 &labels,
             ),
             queued: gauge(&registry, "dotterel_queued_tasks", "Tasks that wait."),
-            used: gauge(&registry, "dotterel_used_slots", "Slots in use on owned VMs."),
+            used: gauge(
+                &registry,
+                "dotterel_used_slots",
+                "Slots in use on owned VMs.",
+            ),
             slots: gauge(&registry, "dotterel_owned_slots", "Slots on owned VMs."),
             vms: gauge(&registry, "dotterel_owned_vms", "VMs whose lease is held."),
             in_flight: gauge(
@@ -150,8 +154,10 @@
         self.slots.set(slots.into());
         self.vms.set(whole(vms.len()));
         self.in_flight.set(whole(app.gate.taken()));
-        self.refused.set(i64::try_from(counters.refused).unwrap_or(i64::MAX));
-        self.lost.set(i64::try_from(counters.lost).unwrap_or(i64::MAX));
+        self.refused
+            .set(i64::try_from(counters.refused).unwrap_or(i64::MAX));
+        self.lost
+            .set(i64::try_from(counters.lost).unwrap_or(i64::MAX));
         self.unshipped.set(whole(app.journal.unshipped()));
         self.pending.set(whole(app.claims.pending()));
         self.platform.set(app.platform.get().into());
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 
+use compact_str::CompactString;
 use dotterel_coord::claims::{self, Claims};
 use dotterel_coord::feed::{self, Feed};
 use dotterel_coord::journal::{self, Journal, Reader, Shipped};
@@ -183,7 +184,10 @@
         tokio::time::sleep(LINGER.duration()).await;
         let left = until - self.app.clock.now();
         self.server.stop_graceful(left.duration());
-        if timeout(left.duration(), self.app.gate.idle()).await.is_err() {
+        if timeout(left.duration(), self.app.gate.idle())
+            .await
+            .is_err()
+        {
             log::warn!(open = self.app.gate.taken(); "requests still open after the grace");
         }
         // Ends by itself once the last connection is closed, or when the grace is over.
@@ -204,7 +208,7 @@
     incarnation: Incarnation,
     mesh: Mesh<crate::messages::Messages>,
 ) -> Result<App, StartError> {
-    let policy = PolicySet::named(settings.plugins.iter().map(|name| name.as_str()))?;
+    let policy = PolicySet::named(settings.plugins.iter().map(CompactString::as_str))?;
     let owner = Owner {
         node: settings.node.clone(),
         incarnation,
--- a/crates/dotterel-entry/src/ownership.rs
+++ b/crates/dotterel-entry/src/ownership.rs
@@ -199,7 +199,12 @@
 
     fn drop_missing(&mut self, now: Millis) {
         let missing = |kept: &&Kept| now.since(kept.seen) > MISSING_LIMIT;
-        let gone: Vec<VmId> = self.kept.iter().filter(missing).map(|k| k.vm.clone()).collect();
+        let gone: Vec<VmId> = self
+            .kept
+            .iter()
+            .filter(missing)
+            .map(|k| k.vm.clone())
+            .collect();
         for vm in gone {
             self.drop_vm(&vm);
         }
@@ -218,7 +223,8 @@
         let mut tasks = Vec::new();
         for kept in self.kept {
             let heir = self.app.peers.heir(&kept.vm, dc, now);
-            kept.wish.send_replace(heir.map_or(Wish::Drop, Wish::GiveTo));
+            kept.wish
+                .send_replace(heir.map_or(Wish::Drop, Wish::GiveTo));
             tasks.push(kept.task);
         }
         for task in tasks {
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -6,9 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use dotterel_coord::{Heard, Heartbeat, Members};
-use dotterel_kernel::{
-    DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Spill, VmId,
-};
+use dotterel_kernel::{DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Spill, VmId};
 use dotterel_platform::Listing;
 use rand::seq::IndexedRandom;
 
--- a/crates/dotterel-entry/src/requests.rs
+++ b/crates/dotterel-entry/src/requests.rs
@@ -20,8 +20,7 @@
 use dotterel_coord::claims::{Entry, RecordedOutcome};
 use dotterel_kernel::plugin::Ask;
 use dotterel_kernel::{
-    CallerKey, Class, Fate, Kind, Millis, NodeId, Reason, Record, RequestId, Service, VmId,
-    Waiting,
+    CallerKey, Class, Fate, Kind, Millis, NodeId, Reason, Record, RequestId, Service, VmId, Waiting,
 };
 use dotterel_platform::Answer;
 use tokio::sync::watch;
@@ -162,8 +161,12 @@
     };
     app.journal.close(request.id, fate);
     let now = app.clock.now();
-    app.metrics
-        .settled(&request.service, &request.class.name, &fate, now - request.arrived);
+    app.metrics.settled(
+        &request.service,
+        &request.class.name,
+        &fate,
+        now - request.arrived,
+    );
     log::info!(
         request:% = request.id,
         service = request.service.as_str(),
--- a/crates/dotterel-entry/src/requests/attempt.rs
+++ b/crates/dotterel-entry/src/requests/attempt.rs
@@ -65,14 +65,14 @@
 
 /// Tries until the request has run, cannot run any more, or its outcome is in doubt.
 pub(super) async fn attempts(app: &Arc<App>, request: &Request) -> Ended {
-    budget(app, |budget, now| budget.request(now));
+    budget(app, dotterel_coord::Budget::request);
     let mut last = Reason::NoCapacity;
     for number in 0..ATTEMPT_LIMIT {
-        if number > 0 && !budget(app, |budget, now| budget.try_retry(now)) {
+        if number > 0 && !budget(app, dotterel_coord::Budget::try_retry) {
             return Ended::Proved(Outcome::NotRun(last));
         }
         match attempt(app, request).await {
-            Tried::Ended(ended) => return ended,
+            Tried::Ended(ended) => return *ended,
             Tried::Again(reason) => last = reason,
         }
     }
@@ -80,18 +80,24 @@
 }
 
 enum Tried {
-    Ended(Ended),
+    Ended(Box<Ended>),
     /// It provably did not run, for a reason that may not hold elsewhere or later.
     Again(Reason),
 }
 
+impl Tried {
+    fn ended(ended: Ended) -> Self {
+        Self::Ended(Box::new(ended))
+    }
+}
+
 /// Makes one attempt; nodes that turn out to be full do not count.
 async fn attempt(app: &Arc<App>, request: &Request) -> Tried {
     loop {
         let task = TaskId::mint();
         let (done, doubt) = match place(app, request, task).await {
             Place::Nowhere(reason) => {
-                return Tried::Ended(Ended::Proved(Outcome::NotRun(reason)));
+                return Tried::ended(Ended::Proved(Outcome::NotRun(reason)));
             }
             Place::Here(slot) => {
                 let (done, slot) = here(app, &request.job(), slot).await;
@@ -115,21 +121,14 @@
     }
 }
 
-fn judge(
-    request: &Request,
-    verdict: Verdict,
-    vm: dotterel_kernel::VmId,
-    doubt: Doubt,
-) -> Tried {
+fn judge(request: &Request, verdict: Verdict, vm: dotterel_kernel::VmId, doubt: Doubt) -> Tried {
     match verdict {
-        Verdict::Ran(answer) => {
-            Tried::Ended(Ended::Proved(Outcome::Ran { answer, vm }))
-        }
+        Verdict::Ran(answer) => Tried::ended(Ended::Proved(Outcome::Ran { answer, vm })),
         Verdict::NotRun(reason @ (Reason::Refused | Reason::NoCapacity)) => Tried::Again(reason),
-        Verdict::NotRun(reason) => Tried::Ended(Ended::Proved(Outcome::NotRun(reason))),
+        Verdict::NotRun(reason) => Tried::ended(Ended::Proved(Outcome::NotRun(reason))),
         Verdict::Cut if request.class.repeatable => Tried::Again(Reason::Refused),
-        Verdict::Cut => Tried::Ended(Ended::Open(Doubt::Cut)),
-        Verdict::Unknown => Tried::Ended(Ended::Open(doubt)),
+        Verdict::Cut => Tried::ended(Ended::Open(Doubt::Cut)),
+        Verdict::Unknown => Tried::ended(Ended::Open(doubt)),
     }
 }
 
--- a/crates/dotterel-entry/src/requests/resolve.rs
+++ b/crates/dotterel-entry/src/requests/resolve.rs
@@ -18,12 +18,7 @@
 const SILENCE_LIMIT: Millis = Millis::secs(60);
 
 /// Looks for a proof, then settles the claim and the record.
-pub(super) async fn resolve(
-    app: Arc<App>,
-    request: Request,
-    claim: Option<Claim>,
-    doubt: Doubt,
-) {
+pub(super) async fn resolve(app: Arc<App>, request: Request, claim: Option<Claim>, doubt: Doubt) {
     let (verdict, vm) = match &doubt {
         Doubt::Here(slot) => (serve::search(&app, slot).await, slot.vm().clone()),
         Doubt::There { target, task, sent } => {
--- a/crates/dotterel-entry/src/requests/serve.rs
+++ b/crates/dotterel-entry/src/requests/serve.rs
@@ -49,7 +49,9 @@
 
 async fn run(app: &Arc<App>, submit: Submit) -> (Done, Option<Slot>) {
     let document = app.feed.in_force(&submit.service);
-    let class = document.as_ref().and_then(|it| it.document.class(&submit.class));
+    let class = document
+        .as_ref()
+        .and_then(|it| it.document.class(&submit.class));
     let Some(class) = class else {
         return (refusal(Reason::NoCapacity), None);
     };
--- a/crates/dotterel-entry/src/workers.rs
+++ b/crates/dotterel-entry/src/workers.rs
@@ -14,8 +14,8 @@
 use dotterel_coord::Permit;
 use dotterel_kernel::scheduler::Load;
 use dotterel_kernel::{
-    Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Size, Submit, TaskId, VmId, VmStatus,
-    Waiting,
+    Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Size, Submit, TaskId, VmId,
+    VmStatus, Waiting,
 };
 use dotterel_platform::Upstream;
 use tokio::sync::oneshot;
@@ -78,6 +78,7 @@
     }
 
     /// Asks for capacity for a task.
+    #[must_use]
     pub fn submit(&self, task: TaskId, waiting: Waiting) -> Submitted {
         let now = self.inner.clock.now();
         let mut state = self.state();
--- a/crates/dotterel-entry/src/workers/state.rs
+++ b/crates/dotterel-entry/src/workers/state.rs
@@ -188,7 +188,10 @@
     }
 
     pub(super) fn upstreams(&self) -> Vec<Arc<dyn Upstream>> {
-        self.vms.iter().map(|owned| owned.upstream.clone()).collect()
+        self.vms
+            .iter()
+            .map(|owned| owned.upstream.clone())
+            .collect()
     }
 
     fn position(&self, vm: &VmId) -> Result<usize, usize> {
--- /dev/null
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! Entry processes with a stand-in platform and workers, on loopback.
+
+mod forward;
+mod support;
