--- a/crates/dotterel-entry/tests/path/main.rs
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -1,4 +1,8 @@
 //! Entry processes with a stand-in platform and workers, on loopback.
 
+mod documents;
 mod forward;
+mod input;
+mod stop;
+mod stranger;
 mod support;
--- /dev/null
+++ b/crates/dotterel-entry/tests/path/stop.rs
@@ -0,0 +1,71 @@
+//! Planned stops.
+
+use std::time::Duration;
+
+use dotterel_standin::witness;
+use http::StatusCode;
+
+use crate::support::{DOCUMENT, Site, settled, until};
+
+const PATH: &str = "/v1/services/quotes/requests/bracket-count";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_answers_every_request_in_flight_and_hands_the_leases_over() {
+    let site = Site::start(4).await;
+    let (mut a, b) = (site.entry("entry-a"), site.entry("entry-b"));
+    settled(&[&a, &b], 4).await;
+    a.apply(DOCUMENT, &[&a, &b]).await;
+    let bodies: Vec<String> = (0..24)
+        .map(|number| format!("{{\"run_ms\": 1500, \"index\": {number}}}"))
+        .collect();
+
+    let at_a = a.post_all(PATH, &bodies[..16]);
+    let at_b = b.post_all(PATH, &bodies[16..]);
+    let stop = async {
+        // All calls are under way by then, at nodes and workers alike.
+        until(async || witness::runs(&site.cluster.workers()).len() == bodies.len()).await;
+        a.terminate();
+        until(async || b.status().await.vms.len() == 4).await;
+    };
+    let (at_a, at_b, ()) = tokio::join!(at_a, at_b, stop);
+
+    for (answer, body) in at_a.iter().chain(&at_b).zip(&bodies) {
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        assert_eq!(answer.body, body.as_bytes());
+    }
+    assert_eq!(a.ended().await, Some(0));
+    let workers = site.cluster.workers();
+    assert_eq!(witness::over_capacity(&workers), Vec::new());
+    assert_eq!(witness::runs(&workers).len(), bodies.len(), "each ran once");
+    until(async || {
+        b.account()
+            .await
+            .lines
+            .first()
+            .is_some_and(|line| line.ran == 24)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_is_not_ready_but_serves_what_still_arrives() {
+    let site = Site::start(2).await;
+    let (mut a, b) = (site.entry("entry-a"), site.entry("entry-b"));
+    settled(&[&a, &b], 2).await;
+    a.apply(DOCUMENT, &[&a, &b]).await;
+    let slow = [r#"{"run_ms": 1000}"#.to_owned()];
+
+    let in_flight = a.post_all(PATH, &slow);
+    let late = async {
+        until(async || !witness::runs(&site.cluster.workers()).is_empty()).await;
+        a.terminate();
+        until(async || a.get("/readyz").await.status == StatusCode::SERVICE_UNAVAILABLE).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        a.post(PATH, &[], "{}").await
+    };
+    let (in_flight, late) = tokio::join!(in_flight, late);
+
+    assert_eq!(in_flight[0].status, StatusCode::OK);
+    assert_eq!(late.status, StatusCode::OK, "{late:?}");
+    assert_eq!(a.ended().await, Some(0));
+}
--- a/crates/dotterel-entry/tests/path/support.rs
+++ b/crates/dotterel-entry/tests/path/support.rs
@@ -89,7 +89,17 @@
 
     /// Starts an entry process and puts it on the platform's list.
     pub(crate) fn entry(&self, name: &str) -> Entry {
-        let entry = Entry::start(name, &self.settings(name));
+        self.entry_beside(name, &[])
+    }
+
+    /// Starts an entry process whose settings name its peers.
+    pub(crate) fn entry_beside(&self, name: &str, peers: &[&Entry]) -> Entry {
+        let mut settings = self.settings(name);
+        for peer in peers {
+            let (node, addr) = (&peer.node, peer.mesh);
+            settings += &format!("[[peer]]\nnode = \"{node}\"\naddr = \"{addr}\"\n");
+        }
+        let entry = Entry::start(name, &settings);
         self.cluster.vms().put(ListedVm {
             id: name.into(),
             role: Role::Entry,
