Wait in the tests until each node holds the leases that it should

Two nodes that know each other do not yet share the workers: the first one may still hold all leases, and then nothing was forwarded.

--- a/crates/dotterel-entry/tests/path/documents.rs
+++ b/crates/dotterel-entry/tests/path/documents.rs
@@ -21,7 +21,7 @@
 async fn a_document_is_in_force_everywhere_and_survives_a_restart_in_an_outage() {
     let site = Site::start(2).await;
     let (a, b) = (site.entry("entry-a"), site.entry("entry-b"));
-    settled(&[&a, &b], 2).await;
+    settled(&site, &[&a, &b]).await;
     a.apply(DOCUMENT, &[&a, &b]).await;
 
     let edited = DOCUMENT.replace("start_ms = 5000", "start_ms = 4000");
--- a/crates/dotterel-entry/tests/path/forward.rs
+++ b/crates/dotterel-entry/tests/path/forward.rs
@@ -14,7 +14,7 @@
 async fn requests_beyond_one_nodes_slots_run_on_the_workers_of_the_other() {
     let site = Site::start(4).await;
     let (a, b) = (site.entry("entry-a"), site.entry("entry-b"));
-    settled(&[&a, &b], 4).await;
+    settled(&site, &[&a, &b]).await;
     a.apply(DOCUMENT, &[&a, &b]).await;
 
     let bodies: Vec<String> = (0..CALLS)
--- a/crates/dotterel-entry/tests/path/input.rs
+++ b/crates/dotterel-entry/tests/path/input.rs
@@ -12,7 +12,7 @@
 async fn one_node() -> (Site, Entry) {
     let site = Site::start(1).await;
     let entry = site.entry("entry-a");
-    settled(&[&entry], 1).await;
+    settled(&site, &[&entry]).await;
     entry.apply(DOCUMENT, &[&entry]).await;
     (site, entry)
 }
--- a/crates/dotterel-entry/tests/path/stop.rs
+++ b/crates/dotterel-entry/tests/path/stop.rs
@@ -13,7 +13,7 @@
 async fn a_planned_stop_answers_every_request_in_flight_and_hands_the_leases_over() {
     let site = Site::start(4).await;
     let (mut a, b) = (site.entry("entry-a"), site.entry("entry-b"));
-    settled(&[&a, &b], 4).await;
+    settled(&site, &[&a, &b]).await;
     a.apply(DOCUMENT, &[&a, &b]).await;
     let bodies: Vec<String> = (0..24)
         .map(|number| format!("{{\"run_ms\": 1500, \"index\": {number}}}"))
@@ -51,7 +51,7 @@
 async fn a_stopping_node_is_not_ready_but_serves_what_still_arrives() {
     let site = Site::start(2).await;
     let (mut a, b) = (site.entry("entry-a"), site.entry("entry-b"));
-    settled(&[&a, &b], 2).await;
+    settled(&site, &[&a, &b]).await;
     a.apply(DOCUMENT, &[&a, &b]).await;
     let slow = [r#"{"run_ms": 1000}"#.to_owned()];
 
--- a/crates/dotterel-entry/tests/path/support.rs
+++ b/crates/dotterel-entry/tests/path/support.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dotterel_kernel::{Account, Clock, ErrorBody, NodeId, Record, Size, Status};
+use dotterel_coord::rendezvous;
+use dotterel_kernel::{Account, Clock, ErrorBody, NodeId, Record, Size, Status, VmId};
 use dotterel_mesh::keys::Authority;
 use dotterel_platform::{ListedVm, Role, VmState};
+use dotterel_standin::FakeWorker;
 use dotterel_standin::cluster::Cluster;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -314,19 +316,23 @@
     }
 }
 
-/// Waits until the nodes hold the leases of all workers between them and know each other.
-pub(crate) async fn settled(nodes: &[&Entry], workers: usize) {
+/// Waits until the nodes know each other and each holds the leases that it should.
+pub(crate) async fn settled(site: &Site, nodes: &[&Entry]) {
+    let workers = site.cluster.workers();
     until(async || {
-        let mut held = 0;
         for node in nodes {
             let status = node.status().await;
-            held += status.vms.len();
             let alive = status.peers.iter().filter(|peer| peer.alive).count();
-            if alive + 1 < nodes.len() {
+            let held: Vec<VmId> = status.vms.into_iter().map(|vm| vm.vm).collect();
+            let own = workers.iter().map(FakeWorker::vm).filter(|vm| {
+                let owner = rendezvous(vm.as_str(), nodes, |node| node.node.as_str());
+                owner.is_some_and(|owner| owner.node == node.node)
+            });
+            if alive + 1 < nodes.len() || held != own.collect::<Vec<_>>() {
                 return false;
             }
         }
-        held == workers
+        true
     })
     .await;
 }
