Name released claims in the row instead of shadowing them

A released claim in a page is now named in the shard's row, so a repeat can only be claimed or done.

--- a/crates/dotterel-coord/src/claims/committer/batch.rs
+++ b/crates/dotterel-coord/src/claims/committer/batch.rs
@@ -6,7 +6,7 @@
 use crate::claims::change::{Change, Verdict};
 use crate::claims::entry::{ClaimKey, Entry, State, WriteId};
 use crate::claims::page::Indexed;
-use crate::claims::row::{ShardRow, blocks};
+use crate::claims::row::ShardRow;
 
 /// What a batch is judged by.
 pub(super) struct Rules {
@@ -88,8 +88,8 @@
         }
         match self.find(&entry.key) {
             Some(found) if found.id == entry.id => own_verdict(found),
-            Some(found) if blocks(found) => taken(found.clone(), entry),
-            _ => self.win(entry),
+            Some(found) => taken(found.clone(), entry),
+            None => self.win(entry),
         }
     }
 
@@ -102,23 +102,19 @@
     }
 
     fn withdraw(&mut self, entry: &Entry, mark: bool) {
-        if mark && !self.row.bars(entry.id) {
-            self.row.bar(entry.id, self.rules.bar);
-            self.changed = true;
-        }
-        let Some(found) = self.own(&entry.key, entry.id) else {
-            return;
-        };
-        if self.older.iter().all(|older| older.key != entry.key) {
+        let own = self.own(&entry.key, entry.id).is_some();
+        let paged = self.row.find(&entry.key).is_none();
+        if own && !paged {
             self.row.remove(&entry.key);
-            self.changed = true;
-            return;
         }
-        // An entry in a page cannot be removed, but one in the row stands above it.
-        self.put(Entry {
-            state: State::Released,
-            ..found
-        });
+        if own && paged {
+            self.row.bar(entry.id, entry.expires);
+        }
+        let marked = mark && !self.row.bars(entry.id);
+        if marked {
+            self.row.bar(entry.id, self.rules.bar);
+        }
+        self.changed |= own || marked;
     }
 
     /// Returns the entry of a claim that is neither settled nor withdrawn.
@@ -129,7 +125,8 @@
     }
 
     fn find(&self, key: &ClaimKey) -> Option<&Entry> {
-        let older = || self.older.iter().find(|entry| entry.key == *key);
+        let counts = |entry: &&Entry| entry.key == *key && !self.row.bars(entry.id);
+        let older = || self.older.iter().find(counts);
         let found = self.row.find(key).or_else(older)?;
         (found.expires >= self.rules.horizon).then_some(found)
     }
@@ -146,14 +143,14 @@
         return None;
     };
     let found = row.find(&entry.key)?;
-    let other = !op.exposed && found.id != entry.id && blocks(found);
+    let other = !op.exposed && found.id != entry.id;
     other.then(|| taken(found.clone(), entry))
 }
 
 fn own_verdict(found: &Entry) -> Verdict {
     match found.state {
         State::Claimed => Verdict::Won,
-        State::Released | State::Done(_) => Verdict::Unavailable,
+        State::Done(_) => Verdict::Unavailable,
     }
 }
 
--- a/crates/dotterel-coord/src/claims/committer/cache.rs
+++ b/crates/dotterel-coord/src/claims/committer/cache.rs
@@ -76,7 +76,7 @@
     /// Returns the entries of the keys in the pages, those of newer pages first; none when a read
     /// failed.
     pub(super) async fn older(&self, keys: impl Iterator<Item = &ClaimKey>) -> Option<Vec<Entry>> {
-        let wanted: Vec<&ClaimKey> = keys.collect();
+        let wanted: Vec<&ClaimKey> = keys.filter(|key| self.row.find(key).is_none()).collect();
         let mut found = Vec::new();
         for indexed in self.pages.iter().rev() {
             if !wanted.iter().any(|key| indexed.may_hold(key)) {
--- a/crates/dotterel-coord/src/claims/entry.rs
+++ b/crates/dotterel-coord/src/claims/entry.rs
@@ -71,8 +71,6 @@
 pub enum State {
     /// It may be waiting, running or lost with its node.
     Claimed,
-    /// It was withdrawn or released, and the key is free.
-    Released,
     /// It ran, and this is what it answered.
     Done(RecordedOutcome),
 }
--- a/crates/dotterel-coord/src/claims/row.rs
+++ b/crates/dotterel-coord/src/claims/row.rs
@@ -4,7 +4,7 @@
 use dotterel_kernel::Millis;
 use serde::{Deserialize, Serialize};
 
-use super::entry::{ClaimKey, Entry, State, WriteId};
+use super::entry::{ClaimKey, Entry, WriteId};
 use super::page::PageRef;
 
 /// The latest entries of a shard, sorted by key, and the list of its pages.
@@ -14,7 +14,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ShardRow {
     entries: Vec<Entry>,
-    /// Claims that were withdrawn while a peer might still write them, sorted by mark.
+    /// Claims that were withdrawn while they stood in a page or a peer might still write them,
+    /// sorted by mark.
     barred: Vec<Barred>,
     /// The pages, the oldest first.
     pub(super) pages: Vec<PageRef>,
@@ -22,7 +23,7 @@
     next: u64,
 }
 
-/// A claim that must not be written.
+/// A claim that does not count, wherever it stands or is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Barred {
     id: WriteId,
@@ -68,14 +69,15 @@
         }
     }
 
-    /// Keeps a claim from being written.
+    /// Makes a claim count no more until a time.
     pub(super) fn bar(&mut self, id: WriteId, until: Millis) {
-        if let Err(index) = self.barred.binary_search_by_key(&id, |barred| barred.id) {
-            self.barred.insert(index, Barred { id, until });
+        match self.barred.binary_search_by_key(&id, |barred| barred.id) {
+            Ok(index) => self.barred[index].until = self.barred[index].until.max(until),
+            Err(index) => self.barred.insert(index, Barred { id, until }),
         }
     }
 
-    /// Returns true for a claim that must not be written.
+    /// Returns true for a claim that does not count.
     pub(super) fn bars(&self, id: WriteId) -> bool {
         let found = self.barred.binary_search_by_key(&id, |barred| barred.id);
         found.is_ok()
@@ -110,8 +112,3 @@
     let ends = entries.iter().map(|entry| entry.expires);
     ends.max().unwrap_or_default()
 }
-
-/// Returns true for an entry that keeps others from the key.
-pub(super) fn blocks(entry: &Entry) -> bool {
-    entry.state != State::Released
-}
