Count bytes by purpose and sample what nodes spend on control

The platform's clients and the mesh count the bytes of their connections; the entry node shows them by purpose in its metrics. 'dotterel-load cell' runs stand-ins for a cell of any size and writes the settings of its nodes; 'dotterel-load control' attaches to running nodes and samples processor time, memory and these counters, idle or under a steady open-loop load.

--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -17,6 +17,7 @@
 use crate::peers::Peers;
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::workers::Workers;
 
 /// The parts of one node.
@@ -51,6 +52,8 @@
     pub budget: Mutex<Budget>,
     /// The counters for operators.
     pub metrics: Metrics,
+    /// What calls to workers and to the platform cost.
+    pub traffic: Traffic,
     /// Places for requests in flight.
     pub gate: Arc<Gate>,
     /// Whether the node is stopping.
--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -17,9 +17,11 @@
 pub mod peers;
 pub mod requests;
 pub mod settings;
+pub mod traffic;
 pub mod workers;
 
 pub use app::App;
 pub use node::{Node, Parts, StartError};
 pub use settings::{Settings, SettingsError};
+pub use traffic::Traffic;
 pub use workers::Workers;
--- a/crates/dotterel-entry/src/metrics.rs
+++ b/crates/dotterel-entry/src/metrics.rs
@@ -2,7 +2,8 @@
 
 use dotterel_kernel::{Fate, Millis, Service};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::app::App;
@@ -28,6 +29,8 @@
     unshipped: IntGauge,
     pending: IntGauge,
     platform: IntGauge,
+    traffic: IntGaugeVec,
+    calls: IntGaugeVec,
 }
 
 impl Metrics {
@@ -103,6 +106,18 @@
                 "dotterel_platform_reachable",
                 "1 while the platform answers.",
             ),
+            traffic: gauges(
+                &registry,
+                "dotterel_traffic_bytes_total",
+                "Bytes to and from other nodes, workers and the platform, by purpose.",
+                &["purpose", "direction"],
+            ),
+            calls: gauges(
+                &registry,
+                "dotterel_traffic_calls_total",
+                "Calls to workers and to the platform, by purpose.",
+                &["purpose"],
+            ),
             registry,
         }
     }
@@ -154,13 +169,24 @@
         self.slots.set(slots.into());
         self.vms.set(whole(vms.len()));
         self.in_flight.set(whole(app.gate.taken()));
-        self.refused
-            .set(i64::try_from(counters.refused).unwrap_or(i64::MAX));
-        self.lost
-            .set(i64::try_from(counters.lost).unwrap_or(i64::MAX));
+        self.refused.set(signed(counters.refused));
+        self.lost.set(signed(counters.lost));
         self.unshipped.set(whole(app.journal.unshipped()));
         self.pending.set(whole(app.claims.pending()));
         self.platform.set(app.platform.get().into());
+        self.carried("mesh", counters.sent, counters.received);
+        for (purpose, counts) in app.traffic.all() {
+            self.carried(purpose, counts.sent(), counts.received());
+            let calls = self.calls.with_label_values(&[purpose]);
+            calls.set(signed(counts.calls()));
+        }
+    }
+
+    fn carried(&self, purpose: &str, sent: u64, received: u64) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            let gauge = self.traffic.with_label_values(&[purpose, direction]);
+            gauge.set(signed(bytes));
+        }
     }
 }
 
@@ -178,6 +204,10 @@
     i64::try_from(count).unwrap_or(i64::MAX)
 }
 
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let metric = IntCounterVec::new(Opts::new(name, help), labels);
     let metric = metric.expect("the name and labels are well formed");
@@ -203,3 +233,12 @@
         .expect("each name is used once");
     metric
 }
+
+fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let metric = IntGaugeVec::new(Opts::new(name, help), labels);
+    let metric = metric.expect("the name and labels are well formed");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("each name is used once");
+    metric
+}
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -28,6 +28,7 @@
 use crate::peers::{self, Peers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::{Workers, front};
 
 /// Retries that are allowed in ten seconds however few requests there are.
@@ -50,6 +51,8 @@
     pub list: Arc<dyn VmList>,
     /// Makes the adapter of a listed worker.
     pub connect: Connect,
+    /// What all of these count.
+    pub traffic: Traffic,
 }
 
 impl Parts {
@@ -58,26 +61,25 @@
     pub fn http(settings: &Settings) -> Self {
         let (addr, node) = (settings.platform, settings.node.clone());
         let limits = Limits::default();
+        let traffic = Traffic::default();
         Self {
-            table: Arc::new(HttpTable::new(addr, &node, limits)),
-            store: Arc::new(HttpStore::new(addr, &node, limits)),
-            list: Arc::new(HttpVmList::new(addr, &node, limits)),
-            connect: connect(node),
+            table: Arc::new(HttpTable::new(addr, &node, limits).counted(&traffic.table)),
+            store: Arc::new(HttpStore::new(addr, &node, limits).counted(&traffic.store)),
+            list: Arc::new(HttpVmList::new(addr, &node, limits).counted(&traffic.list)),
+            connect: connect(node, traffic.clone()),
+            traffic,
         }
     }
 }
 
-fn connect(node: NodeId) -> Connect {
+fn connect(node: NodeId, traffic: Traffic) -> Connect {
     Arc::new(move |vm| {
-        let limits = Limits::default();
-        match vm.addr.parse() {
-            Ok(addr) => Arc::new(HttpUpstream::new(addr, &node, limits)),
-            Err(fault) => {
-                log::error!(vm = vm.id.as_str(), fault:% = fault; "listed address not usable");
-                let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-                Arc::new(HttpUpstream::new(nowhere, &node, limits))
-            }
-        }
+        let addr = vm.addr.parse().unwrap_or_else(|fault| {
+            log::error!(vm = vm.id.as_str(), fault:% = fault; "listed address not usable");
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        });
+        let upstream = HttpUpstream::new(addr, &node, Limits::default());
+        Arc::new(upstream.counted(&traffic.runs, &traffic.leases))
     })
 }
 
@@ -247,6 +249,7 @@
         bodies: Bodies::default(),
         budget: Mutex::new(Budget::new(RETRY_FLOOR)),
         metrics: Metrics::new(),
+        traffic: parts.traffic.clone(),
         gate: Arc::new(Gate::new(places)),
         stopping: Flag::default(),
         platform: Flag::default(),
--- a/crates/dotterel-load/src/lib.rs
+++ b/crates/dotterel-load/src/lib.rs
@@ -1,1 +1,4 @@
 //! Open-loop load and policy experiments.
+
+pub mod cell;
+pub mod control;
--- a/crates/dotterel-load/src/main.rs
+++ b/crates/dotterel-load/src/main.rs
@@ -1,3 +1,28 @@
 //! Open-loop load and policy experiments.
 
-fn main() {}
+use anyhow::Result;
+use clap::{Parser, Subcommand};
+use dotterel_load::{cell, control};
+
+/// Measures policies and running entry nodes.
+#[derive(Parser)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs stand-ins for the platform and workers and writes settings for entry nodes.
+    Cell(cell::Options),
+    /// Samples what running entry nodes spend on control, idle or under a steady load.
+    Control(control::Options),
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    match Args::parse().command {
+        Command::Cell(options) => cell::run(&options).await,
+        Command::Control(options) => control::run(&options).await,
+    }
+}
--- a/crates/dotterel-mesh/src/accept.rs
+++ b/crates/dotterel-mesh/src/accept.rs
@@ -10,7 +10,8 @@
 use rustls::pki_types::CertificateDer;
 use tokio::time::timeout;
 
-use crate::endpoint::{Counted, Protocol};
+use crate::counted::Counted;
+use crate::endpoint::Protocol;
 use crate::error::MeshError;
 use crate::identity;
 use crate::wire::{self, Hello};
@@ -56,6 +57,7 @@
         }
         Ok(Err(Rejected::Gone)) | Err(_) => return,
     };
+    let _metered = counted.meter(&connection);
     while let Ok((send, receive)) = connection.accept_bi().await {
         tokio::spawn(serve::<P, H>(send, receive, from.clone(), handler.clone()));
     }
--- a/crates/dotterel-mesh/src/endpoint.rs
+++ b/crates/dotterel-mesh/src/endpoint.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::marker::PhantomData;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::accept::Inbox;
+use crate::counted::Counted;
 use crate::error::MeshError;
 use crate::identity::{Identity, IdentityError};
 use crate::link::{Dial, Link};
@@ -56,6 +56,10 @@
     pub refused: u64,
     /// Outgoing connections that were lost.
     pub lost: u64,
+    /// Bytes sent in the datagrams of all connections.
+    pub sent: u64,
+    /// Bytes received in the datagrams of all connections.
+    pub received: u64,
 }
 
 /// The state of the connection to one peer.
@@ -84,23 +88,6 @@
     links: Mutex<Vec<Link>>,
 }
 
-/// The counters behind [`Counters`].
-#[derive(Debug, Default)]
-pub(crate) struct Counted {
-    refused: AtomicU64,
-    lost: AtomicU64,
-}
-
-impl Counted {
-    pub(crate) fn refused(&self) {
-        self.refused.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(crate) fn lost(&self) {
-        self.lost.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
 impl<P: Protocol> Mesh<P> {
     /// Opens the mesh on a bound socket; peers are served by the [`Inbox`].
     ///
@@ -192,10 +179,7 @@
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> Counters {
-        Counters {
-            refused: self.shared.counted.refused.load(Ordering::Relaxed),
-            lost: self.shared.counted.lost.load(Ordering::Relaxed),
-        }
+        self.shared.counted.counters()
     }
 
     /// Closes all connections.
--- a/crates/dotterel-mesh/src/lib.rs
+++ b/crates/dotterel-mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`keys`] makes such certificates for tests and first trials.
 
 pub mod accept;
+mod counted;
 pub mod endpoint;
 pub mod error;
 pub mod identity;
--- a/crates/dotterel-mesh/src/link.rs
+++ b/crates/dotterel-mesh/src/link.rs
@@ -11,7 +11,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::endpoint::{Counted, Peer};
+use crate::counted::Counted;
+use crate::endpoint::Peer;
 use crate::error::MeshError;
 use crate::transport;
 use crate::wire::{self, Hello};
@@ -136,6 +137,7 @@
             match timeout(CONNECT_TIMEOUT, self.connect()).await {
                 Ok(Ok((_endpoint, connection))) => {
                     pause = RETRY_FIRST;
+                    let _metered = self.counted.meter(&connection);
                     sender.send_replace(Some(connection.clone()));
                     let cause = connection.closed().await;
                     sender.send_replace(None);
--- a/crates/dotterel-platform/src/client/platform.rs
+++ b/crates/dotterel-platform/src/client/platform.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use dotterel_kernel::NodeId;
 
+use super::traffic::Traffic;
 use super::wire::{Limits, Wire};
 use crate::api;
 use crate::error::CallError;
@@ -32,6 +33,12 @@
     pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
         Self(Arc::new(Wire::new(addr, caller, limits)))
     }
+
+    /// Counts the bytes of its connections in `traffic`.
+    #[must_use]
+    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
+        Self(Arc::new(self.0.counted(traffic)))
+    }
 }
 
 impl HttpStore {
@@ -40,6 +47,12 @@
     pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
         Self(Arc::new(Wire::new(addr, caller, limits)))
     }
+
+    /// Counts the bytes of its connections in `traffic`.
+    #[must_use]
+    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
+        Self(Arc::new(self.0.counted(traffic)))
+    }
 }
 
 impl HttpVmList {
@@ -48,6 +61,12 @@
     pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
         Self(Arc::new(Wire::new(addr, caller, limits)))
     }
+
+    /// Counts the bytes of its connections in `traffic`.
+    #[must_use]
+    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
+        Self(Arc::new(self.0.counted(traffic)))
+    }
 }
 
 #[async_trait]
--- a/crates/dotterel-platform/src/client/upstream.rs
+++ b/crates/dotterel-platform/src/client/upstream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use dotterel_kernel::{Epoch, Millis, NodeId, TaskId};
 
+use super::traffic::Traffic;
 use super::wire::{Limits, Wire};
 use crate::api;
 use crate::error::CallError;
@@ -54,6 +55,15 @@
         }
     }
 
+    /// Counts the bytes of runs and those of all other calls apart.
+    #[must_use]
+    pub fn counted(self, runs: &Arc<Traffic>, control: &Arc<Traffic>) -> Self {
+        Self {
+            runs: Arc::new(self.runs.counted(runs)),
+            control: Arc::new(self.control.counted(control)),
+        }
+    }
+
     /// Asks about a task until its run is over or its outcome can no longer be expected.
     async fn watch(&self, task: TaskId) -> Result<Started, CallError> {
         let mut pause = FIRST_PROBE;
--- a/crates/dotterel-platform/src/client/wire.rs
+++ b/crates/dotterel-platform/src/client/wire.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::fmt::Display;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
 use dotterel_kernel::{Millis, NodeId};
@@ -20,6 +20,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
+use super::traffic::{Counted, Traffic};
 use crate::api;
 use crate::error::CallError;
 
@@ -47,7 +48,7 @@
     }
 }
 
-type Connections = Client<HttpConnector, Full<Bytes>>;
+type Connections = Client<Counted, Full<Bytes>>;
 
 /// The way to one endpoint.
 #[derive(Debug)]
@@ -55,6 +56,7 @@
     addr: SocketAddr,
     caller: HeaderValue,
     pub(super) limits: Limits,
+    traffic: Arc<Traffic>,
     permits: Semaphore,
     connections: Mutex<Connections>,
 }
@@ -62,12 +64,23 @@
 impl Wire {
     pub(super) fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
         let caller = HeaderValue::from_str(caller.as_str());
+        let caller = caller.unwrap_or(HeaderValue::from_static(""));
+        Self::open(addr, caller, limits, Arc::default())
+    }
+
+    /// Returns the way to the same endpoint, with its bytes counted in `traffic`.
+    pub(super) fn counted(&self, traffic: &Arc<Traffic>) -> Self {
+        Self::open(self.addr, self.caller.clone(), self.limits, traffic.clone())
+    }
+
+    fn open(addr: SocketAddr, caller: HeaderValue, limits: Limits, traffic: Arc<Traffic>) -> Self {
         Self {
             addr,
-            caller: caller.unwrap_or(HeaderValue::from_static("")),
+            caller,
             limits,
             permits: Semaphore::new(limits.connections),
-            connections: Mutex::new(connections(&limits)),
+            connections: Mutex::new(connections(&limits, &traffic)),
+            traffic,
         }
     }
 
@@ -109,7 +122,7 @@
             .connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        *current = connections(&self.limits);
+        *current = connections(&self.limits, &self.traffic);
     }
 
     async fn permit(&self) -> Result<SemaphorePermit<'_>, CallError> {
@@ -130,6 +143,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
+        self.traffic.call();
         let answer = client.request(request).await.map_err(|fault| {
             if fault.is_connect() {
                 return CallError::NotSent(chain(&fault).into());
@@ -164,7 +178,7 @@
     Ok(body)
 }
 
-fn connections(limits: &Limits) -> Connections {
+fn connections(limits: &Limits, traffic: &Arc<Traffic>) -> Connections {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(limits.connect.duration()));
     connector.set_nodelay(true);
@@ -172,7 +186,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE.duration())
         .pool_max_idle_per_host(limits.connections)
-        .build(connector)
+        .build(Counted::new(connector, traffic.clone()))
 }
 
 fn unknown(cause: impl Display) -> CallError {
--- a/crates/dotterel-platform/src/lib.rs
+++ b/crates/dotterel-platform/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod upstream;
 pub mod vm_list;
 
-pub use client::{HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits};
+pub use client::{HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits, Traffic};
 pub use error::CallError;
 pub use store::{Commit, ObjectStore, Row, Table, Version, Write};
 pub use upstream::{
