--- a/crates/dotterel-coord/src/dispatch.rs
+++ b/crates/dotterel-coord/src/dispatch.rs
@@ -147,6 +147,26 @@
         .await
 }
 
+/// Stops a task, or bars it, and asks until the VM has acknowledged.
+///
+/// After [`Dispatched::Unknown`] the task may still run; it may be started elsewhere only once
+/// its epoch is over and a task lease more has passed without renewal.
+pub async fn halt(
+    upstream: &dyn Upstream,
+    task: TaskId,
+    clock: &Clock,
+    limits: &Limits,
+) -> Dispatched {
+    let mut inquiry = Inquiry::new(upstream, task, clock, limits);
+    loop {
+        match inquiry.bar().await {
+            Some(outcome) => return outcome,
+            None if inquiry.given_up() => return Dispatched::Unknown,
+            None => tokio::time::sleep(limits.probe.duration()).await,
+        }
+    }
+}
+
 /// What the answer to a start leaves to do.
 enum Step {
     /// The outcome is proved.
--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -7,12 +7,12 @@
 pub mod membership;
 pub mod retry;
 
-pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
+pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, halt, launch, settle};
 pub use keeper::{Batch, Holder, Keeper, Wish};
 pub use lease::{
     Held, Lapsed, Permit, RawTerms, Released, Renewal, Seeking, Sought, Terms, TermsError,
     WorkerLease,
 };
 pub use limit::{Adaptive, Outcome, SetAside, Standing};
-pub use membership::{Heard, Heartbeat, Leaving, Member, Members, rendezvous};
+pub use membership::{Heard, Heartbeat, Leaving, Member, Members, follow, rendezvous};
 pub use retry::Budget;
--- a/crates/dotterel-coord/src/limit/adaptive.rs
+++ b/crates/dotterel-coord/src/limit/adaptive.rs
@@ -28,6 +28,9 @@
 /// What is left of the limit after a sign of overload.
 const BACKOFF: f64 = 0.9;
 
+/// The time after a shrink on overload in which further signs of it count for nothing.
+const CALM: Millis = Millis(100);
+
 /// The concurrency limit of one VM: additive increase, multiplicative decrease.
 ///
 /// The limit grows only while it is used, and shrinks on overload or when calls take longer than
@@ -75,7 +78,7 @@
     /// Counts a call that ended at `now`, when `open` calls were open with it.
     pub fn ended(&mut self, outcome: Outcome, open: u32, now: Millis) {
         let Outcome::Ended { took, usual } = outcome else {
-            return self.shrink(Millis(self.calm_ms()), now);
+            return self.shrink(CALM, now);
         };
         let ratio = took.0 as f64 / usual.0.max(1) as f64;
         self.slowdown += WEIGHT * (ratio.min(MAX_SLOWDOWN) - self.slowdown);
@@ -94,8 +97,4 @@
         self.calm_from = now + calm;
         self.limit = (self.limit * BACKOFF).max(self.least);
     }
-
-    const fn calm_ms(&self) -> u64 {
-        100
-    }
 }
--- a/crates/dotterel-coord/src/membership.rs
+++ b/crates/dotterel-coord/src/membership.rs
@@ -3,6 +3,7 @@
 //! [`Members`] is fed by heartbeats and by the platform's list and decides nothing that safety
 //! rests on: nodes that disagree contend for a lease, and the VM grants it to one of them.
 
+mod follow;
 mod heartbeat;
 mod leaving;
 mod rendezvous;
@@ -10,6 +11,7 @@
 use dotterel_kernel::{DataCentre, Incarnation, Millis, NodeId, VmId};
 use dotterel_platform::{ListedVm, Listing, Role, VmState};
 
+pub use self::follow::follow;
 pub use self::heartbeat::Heartbeat;
 pub use self::leaving::Leaving;
 pub use self::rendezvous::rendezvous;
--- /dev/null
+++ b/crates/dotterel-coord/src/membership/follow.rs
@@ -0,0 +1,22 @@
+//! Follows the platform's list.
+
+use dotterel_kernel::Millis;
+use dotterel_platform::{CallError, Listing, VmList};
+
+use crate::lease::bounded;
+
+/// Reads the list again and again, `period` after each answer, and tells every outcome.
+///
+/// A read that takes longer than `limit` counts as failed. A reader that must act within three
+/// seconds of a change needs `period` and `limit` to sum up to less.
+pub async fn follow(
+    list: &dyn VmList,
+    period: Millis,
+    limit: Millis,
+    mut tell: impl FnMut(Result<Listing, CallError>),
+) {
+    loop {
+        tell(bounded(limit, list.list()).await);
+        tokio::time::sleep(period.duration()).await;
+    }
+}
