--- a/crates/dotterel-coord/src/dispatch.rs
+++ b/crates/dotterel-coord/src/dispatch.rs
@@ -68,6 +68,8 @@
     Barred,
 }
 
+const NEVER_RAN: Dispatched = Dispatched::NotRun(NotRun::Barred);
+
 /// The outcome of a start without waiting for the task's end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Launched {
@@ -277,7 +279,7 @@
             }
             TaskState::Finished(answer) => Some(Launched::Over(Dispatched::Ran(answer))),
             TaskState::Cut => Some(Launched::Over(Dispatched::Cut)),
-            TaskState::Barred => Some(Launched::Over(self.barred())),
+            TaskState::Barred => Some(Launched::Over(NEVER_RAN)),
             // The VM has forgotten a task that it ran: how it ended cannot be proved any more.
             TaskState::Unseen if self.started => Some(Launched::Over(Dispatched::Unknown)),
             TaskState::Unseen if self.heard < self.bar_at => None,
@@ -289,18 +291,9 @@
     async fn bar(&mut self) -> Option<Dispatched> {
         let stopped = bounded(self.limits.call, self.upstream.stop(self.task)).await;
         match stopped.ok()? {
-            StopAnswer::Barred => Some(self.barred()),
+            StopAnswer::Barred => Some(NEVER_RAN),
             StopAnswer::Cut => Some(Dispatched::Cut),
             StopAnswer::Finished(answer) => Some(Dispatched::Ran(answer)),
         }
     }
-
-    /// Returns what a bar proves: nothing, if the task is known to have started.
-    const fn barred(&self) -> Dispatched {
-        if self.started {
-            Dispatched::Unknown
-        } else {
-            Dispatched::NotRun(NotRun::Barred)
-        }
-    }
 }
--- /dev/null
+++ b/crates/dotterel-coord/tests/membership.rs
@@ -0,0 +1,185 @@
+//! Which nodes live, who should own a VM, and which VMs leave.
+
+use dotterel_coord::{Heard, Heartbeat, Leaving, Members, rendezvous};
+use dotterel_kernel::{Incarnation, Millis, NodeId, Size, VmId};
+use dotterel_platform::{ListedVm, Listing, Role, VmState};
+use quickcheck::{Gen, QuickCheck};
+
+const PATIENCE: Millis = Millis(1_500);
+const SEED: u64 = 20_261_204;
+
+fn heartbeat(node: u8, incarnation: u8, at: u8) -> Heartbeat {
+    Heartbeat {
+        node: name(node),
+        incarnation: Incarnation(incarnation.into()),
+        data_centre: "dc".into(),
+        region: "region".into(),
+        addr: "127.0.0.1:1".into(),
+        at: Millis(at.into()),
+        stopping: false,
+        spare: Size::ZERO,
+        documents: Vec::new(),
+    }
+}
+
+fn name(node: u8) -> NodeId {
+    format!("n{node}").as_str().into()
+}
+
+fn listed(id: &str, role: Role, state: VmState) -> ListedVm {
+    ListedVm {
+        id: id.into(),
+        role,
+        state,
+        data_centre: "dc".into(),
+        region: "region".into(),
+        addr: "127.0.0.1:1".into(),
+    }
+}
+
+fn members(peers: u8) -> Members {
+    let mut members = Members::new(heartbeat(0, 1, 0), PATIENCE, Millis::ZERO);
+    for peer in 1..=peers {
+        members.hear(heartbeat(peer, 1, 0), Millis::ZERO);
+    }
+    members
+}
+
+fn owners(members: &Members, now: Millis) -> Vec<Option<NodeId>> {
+    let owner = |vm| members.desired_owner(&VmId(vm), &"dc".into(), now).cloned();
+    (0..48).map(|vm| owner(format!("w{vm}").into())).collect()
+}
+
+fn check() -> QuickCheck {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(300)
+}
+
+#[test]
+fn the_newest_heartbeat_of_the_newest_life_counts_in_any_order() {
+    fn holds(heard: Vec<(u8, u8, bool)>) -> bool {
+        let mut members = members(0);
+        for (incarnation, at, stopping) in &heard {
+            let mut heartbeat = heartbeat(1, *incarnation, *at);
+            heartbeat.stopping = *stopping;
+            members.hear(heartbeat, Millis::ZERO);
+        }
+        let newest = heard.iter().map(|heard| (heard.0, heard.1)).max();
+        let known = members.peer(&name(1)).map(|peer| &peer.heartbeat);
+        known.map(|known| (known.incarnation.0, known.at.0))
+            == newest.map(|newest| (newest.0.into(), newest.1.into()))
+    }
+    check().quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
+}
+
+#[test]
+fn a_node_that_stops_does_not_take_it_back_in_one_life() {
+    let mut members = members(1);
+    let mut stopping = heartbeat(1, 1, 1);
+    stopping.stopping = true;
+    members.hear(stopping, Millis::ZERO);
+
+    let same = members.hear(heartbeat(1, 1, 2), Millis::ZERO);
+
+    assert_eq!(same, Heard::Newer);
+    assert!(
+        members
+            .peer(&name(1))
+            .is_some_and(|peer| peer.heartbeat.stopping)
+    );
+    assert_eq!(owners(&members, Millis::ZERO), vec![Some(name(0)); 48]);
+    assert_eq!(
+        members.hear(heartbeat(1, 2, 0), Millis::ZERO),
+        Heard::Joined
+    );
+    assert!(owners(&members, Millis::ZERO).contains(&Some(name(1))));
+}
+
+#[test]
+fn a_listed_but_silent_node_is_not_live_and_a_heard_but_unlisted_one_is() {
+    let mut members = members(1);
+    let vms = vec![listed("n2", Role::Entry, VmState::Live)];
+    members.hear_list(&Listing {
+        as_of: Millis(1),
+        vms,
+    });
+
+    let live = |node| members.is_live(&name(node), PATIENCE);
+
+    assert!(live(0) && live(1) && !live(2));
+    assert!(!members.is_live(&name(1), PATIENCE + Millis(1)));
+}
+
+#[test]
+fn silence_does_not_count_while_this_node_was_paused() {
+    let mut members = members(1);
+
+    members.tick(Millis::secs(60));
+
+    assert!(members.is_live(&name(1), Millis::secs(60)));
+}
+
+#[test]
+fn a_node_that_goes_moves_only_its_own_vms() {
+    fn holds(count: u8, gone: u8) -> bool {
+        let count = count % 8 + 1;
+        let gone = gone % count + 1;
+        let mut members = members(count);
+        let before = owners(&members, Millis::ZERO);
+        let mut last = heartbeat(gone, 1, 1);
+        last.stopping = true;
+        members.hear(last, Millis::ZERO);
+        let after = owners(&members, Millis::ZERO);
+        let moved = |(was, is): (&Option<NodeId>, &Option<NodeId>)| match *was == Some(name(gone)) {
+            true => *is != *was && is.is_some(),
+            false => is == was,
+        };
+        before.iter().zip(&after).all(moved)
+    }
+    check().quickcheck(holds as fn(u8, u8) -> bool);
+}
+
+#[test]
+fn the_winner_does_not_depend_on_the_order() {
+    fn holds(key: String, mut names: Vec<String>) -> bool {
+        let winner = rendezvous(&key, names.clone(), |name| name);
+        names.reverse();
+        rendezvous(&key, names, |name| name) == winner
+    }
+    check().quickcheck(holds as fn(String, Vec<String>) -> bool);
+}
+
+#[test]
+fn a_vm_leaves_until_it_is_gone_from_a_later_list() {
+    /// One word: by the VM itself at a time, or a list of a time that shows the VM in some state.
+    fn holds(words: Vec<(u8, Option<u8>)>) -> bool {
+        let mut leaving = Leaving::default();
+        let (mut since, mut newest) = (None, 0);
+        for (at, list) in words {
+            let at_ms = Millis(at.into());
+            let Some(shown) = list.map(|state| state % 3) else {
+                leaving.hear_vm(&"w".into(), at_ms);
+                since = since.max(Some(at));
+                continue;
+            };
+            let state = [VmState::Live, VmState::Leaving][usize::from(shown % 2)];
+            let vms = (shown < 2).then(|| listed("w", Role::Worker, state));
+            leaving.hear_list(&Listing {
+                as_of: at_ms,
+                vms: vms.into_iter().collect(),
+            });
+            if at < newest {
+                continue;
+            }
+            newest = at;
+            match shown {
+                1 => since = since.max(Some(at)),
+                2 if since.is_some_and(|since| since < at) => since = None,
+                _ => {}
+            }
+        }
+        leaving.contains(&"w".into()) == since.is_some()
+    }
+    check().quickcheck(holds as fn(Vec<(u8, Option<u8>)>) -> bool);
+}
--- a/crates/dotterel-coord/tests/support/judge.rs
+++ b/crates/dotterel-coord/tests/ownership/judge.rs
@@ -9,15 +9,20 @@
 use crate::node::{SLOTS, Sent};
 
 /// Returns the most tasks that ran on the worker at once.
-pub fn crest(worker: &FakeWorker) -> usize {
+pub(crate) fn crest(worker: &FakeWorker) -> usize {
     let runs = witness::runs(std::slice::from_ref(worker));
     let end = |run: &Run| run.end.map_or(Millis::MAX, |end| end.0);
-    let at = |time| runs.iter().filter(|run| run.from <= time && time < end(run));
-    runs.iter().map(|run| at(run.from).count()).max().unwrap_or(0)
+    let running = |time| {
+        let then = runs
+            .iter()
+            .filter(|run| run.from <= time && time < end(run));
+        then.count()
+    };
+    runs.iter().map(|run| running(run.from)).max().unwrap_or(0)
 }
 
 /// Returns how many starts the worker refused for this reason.
-pub fn refused(worker: &FakeWorker, why: impl Fn(&Refusal) -> bool) -> usize {
+pub(crate) fn refused(worker: &FakeWorker, why: impl Fn(&Refusal) -> bool) -> usize {
     let log = worker.witness();
     let hits = log.iter().filter(|seen| match &seen.event {
         Event::Refused(_, refusal) => why(refusal),
@@ -27,7 +32,7 @@
 }
 
 /// Returns true when what a node told of a request is what the workers saw.
-pub fn is_true(sent: &Sent, workers: &[FakeWorker]) -> bool {
+pub(crate) fn is_true(sent: &Sent, workers: &[FakeWorker]) -> bool {
     let mut runs = witness::runs(workers);
     runs.retain(|run| run.info.task == sent.task);
     let end = runs.first().map(|run| run.end.map(|end| end.1));
@@ -43,9 +48,13 @@
 }
 
 /// Finds what must never happen, whatever fails.
-pub fn faults(workers: &[FakeWorker], sent: &[Sent]) -> Vec<String> {
-    let full = workers.iter().filter(|worker| crest(worker) > SLOTS as usize);
-    let mut found: Vec<String> = full.map(|worker| format!("{} is too full", worker.vm())).collect();
+pub(crate) fn faults(workers: &[FakeWorker], sent: &[Sent]) -> Vec<String> {
+    let full = workers
+        .iter()
+        .filter(|worker| crest(worker) > SLOTS as usize);
+    let mut found: Vec<String> = full
+        .map(|worker| format!("{} is too full", worker.vm()))
+        .collect();
     let lies = sent.iter().filter(|sent| !is_true(sent, workers));
     found.extend(lies.map(|sent| format!("not true: {sent:?}")));
     let twice = witness::two_places(workers);
--- a/crates/dotterel-coord/tests/support/node.rs
+++ b/crates/dotterel-coord/tests/ownership/node.rs
@@ -19,23 +19,23 @@
 use tokio::task::JoinSet;
 
 /// What each VM is declared to hold; the stand-ins hold more, so that they refuse no excess.
-pub const SLOTS: u32 = 4;
+pub(crate) const SLOTS: u32 = 2;
 
 /// One slot.
-pub const SLOT: Size = Size {
+pub(crate) const SLOT: Size = Size {
     slots: 1,
     ..Size::ZERO
 };
 
 /// A request sent to a VM, as a durable record would keep it.
 #[derive(Clone, Debug)]
-pub struct Sent {
-    pub request: RequestId,
-    pub task: TaskId,
-    pub vm: VmId,
-    pub run_ms: u64,
+pub(crate) struct Sent {
+    pub(crate) request: RequestId,
+    pub(crate) task: TaskId,
+    pub(crate) vm: VmId,
+    pub(crate) run_ms: u64,
     /// What the node said of it in the end.
-    pub told: Option<Dispatched>,
+    pub(crate) told: Option<Dispatched>,
 }
 
 /// What a node knows of one VM.
@@ -61,8 +61,8 @@
 
 /// One life of an entry node.
 #[derive(Clone)]
-pub struct Node {
-    pub id: NodeId,
+pub(crate) struct Node {
+    pub(crate) id: NodeId,
     clock: Clock,
     desk: Arc<Mutex<Desk>>,
     jobs: Arc<Mutex<JoinSet<()>>>,
@@ -70,7 +70,7 @@
 
 impl Node {
     /// Starts a node that wants no lease yet.
-    pub fn new(id: &str, workers: &[FakeWorker], clock: Clock) -> Self {
+    pub(crate) fn new(id: &str, workers: &[FakeWorker], clock: Clock) -> Self {
         let node = Self {
             id: id.into(),
             clock,
@@ -104,7 +104,7 @@
     }
 
     /// Follows the platform's list.
-    pub fn follow(&self, list: FakeVmList) {
+    pub(crate) fn follow(&self, list: FakeVmList) {
         let node = self.clone();
         self.spawn(async move {
             let tell = |heard| {
@@ -116,32 +116,34 @@
         });
     }
 
-    pub fn wish(&self, vm: usize, wish: Wish) {
+    pub(crate) fn wish(&self, vm: usize, wish: Wish) {
         self.desk().posts[vm].wish.send_replace(wish);
     }
 
     /// Stops the process for a while, or lets it go on.
-    pub fn pause(&self, paused: bool) {
+    pub(crate) fn pause(&self, paused: bool) {
         let mut desk = self.desk();
         desk.paused = paused;
         desk.wakers.drain(..).for_each(Waker::wake);
     }
 
     /// Ends the process.
-    pub fn kill(&self) {
+    pub(crate) fn kill(&self) {
         self.jobs.lock().expect("no panic holds it").abort_all();
     }
 
-    pub fn sent(&self) -> Vec<Sent> {
+    pub(crate) fn sent(&self) -> Vec<Sent> {
         self.desk().sent.clone()
     }
 
-    pub fn owns(&self, vm: usize) -> bool {
-        self.desk().posts[vm].permit.is_some_and(|permit| permit.epoch(self.clock.now()).is_some())
+    pub(crate) fn owns(&self, vm: usize) -> bool {
+        self.desk().posts[vm]
+            .permit
+            .is_some_and(|permit| permit.epoch(self.clock.now()).is_some())
     }
 
     /// Runs a request on the first VM with room; returns false when there is none.
-    pub fn submit(&self, request: RequestId, run_ms: u64) -> bool {
+    pub(crate) fn submit(&self, request: RequestId, run_ms: u64) -> bool {
         let mut desk = self.desk();
         let now = self.clock.now();
         let found = (0..desk.posts.len()).find_map(|vm| {
@@ -187,10 +189,15 @@
     }
 
     /// Stops what another node had sent, and runs it again once that is acknowledged.
-    pub fn rescue(&self, lost: Sent) {
+    pub(crate) fn rescue(&self, lost: Sent) {
         let node = self.clone();
         let found = |post: &Post| post.worker.vm() == lost.vm;
-        let worker = self.desk().posts.iter().find(|post| found(post)).map(|post| post.worker.clone());
+        let worker = self
+            .desk()
+            .posts
+            .iter()
+            .find(|post| found(post))
+            .map(|post| post.worker.clone());
         self.spawn(async move {
             let worker = worker.expect("all nodes know all VMs");
             let outcome = halt(&worker, lost.task, &node.clock, &Limits::default()).await;
@@ -202,19 +209,22 @@
 
     fn spawn(&self, job: impl Future<Output = ()> + Send + 'static) {
         let desk = self.desk.clone();
-        self.jobs.lock().expect("no panic holds it").spawn(async move {
-            let mut job = pin!(job);
-            poll_fn(|cx| {
-                let mut held = desk.lock().expect("no panic holds it");
-                if held.paused {
-                    held.wakers.push(cx.waker().clone());
-                    return Poll::Pending;
-                }
-                drop(held);
-                job.as_mut().poll(cx)
-            })
-            .await;
-        });
+        self.jobs
+            .lock()
+            .expect("no panic holds it")
+            .spawn(async move {
+                let mut job = pin!(job);
+                poll_fn(|cx| {
+                    let mut held = desk.lock().expect("no panic holds it");
+                    if held.paused {
+                        held.wakers.push(cx.waker().clone());
+                        return Poll::Pending;
+                    }
+                    drop(held);
+                    job.as_mut().poll(cx)
+                })
+                .await;
+            });
     }
 
     fn desk(&self) -> MutexGuard<'_, Desk> {
@@ -236,6 +246,12 @@
     }
 }
 
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("Node").field(&self.id).finish()
+    }
+}
+
 impl Holder for Node {
     fn granted(&self, grant: &Grant, permit: Option<Permit>) {
         let mut desk = self.desk();
@@ -252,7 +268,11 @@
         let own: Vec<TaskId> = desk.sent.iter().map(|sent| sent.task).collect();
         let adopted = grant.running.iter().map(|run| {
             let hold = desk.fleet.adopt(key, run.size, false, self.clock.now());
-            (run.task, hold.expect("the VM was just added"), own.contains(&run.task))
+            (
+                run.task,
+                hold.expect("the VM was just added"),
+                own.contains(&run.task),
+            )
         });
         let tasks = adopted.collect();
         let post = &mut desk.posts[place];
@@ -263,9 +283,6 @@
         let mut desk = self.desk();
         let place = desk.place(vm);
         desk.posts[place].permit = permit;
-        if granted.leaving {
-            desk.leaving.hear_vm(vm, self.clock.now());
-        }
         let runs = |task| {
             let mut seen = granted.tasks.iter();
             seen.any(|seen| seen.task == task && seen.state == TaskState::Running)
@@ -294,7 +311,7 @@
 }
 
 /// Describes a task of one slot.
-pub fn start(sent: &Sent) -> Start {
+pub(crate) fn start(sent: &Sent) -> Start {
     Start {
         epoch: Epoch::default(),
         task: sent.task,
