Remember an unrepeatable request's key as long as the request may live

Cause: a document could set key_window_ms below start_ms and timeout_ms together. The key was then forgotten while the request could still wait or run, and a retry would have run it a second time. Change: such a document is refused with the field and the least value.

--- a/crates/dotterel-kernel/src/document/raw.rs
+++ b/crates/dotterel-kernel/src/document/raw.rs
@@ -204,7 +204,7 @@
             ));
         }
     };
-    Ok(Class {
+    let class = Class {
         name: raw.name.clone(),
         kind: raw.kind,
         urgency: raw.urgency.unwrap_or(Urgency::Normal),
@@ -230,5 +230,19 @@
             raw.key_window_ms.unwrap_or(KEY_WINDOW_DEFAULT_MS),
         )?,
         sign_off: raw.sign_off.clone(),
-    })
+    };
+    check_window(&class)?;
+    Ok(class)
+}
+
+/// A key must be remembered for as long as its request may wait and run, or a retry could run it
+/// a second time.
+fn check_window(class: &Class) -> Result<(), DocumentError> {
+    let least = class.start + class.timeout;
+    if class.repeatable || class.key_window >= least {
+        return Ok(());
+    }
+    let field = format_compact!("class.{}.key_window_ms", class.name);
+    let allowed = format_compact!("at least start_ms and timeout_ms together, {}", least.0);
+    Err(DocumentError::new(field, class.key_window.0, allowed))
 }
--- a/crates/dotterel-kernel/tests/document.rs
+++ b/crates/dotterel-kernel/tests/document.rs
@@ -52,6 +52,16 @@
     assert_eq!(fault.field, "class.count.tasks");
 }
 
+#[test]
+fn a_key_is_remembered_as_long_as_its_request_may_live() {
+    let fault = fault(&document(
+        "repeatable = false\nstart_ms = 9000\nkey_window_ms = 60000",
+    ));
+
+    assert_eq!(fault.field, "class.count.key_window_ms");
+    assert_eq!(fault.value, "60000");
+}
+
 #[test]
 fn a_class_name_stands_once() {
     let twice =
