Tell a request with a cut attempt as unknown, not as not run

Cause: after a cut attempt a repeatable request tried again; when no VM was left by its deadline, or the retry budget was spent, it was told as not-run although the VM had started it. Ruled out: the VM's answer (the witness shows one start and its cut) and the claim (the class is repeatable). Change: the attempts remember a cut; such a request ends as unknown. Before: fate not-run, reason refused.

--- a/crates/dotterel-entry/src/requests/attempt.rs
+++ b/crates/dotterel-entry/src/requests/attempt.rs
@@ -67,22 +67,42 @@
 pub(super) async fn attempts(app: &Arc<App>, request: &Request) -> Ended {
     budget(app, dotterel_coord::Budget::request);
     let mut last = Reason::NoCapacity;
+    let mut cut = false;
     for number in 0..ATTEMPT_LIMIT {
         if number > 0 && !budget(app, dotterel_coord::Budget::try_retry) {
-            return Ended::Proved(Outcome::NotRun(last));
+            break;
         }
         match attempt(app, request).await {
-            Tried::Ended(ended) => return *ended,
+            Tried::Ended(ended) => return after(cut, *ended),
             Tried::Again(reason) => last = reason,
+            Tried::Cut => cut = true,
         }
     }
-    Ended::Proved(Outcome::NotRun(last))
+    missed(cut, last)
+}
+
+/// Returns how the attempts ended, given the last one.
+fn after(cut: bool, last: Ended) -> Ended {
+    match last {
+        Ended::Proved(Outcome::NotRun(reason)) => missed(cut, reason),
+        other => other,
+    }
+}
+
+/// Ends a request that found no VM; one of whose attempts was cut did start, if not to its end.
+const fn missed(cut: bool, reason: Reason) -> Ended {
+    if cut {
+        return Ended::Open(Doubt::Cut);
+    }
+    Ended::Proved(Outcome::NotRun(reason))
 }
 
 enum Tried {
     Ended(Box<Ended>),
     /// It provably did not run, for a reason that may not hold elsewhere or later.
     Again(Reason),
+    /// It started and was stopped before its end, and may start again.
+    Cut,
 }
 
 impl Tried {
@@ -126,7 +146,7 @@
         Verdict::Ran(answer) => Tried::ended(Ended::Proved(Outcome::Ran { answer, vm })),
         Verdict::NotRun(reason @ (Reason::Refused | Reason::NoCapacity)) => Tried::Again(reason),
         Verdict::NotRun(reason) => Tried::ended(Ended::Proved(Outcome::NotRun(reason))),
-        Verdict::Cut if request.class.repeatable => Tried::Again(Reason::Refused),
+        Verdict::Cut if request.class.repeatable => Tried::Cut,
         Verdict::Cut => Tried::ended(Ended::Open(Doubt::Cut)),
         Verdict::Unknown => Tried::ended(Ended::Open(doubt)),
     }
