--- a/crates/dotterel-coord/src/journal/reader.rs
+++ b/crates/dotterel-coord/src/journal/reader.rs
@@ -8,7 +8,9 @@
 };
 use dotterel_platform::{CallError, ObjectStore};
 
-use super::segment::{Segment, last_name, life_of, life_prefix, node_prefix};
+use super::segment::{
+    ROOT, Segment, last_life, last_name, life_of, life_prefix, node_of, node_prefix,
+};
 use super::tally::Tally;
 
 /// The most names asked for in one listing.
@@ -126,6 +128,24 @@
         }
     }
 
+    /// Returns the nodes that have shipped anything, sorted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be read; nothing has changed then.
+    pub async fn nodes(&self) -> Result<Vec<NodeId>, CallError> {
+        let mut nodes = Vec::new();
+        let mut after = CompactString::default();
+        loop {
+            let names = self.store.list(ROOT, &after, 1).await?;
+            let Some(node) = names.first().and_then(|name| node_of(name)) else {
+                return Ok(nodes);
+            };
+            after = last_life(&node);
+            nodes.push(node);
+        }
+    }
+
     async fn life(&self, node: &NodeId, incarnation: Incarnation) -> Result<Life, CallError> {
         let mut life = Life::default();
         for name in self.names(node, incarnation).await? {
--- a/crates/dotterel-coord/src/journal/segment.rs
+++ b/crates/dotterel-coord/src/journal/segment.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The first part of every segment's name.
-const ROOT: &str = "journal/";
+pub(super) const ROOT: &str = "journal/";
 
 /// The latest state of the records that changed in a span of time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,3 +74,14 @@
     let (life, _) = name.strip_prefix(prefix)?.split_once('/')?;
     life.parse().ok().map(Incarnation)
 }
+
+/// Returns a name that sorts after all segments of a node.
+pub(super) fn last_life(node: &NodeId) -> CompactString {
+    format_compact!("{}~", node_prefix(node))
+}
+
+/// Reads the node out of a segment's name.
+pub(super) fn node_of(name: &str) -> Option<NodeId> {
+    let (node, _) = name.strip_prefix(ROOT)?.split_once('/')?;
+    Some(node.into())
+}
--- a/crates/dotterel-coord/src/journal/tally.rs
+++ b/crates/dotterel-coord/src/journal/tally.rs
@@ -40,10 +40,15 @@
         if before.is_none() {
             line.cell(after.arrived).arrived += 1;
         }
-        if let Some(started) = after.started
-            && before.is_none_or(|record| record.started.is_none())
-        {
-            line.cell(started).started += 1;
+        let earlier = before.and_then(|record| record.started);
+        match (earlier, after.started) {
+            (None, Some(started)) => line.cell(started).started += 1,
+            // The start was refused after all.
+            (Some(started), None) => {
+                let cell = line.cell(started);
+                cell.started = cell.started.saturating_sub(1);
+            }
+            (None, None) | (Some(_), Some(_)) => {}
         }
         let flags = before.map_or(0, |record| record.flags.len());
         for flag in after.flags.iter().skip(flags) {
--- a/crates/dotterel-coord/tests/journal.rs
+++ b/crates/dotterel-coord/tests/journal.rs
@@ -167,3 +167,39 @@
     assert_eq!(line.oldest, Millis(700));
     assert_eq!(whole.nodes.len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_start_that_was_refused_after_all_does_not_count() {
+    let bench = Bench::new();
+    let journal = bench.journal("a", Config::default());
+    let request = bench.opened(&journal);
+
+    journal.update(request, |record| record.started = Some(START));
+    journal.update(request, |record| record.started = None);
+    journal.update(request, |record| record.started = Some(START));
+    journal.close(request, Fate::Ran);
+
+    let account = journal.account(None, START);
+    assert_eq!(account.lines[0].hours[0].started, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_that_shipped_are_found() {
+    let bench = Bench::new();
+    for node in ["entry-1", "entry-10", "entry-2"] {
+        let journal = bench.journal(node, Config::default());
+        bench.opened(&journal);
+        journal.ship().await;
+        bench.opened(&journal);
+        journal.ship().await;
+    }
+
+    let nodes = bench.reader().nodes().await;
+
+    let nodes: Vec<String> = nodes
+        .expect("the store is up")
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(nodes, ["entry-1", "entry-10", "entry-2"]);
+}
--- a/crates/dotterel-entry/src/front/account.rs
+++ b/crates/dotterel-entry/src/front/account.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use dotterel_coord::journal::merge;
 use dotterel_kernel::{Account, Gap, Incarnation, Millis, NodeId, Service};
+use dotterel_platform::CallError;
 use salvo::http::StatusCode;
 use salvo::prelude::{Request, Response, handler};
+use tokio::time::timeout;
 
 use super::answer::{Refusal, json};
 use crate::app::App;
@@ -15,6 +17,11 @@
 const ASK_TIMEOUT: Millis = Millis(2_000);
 const SPAN_DEFAULT: Millis = Millis::secs(24 * 3_600);
 
+const SILENT: &str = "the object store did not answer";
+
+/// One life of a node.
+pub(super) type Life = (NodeId, Incarnation);
+
 /// Returns the account of all nodes that can be asked, with what is missing.
 pub(super) struct Get(pub(super) Arc<App>);
 
@@ -44,17 +51,34 @@
     })
 }
 
-/// Joins the accounts of this node and its peers; a peer that does not answer is a gap.
+/// Joins the accounts of this node, its peers and the lives that have ended.
+///
+/// Whatever cannot be read is a gap.
 async fn draw_up(app: &Arc<App>, service: Option<Service>, since: Millis) -> Account {
     let mut parts = vec![app.journal.account(service.as_ref(), since)];
+    let mut living = vec![(app.node().clone(), app.incarnation)];
     let mut asked = Vec::new();
     for peer in app.peers.status(app.clock.now()) {
+        if !peer.alive {
+            continue;
+        }
+        living.push((peer.node.clone(), peer.incarnation));
         let (app, service) = (app.clone(), service.clone());
         asked.push(tokio::spawn(async move {
-            let life = (peer.node, peer.incarnation);
-            ask(&app, life, service, since, peer.alive).await
+            ask(&app, (peer.node, peer.incarnation), service, since).await
         }));
     }
+    match ended(app, &living).await {
+        Ok(lives) => {
+            for life in lives {
+                let (app, service) = (app.clone(), service.clone());
+                asked.push(tokio::spawn(async move {
+                    shipped(&app, life, service.as_ref(), since).await
+                }));
+            }
+        }
+        Err(cause) => parts.push(missing(app.node().clone(), Incarnation(0), since, &cause)),
+    }
     for part in asked {
         if let Ok(part) = part.await {
             parts.push(part);
@@ -63,32 +87,47 @@
     merge(parts)
 }
 
-async fn ask(
+/// Returns the shipped lives that are not among those that live.
+pub(super) async fn ended(app: &App, living: &[Life]) -> Result<Vec<Life>, CompactString> {
+    let search = async {
+        let mut lives = Vec::new();
+        for node in app.reader.nodes().await? {
+            let all = app.reader.lives(&node).await?;
+            lives.extend(all.into_iter().map(|life| (node.clone(), life)));
+        }
+        Ok::<_, CallError>(lives)
+    };
+    let found = timeout(ASK_TIMEOUT.duration(), search).await;
+    let found = found.map_err(|_| CompactString::from(SILENT))?;
+    let mut lives = found.map_err(|fault| format_compact!("{fault}"))?;
+    lives.retain(|life| !living.contains(life));
+    Ok(lives)
+}
+
+async fn ask(app: &App, life: Life, service: Option<Service>, since: Millis) -> Account {
+    let call = Call::Account {
+        service: service.clone(),
+        since,
+    };
+    let reply = app.mesh.call(&life.0, &call, ASK_TIMEOUT).await;
+    if let Ok(Reply::Account(account)) = reply {
+        return account;
+    }
+    shipped(app, life, service.as_ref(), since).await
+}
+
+/// Returns the account of a life from its shipped journal.
+async fn shipped(
     app: &App,
-    (node, incarnation): (NodeId, Incarnation),
-    service: Option<Service>,
+    (node, incarnation): Life,
+    service: Option<&Service>,
     since: Millis,
-    alive: bool,
 ) -> Account {
-    if alive {
-        let call = Call::Account {
-            service: service.clone(),
-            since,
-        };
-        let reply = app.mesh.call(&node, &call, ASK_TIMEOUT).await;
-        if let Ok(Reply::Account(bytes)) = reply
-            && let Ok(account) = serde_json::from_slice(&bytes)
-        {
-            return account;
-        }
-    }
-    let shipped = app
-        .reader
-        .account(&node, incarnation, service.as_ref(), since);
-    match tokio::time::timeout(ASK_TIMEOUT.duration(), shipped).await {
+    let read = app.reader.account(&node, incarnation, service, since);
+    match timeout(ASK_TIMEOUT.duration(), read).await {
         Ok(Ok(account)) => account,
         Ok(Err(fault)) => missing(node, incarnation, since, &format_compact!("{fault}")),
-        Err(_) => missing(node, incarnation, since, "the object store did not answer"),
+        Err(_) => missing(node, incarnation, since, SILENT),
     }
 }
 
@@ -97,7 +136,7 @@
         node,
         incarnation,
         since,
-        cause: format_compact!("neither the node nor its shipped journal can be read: {cause}"),
+        cause: format_compact!("journal not read: {cause}"),
     };
     Account {
         gaps: vec![gap],
--- a/crates/dotterel-entry/src/front/record.rs
+++ b/crates/dotterel-entry/src/front/record.rs
@@ -2,15 +2,21 @@
 
 use std::sync::Arc;
 
+use compact_str::{CompactString, format_compact};
+use dotterel_coord::journal::Found;
 use dotterel_kernel::{Millis, Record, RequestId};
+use dotterel_platform::CallError;
 use salvo::http::StatusCode;
 use salvo::prelude::{Request, Response, handler};
+use tokio::time::timeout;
 
+use super::account;
 use super::answer::{Refusal, json};
 use crate::app::App;
 use crate::messages::{Call, Reply};
 
 const ASK_TIMEOUT: Millis = Millis(1_000);
+const SEARCH_TIMEOUT: Millis = Millis(5_000);
 
 /// Tells what is known of a request.
 pub(super) struct Get(pub(super) Arc<App>);
@@ -31,27 +37,63 @@
     }
 }
 
-/// Looks in this node's journal, then in those of its peers.
+/// Looks in this node's journal, then in those of its peers, then in the shipped ones.
 async fn find(app: &App, id: RequestId) -> Result<Record, Refusal> {
     if let Some(record) = app.journal.get(id) {
         return Ok(record);
     }
-    let mut silent = Vec::new();
-    for node in app.peers.live(app.clock.now()) {
-        match app.mesh.call(&node, &Call::Record(id), ASK_TIMEOUT).await {
-            Ok(Reply::Record(Some(bytes))) => {
-                if let Ok(record) = serde_json::from_slice(&bytes) {
-                    return Ok(record);
-                }
-            }
+    let mut silent: Vec<CompactString> = Vec::new();
+    let mut living = Vec::new();
+    for peer in app.peers.status(app.clock.now()) {
+        if !peer.alive {
+            continue;
+        }
+        let reply = app
+            .mesh
+            .call(&peer.node, &Call::Record(id), ASK_TIMEOUT)
+            .await;
+        match reply {
+            Ok(Reply::Record(Some(record))) => return Ok(record),
             Ok(Reply::Record(None)) => {}
-            Ok(_) | Err(_) => silent.push(node.0),
+            Ok(_) | Err(_) => silent.push(peer.node.0.clone()),
         }
+        living.push((peer.node, peer.incarnation));
+    }
+    match shipped(app, &living, id).await {
+        Ok(Some(record)) => return Ok(record),
+        Ok(None) => {}
+        Err(cause) => silent.push(cause),
     }
     if silent.is_empty() {
-        let text = "no live node remembers this request";
+        let text = "no journal names this request";
         return Err(Refusal::new(StatusCode::NOT_FOUND, "id", text));
     }
-    let text = compact_str::format_compact!("not found; could not ask {}", silent.join(", "));
+    let text = format_compact!(
+        "not found, but not all could be asked: {}",
+        silent.join(", ")
+    );
     Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "id", text))
 }
+
+/// Looks in the shipped journals; what lives may have forgotten the request, so all are read.
+async fn shipped(
+    app: &App,
+    living: &[account::Life],
+    id: RequestId,
+) -> Result<Option<Record>, CompactString> {
+    let mut lives = account::ended(app, living).await?;
+    lives.extend_from_slice(living);
+    let search = async {
+        for (node, incarnation) in lives {
+            let found = app.reader.lookup(&node, incarnation, id).await?;
+            if let Found::Settled(record) | Found::Lost(record) = found {
+                return Ok(Some(record));
+            }
+        }
+        Ok::<_, CallError>(None)
+    };
+    match timeout(SEARCH_TIMEOUT.duration(), search).await {
+        Ok(found) => found.map_err(|fault| format_compact!("{fault}")),
+        Err(_) => Err("the object store took too long".into()),
+    }
+}
--- a/crates/dotterel-entry/src/front/requests.rs
+++ b/crates/dotterel-entry/src/front/requests.rs
@@ -26,9 +26,7 @@
 #[handler]
 impl Post {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let Some(pass) = self.0.gate.enter() else {
-            return not_run(res, None, Reason::QueueFull);
-        };
+        let pass = self.0.gate.enter();
         // Dropped with this future when the caller goes.
         let (present, gone) = watch::channel(false);
         let caller = Caller(present);
@@ -37,6 +35,10 @@
             Err(refusal) => return refusal.write(res),
         };
         let id = request.id;
+        let Some(pass) = pass else {
+            requests::refuse(&self.0, &request, Reason::QueueFull);
+            return not_run(res, id, Reason::QueueFull);
+        };
         // The request goes on to its fate even when the caller goes.
         let app = self.0.clone();
         let task = tokio::spawn(async move {
@@ -171,7 +173,7 @@
             header(res, UPSTREAM_HEADER, vm.as_str());
             whole(res, answer.status, &answer.content_type, answer.body);
         }
-        Outcome::NotRun(reason) => not_run(res, Some(id), reason),
+        Outcome::NotRun(reason) => not_run(res, id, reason),
         Outcome::Unknown => unknown(res, id),
         Outcome::Recorded { request, outcome } => recorded(res, request, outcome),
         Outcome::Earlier(entry) => earlier(res, &entry),
@@ -197,12 +199,8 @@
     res.body(body);
 }
 
-fn not_run(res: &mut Response, id: Option<RequestId>, reason: Reason) {
-    if let Some(id) = id {
-        header(res, REQUEST_HEADER, &format_compact!("{id}"));
-    }
-    header(res, FATE_HEADER, Fate::NotRun(reason).word());
-    header(res, REASON_HEADER, reason.word());
+fn not_run(res: &mut Response, id: RequestId, reason: Reason) {
+    head(res, id, &Fate::NotRun(reason));
     header(res, "retry-after", RETRY_AFTER_SECONDS);
     let text = format_compact!("not run: {reason}");
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "request", text).write(res);
--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod ownership;
 pub mod peers;
+pub mod quotas;
 pub mod requests;
 pub mod settings;
 pub mod workers;
--- a/crates/dotterel-entry/src/messages.rs
+++ b/crates/dotterel-entry/src/messages.rs
@@ -1,13 +1,14 @@
 //! What nodes tell each other.
 //!
-//! Points in time differ between nodes, so messages carry spans. Records and accounts travel as
-//! JSON, because their shapes are those of the operators' interface.
+//! Clocks differ between nodes, so what decides anything travels as a span, not as a point in time.
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterel_coord::Heartbeat;
 use dotterel_coord::feed::Passed;
-use dotterel_kernel::{Attempt, Incarnation, Millis, Reason, RequestId, Revision, Service, TaskId};
+use dotterel_kernel::{
+    Account, Attempt, Incarnation, Millis, Reason, Record, RequestId, Revision, Service, TaskId,
+};
 use dotterel_mesh::Protocol;
 use dotterel_platform::{Answer, ListedVm};
 use serde::{Deserialize, Serialize};
@@ -25,9 +26,18 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Call {
     /// The caller lives.
-    Beat(Heartbeat),
+    Beat(Beat),
+    /// Send the revisions of the documents in force.
+    Revisions,
     /// Run a task on one of your VMs.
     Submit(Submit),
+    /// A task that you sent starts.
+    Started {
+        /// The request that it serves.
+        request: RequestId,
+        /// The attempt so far.
+        attempt: Attempt,
+    },
     /// Tell what became of a task, and never run it if you have not seen it.
     Settle {
         /// The task.
@@ -54,10 +64,19 @@
     Workers,
 }
 
+/// A heartbeat with its documents left out, because they seldom change.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Beat {
+    /// The heartbeat, with an empty list of documents.
+    pub heartbeat: Heartbeat,
+    /// A hash of the revisions in force.
+    pub documents: u64,
+}
+
 /// What the other answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Reply {
-    /// To [`Call::Beat`] and [`Call::Push`].
+    /// To [`Call::Beat`], [`Call::Started`] and [`Call::Push`].
     Heard,
     /// To [`Call::Submit`] and [`Call::Settle`].
     Done(Done),
@@ -67,10 +86,12 @@
     NotMine,
     /// To [`Call::Documents`].
     Documents(Vec<Passed>),
-    /// To [`Call::Account`]: an account in JSON.
-    Account(Bytes),
-    /// To [`Call::Record`]: a record in JSON, if there is one.
-    Record(Option<Bytes>),
+    /// To [`Call::Account`].
+    Account(Account),
+    /// To [`Call::Record`], if there is one.
+    Record(Option<Record>),
+    /// To [`Call::Revisions`].
+    Revisions(Vec<(Service, Revision)>),
     /// To [`Call::Workers`].
     Workers(Vec<ListedVm>),
     /// The call cannot be served.
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -28,7 +28,7 @@
 use crate::peers::{self, Peers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
-use crate::{Workers, front};
+use crate::{Workers, front, quotas};
 
 /// Retries that are allowed in ten seconds however few requests there are.
 const RETRY_FLOOR: u64 = 10;
@@ -135,6 +135,7 @@
             tokio::spawn(inbox.serve(Arc::new(peers::Server(app.clone())))),
             tokio::spawn(peers::beat(app.clone())),
             tokio::spawn(ownership::follow_list(app.clone(), parts.list)),
+            tokio::spawn(quotas::follow(app.clone())),
             tokio::spawn(follow_documents(app.clone())),
             tokio::spawn(ship(app.clone())),
         ];
@@ -176,7 +177,7 @@
         let until = self.app.clock.now() + grace;
         log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
         self.app.stopping.set(true);
-        peers::announce(&self.app);
+        peers::announce(&self.app, true);
         let handed = timeout(grace.duration(), self.keepers).await;
         if handed.is_err() {
             log::warn!("not all leases were handed over in time");
--- a/crates/dotterel-entry/src/ownership.rs
+++ b/crates/dotterel-entry/src/ownership.rs
@@ -146,9 +146,8 @@
         }
         self.drop_missing(now);
         for kept in &self.kept {
-            let leaving = self.app.listed.leaving(&kept.vm);
-            if leaving {
-                self.app.workers.leaving(&kept.vm, true);
+            if self.app.listed.leaving(&kept.vm) {
+                self.app.workers.leaving(&kept.vm);
             }
             let wish = self.wish(&kept.vm, now);
             kept.wish.send_if_modified(|current| {
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -6,16 +6,18 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use dotterel_coord::{Heard, Heartbeat, Members};
-use dotterel_kernel::{DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Spill, VmId};
+use dotterel_kernel::{
+    DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Revision, Service, Spill, VmId,
+};
 use dotterel_platform::Listing;
 use rand::seq::IndexedRandom;
 
 pub(crate) use beat::announce;
-pub use beat::{beat, pull};
+pub use beat::beat;
 pub use serve::Server;
 
 /// How long a node may be silent before it counts as gone.
-pub const PATIENCE: Millis = Millis(1_500);
+pub const PATIENCE: Millis = Millis(2_500);
 
 /// How long an unlisted, silent node is remembered.
 const MEMORY: Millis = Millis::secs(3_600);
@@ -94,12 +96,21 @@
         live.map(|peer| peer.node.clone()).collect()
     }
 
-    /// Returns the life of a node.
+    /// Returns true for nodes of this node's data centre, and for nodes not heard yet.
     #[must_use]
-    pub fn incarnation(&self, node: &NodeId) -> Option<Incarnation> {
+    pub fn near(&self, node: &NodeId) -> bool {
         let state = self.state();
-        let peer = state.members.peer(node)?;
-        Some(peer.heartbeat.incarnation)
+        let own = &state.members.own().data_centre;
+        let peer = state.members.peer(node);
+        peer.is_none_or(|peer| peer.heartbeat.data_centre == *own)
+    }
+
+    /// Returns the revisions in force on a node, as far as they were told.
+    #[must_use]
+    pub fn documents(&self, node: &NodeId) -> Vec<(Service, Revision)> {
+        let state = self.state();
+        let peer = state.members.peer(node);
+        peer.map_or_else(Vec::new, |peer| peer.heartbeat.documents.clone())
     }
 
     /// Returns the other nodes with the addresses they gave, sorted by name.
@@ -111,11 +122,14 @@
     }
 
     /// Picks a node with spare slots: the one with more of two drawn at random, in the nearest
-    /// place that has any.
+    /// place that has any, leaving some out.
     #[must_use]
-    pub fn spare(&self, spill: Spill, now: Millis) -> Option<Target> {
+    pub fn spare(&self, spill: Spill, now: Millis, without: &[(NodeId, Millis)]) -> Option<Target> {
         let mut state = self.state();
-        let target = state.pick(spill, now, true)?;
+        let fit = |state: &State, peer: &Heartbeat| {
+            state.slots(peer) > 0 && without.iter().all(|(node, _)| *node != peer.node)
+        };
+        let target = state.pick(spill, now, fit)?;
         state.count(&target.node, 1);
         Some(target)
     }
@@ -123,7 +137,7 @@
     /// Picks any live node within reach, for a node that owns no VM itself.
     #[must_use]
     pub fn any(&self, spill: Spill, now: Millis) -> Option<Target> {
-        self.state().pick(spill, now, false)
+        self.state().pick(spill, now, |_, _| true)
     }
 
     /// Notes that a node had no room after all; it gets nothing until its next heartbeat.
@@ -170,7 +184,12 @@
         heartbeat.spare.slots.saturating_sub(sent)
     }
 
-    fn pick(&self, spill: Spill, now: Millis, spare: bool) -> Option<Target> {
+    fn pick(
+        &self,
+        spill: Spill,
+        now: Millis,
+        fit: impl Fn(&Self, &Heartbeat) -> bool,
+    ) -> Option<Target> {
         let own = self.members.own();
         for reach in [Spill::DataCentre, Spill::Region, Spill::Anywhere] {
             if reach > spill {
@@ -179,7 +198,7 @@
             let near = self.members.live_peers(now).filter(|peer| {
                 !peer.stopping
                     && within(reach, &own.data_centre, &own.region, peer)
-                    && (!spare || self.slots(peer) > 0)
+                    && fit(self, peer)
             });
             let near: Vec<&Heartbeat> = near.collect();
             let two = near.sample(&mut rand::rng(), 2);
--- a/crates/dotterel-entry/src/peers/serve.rs
+++ b/crates/dotterel-entry/src/peers/serve.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use dotterel_kernel::NodeId;
 use dotterel_mesh::Handler;
 
@@ -18,12 +17,17 @@
     async fn handle(&self, from: NodeId, call: Call) -> Reply {
         let app = &self.0;
         match call {
-            Call::Beat(heartbeat) if heartbeat.node == from => {
-                hear(app, from, heartbeat);
+            Call::Beat(beat) if beat.heartbeat.node == from => {
+                hear(app, from, beat);
                 Reply::Heard
             }
+            Call::Revisions => Reply::Revisions(app.feed.revisions()),
             Call::Beat(_) => Reply::Refused("a heartbeat of another node".into()),
             Call::Submit(submit) => requests::serve(app, &from, submit).await,
+            Call::Started { request, attempt } => {
+                requests::started(app, request, &attempt);
+                Reply::Heard
+            }
             Call::Settle {
                 task,
                 incarnation,
@@ -36,23 +40,10 @@
                 Reply::Heard
             }
             Call::Account { service, since } => {
-                let account = app.journal.account(service.as_ref(), since);
-                json(&account).map_or_else(refused, Reply::Account)
+                Reply::Account(app.journal.account(service.as_ref(), since))
             }
-            Call::Record(request) => match app.journal.get(request).map(|record| json(&record)) {
-                None => Reply::Record(None),
-                Some(Ok(record)) => Reply::Record(Some(record)),
-                Some(Err(fault)) => refused(fault),
-            },
+            Call::Record(request) => Reply::Record(app.journal.get(request)),
             Call::Workers => Reply::Workers(app.listed.listing().vms),
         }
     }
 }
-
-fn json<T: serde::Serialize>(value: &T) -> Result<Bytes, serde_json::Error> {
-    serde_json::to_vec(value).map(Bytes::from)
-}
-
-fn refused(fault: impl std::fmt::Display) -> Reply {
-    Reply::Refused(compact_str::format_compact!("{fault}"))
-}
--- a/crates/dotterel-entry/src/requests.rs
+++ b/crates/dotterel-entry/src/requests.rs
@@ -7,9 +7,11 @@
 mod attempt;
 mod bodies;
 mod claim;
+mod dispatch;
 mod forward;
 mod place;
 mod recall;
+mod record;
 mod resolve;
 mod serve;
 
@@ -17,7 +19,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_coord::claims::{Entry, RecordedOutcome};
+use dotterel_coord::claims::{Claim, Entry, RecordedOutcome};
 use dotterel_kernel::plugin::Ask;
 use dotterel_kernel::{
     CallerKey, Class, Fate, Kind, Millis, NodeId, Reason, Record, RequestId, Service, VmId, Waiting,
@@ -27,6 +29,7 @@
 
 pub use bodies::Bodies;
 pub use recall::Recall;
+pub(crate) use record::started;
 pub use serve::{recall, serve};
 
 use crate::app::App;
@@ -126,7 +129,7 @@
 }
 
 /// Takes a request from its arrival to its fate.
-pub async fn run(app: Arc<App>, request: Request) -> Outcome {
+pub async fn run(app: Arc<App>, mut request: Request) -> Outcome {
     app.journal.open(request.record(app.node()));
     app.bodies.flag(&app, &request);
     let claim = match claim::claim(&app, &request).await {
@@ -136,10 +139,13 @@
             return outcome;
         }
     };
+    if let Some(claim) = &claim {
+        // Once the window is over, the key may be claimed again.
+        request.deadline = request.deadline.min(claim.entry().expires);
+    }
     match attempt::attempts(&app, &request).await {
         attempt::Ended::Proved(outcome) => {
-            claim::conclude(&app, &request, claim, &outcome).await;
-            close(&app, &request, &outcome);
+            settle(&app, &request, claim, &outcome).await;
             outcome
         }
         attempt::Ended::Open(doubt) => {
@@ -149,6 +155,24 @@
     }
 }
 
+/// Records a request that is refused before anything is tried.
+pub fn refuse(app: &App, request: &Request, reason: Reason) {
+    app.journal.open(request.record(app.node()));
+    close(app, request, &Outcome::NotRun(reason));
+}
+
+/// Settles the claim and the record, and lets the VM forget the task.
+async fn settle(app: &App, request: &Request, claim: Option<Claim>, outcome: &Outcome) {
+    claim::conclude(app, request, claim, outcome).await;
+    let record = app.journal.get(request.id);
+    // Earlier attempts are left to the VM, which may need to refuse their starts yet.
+    let last = record.and_then(|mut record| record.attempts.pop());
+    if let (Outcome::Ran { .. }, Some(attempt)) = (outcome, last) {
+        app.workers.forget(&attempt.vm, attempt.task);
+    }
+    close(app, request, outcome);
+}
+
 /// Settles the record of a request.
 fn close(app: &App, request: &Request, outcome: &Outcome) {
     let fate = match outcome {
@@ -159,8 +183,10 @@
             Fate::NotRun(Reason::Duplicate)
         }
     };
-    app.journal.close(request.id, fate);
     let now = app.clock.now();
+    let started = app.journal.get(request.id).and_then(|it| it.started);
+    record::flag_delay(app, request, started.unwrap_or(now) - request.arrived);
+    app.journal.close(request.id, fate);
     app.metrics.settled(
         &request.service,
         &request.class.name,
--- a/crates/dotterel-entry/src/requests/attempt.rs
+++ b/crates/dotterel-entry/src/requests/attempt.rs
@@ -2,15 +2,15 @@
 
 use std::sync::{Arc, PoisonError};
 
-use compact_str::CompactString;
-use dotterel_coord::dispatch::{Dispatched, Limits, NotRun, dispatch};
-use dotterel_kernel::{Attempt, Millis, Reason, RequestId, Service, TaskId};
-use dotterel_platform::{Refusal, Start};
+use dotterel_coord::Budget;
+use dotterel_kernel::{Attempt, Millis, Reason, TaskId, VmId};
+use dotterel_platform::Answer;
 
-use super::place::{Place, place};
-use super::{Outcome, Request, forward};
+use super::dispatch::{self, Job};
+use super::place::{Place, Turned, place};
+use super::{Outcome, Request, forward, record};
 use crate::app::App;
-use crate::messages::{Done, Verdict};
+use crate::messages::Verdict;
 use crate::peers::Target;
 use crate::workers::Slot;
 
@@ -38,17 +38,6 @@
         /// When it was sent.
         sent: Millis,
     },
-    /// Nowhere: the task was stopped before its end.
-    Cut,
-}
-
-/// What a dispatch needs to know of a request.
-pub(super) struct Job<'a> {
-    pub(super) request: RequestId,
-    pub(super) service: &'a Service,
-    pub(super) class: &'a dotterel_kernel::Class,
-    pub(super) body: bytes::Bytes,
-    pub(super) arrived: Millis,
 }
 
 impl Request {
@@ -64,168 +53,111 @@
 }
 
 /// Tries until the request has run, cannot run any more, or its outcome is in doubt.
+///
+/// A repeatable request that was stopped half-way is tried again, but is never told as not run
+/// afterwards.
 pub(super) async fn attempts(app: &Arc<App>, request: &Request) -> Ended {
-    budget(app, dotterel_coord::Budget::request);
+    budget(app, Budget::request);
     let mut last = Reason::NoCapacity;
+    let mut cut = false;
     for number in 0..ATTEMPT_LIMIT {
-        if number > 0 && !budget(app, dotterel_coord::Budget::try_retry) {
-            return Ended::Proved(Outcome::NotRun(last));
+        if number > 0 && !budget(app, Budget::try_retry) {
+            break;
         }
         match attempt(app, request).await {
-            Tried::Ended(ended) => return *ended,
-            Tried::Again(reason) => last = reason,
+            Tried::Ran(answer, vm) => return Ended::Proved(Outcome::Ran { answer, vm }),
+            Tried::Doubt(doubt) => return Ended::Open(doubt),
+            Tried::Refused(reason) => last = reason,
+            Tried::Cut { late } => {
+                cut = true;
+                if late || !request.class.repeatable {
+                    break;
+                }
+            }
+            Tried::Over(reason) => {
+                last = reason;
+                break;
+            }
         }
     }
+    if cut {
+        return Ended::Proved(Outcome::Unknown);
+    }
     Ended::Proved(Outcome::NotRun(last))
 }
 
+/// The outcome of one attempt.
 enum Tried {
-    Ended(Box<Ended>),
-    /// It provably did not run, for a reason that may not hold elsewhere or later.
-    Again(Reason),
-}
-
-impl Tried {
-    fn ended(ended: Ended) -> Self {
-        Self::Ended(Box::new(ended))
-    }
+    /// It ran to its end.
+    Ran(Answer, VmId),
+    /// It did not run, for a reason that may not hold elsewhere or later.
+    Refused(Reason),
+    /// It did not run, and no other attempt would.
+    Over(Reason),
+    /// It was stopped half-way.
+    Cut {
+        /// Whether it had run for as long as its class allows.
+        late: bool,
+    },
+    /// Nothing is proved.
+    Doubt(Doubt),
 }
 
-/// Makes one attempt; nodes that turn out to be full do not count.
+/// Makes one attempt; nodes that turn the request away before a start do not count.
 async fn attempt(app: &Arc<App>, request: &Request) -> Tried {
+    let mut turned = Turned::default();
     loop {
         let task = TaskId::mint();
-        let (done, doubt) = match place(app, request, task).await {
-            Place::Nowhere(reason) => {
-                return Tried::ended(Ended::Proved(Outcome::NotRun(reason)));
-            }
+        let (done, doubt) = match place(app, request, task, &mut turned).await {
+            Place::Nowhere(reason) => return Tried::Over(reason),
             Place::Here(slot) => {
-                let (done, slot) = here(app, &request.job(), slot).await;
+                record::started(app, request.id, &dispatch::begun(app, &slot));
+                let (done, slot) = dispatch::here(app, &request.job(), slot).await;
                 (done, Doubt::Here(slot))
             }
             Place::There { target, queue } => {
                 let sent = app.clock.now();
                 let done = forward::forward(app, request, &target, task, queue).await;
-                if done.verdict == Verdict::NotRun(Reason::NoCapacity) && done.attempt.is_none() {
-                    app.peers.full(&target.node);
+                if let (Verdict::NotRun(reason), None, false) =
+                    (&done.verdict, &done.attempt, queue)
+                {
+                    if *reason == Reason::NoCapacity {
+                        app.peers.full(&target.node);
+                    }
+                    turned.add(target.node, app.clock.now());
                     continue;
                 }
                 (done, Doubt::There { target, task, sent })
             }
         };
-        let vm = done.attempt.as_ref().map(|attempt| attempt.vm.clone());
-        if let Some(attempt) = done.attempt {
-            app.journal.start(request.id, attempt);
+        let attempt = done.attempt;
+        if let Some(attempt) = &attempt {
+            record::ended(app, request.id, attempt, &done.verdict);
         }
-        return judge(request, done.verdict, vm.unwrap_or_default(), doubt);
+        return judge(request, done.verdict, attempt, doubt);
     }
 }
 
-fn judge(request: &Request, verdict: Verdict, vm: dotterel_kernel::VmId, doubt: Doubt) -> Tried {
+fn judge(request: &Request, verdict: Verdict, attempt: Option<Attempt>, doubt: Doubt) -> Tried {
     match verdict {
-        Verdict::Ran(answer) => Tried::ended(Ended::Proved(Outcome::Ran { answer, vm })),
-        Verdict::NotRun(reason @ (Reason::Refused | Reason::NoCapacity)) => Tried::Again(reason),
-        Verdict::NotRun(reason) => Tried::ended(Ended::Proved(Outcome::NotRun(reason))),
-        Verdict::Cut if request.class.repeatable => Tried::Again(Reason::Refused),
-        Verdict::Cut => Tried::ended(Ended::Open(Doubt::Cut)),
-        Verdict::Unknown => Tried::ended(Ended::Open(doubt)),
-    }
-}
-
-/// Dispatches a task to a VM of this node.
-pub(super) async fn here(app: &App, job: &Job<'_>, mut slot: Slot) -> (Done, Slot) {
-    let sent = app.clock.now();
-    tell(app, job, &slot, sent - job.arrived);
-    let start = Start {
-        epoch: slot.epoch(),
-        task: slot.task(),
-        request: Some(job.request),
-        job: None,
-        service: job.service.0.clone(),
-        class: job.class.name.clone(),
-        size: job.class.size,
-        task_ttl: app.settings.terms.task_ttl(),
-        timeout: job.class.timeout,
-    };
-    let upstream = slot.upstream().clone();
-    let limits = Limits::default();
-    let dispatched = dispatch(
-        &*upstream,
-        slot.permit(),
-        start,
-        job.body.clone(),
-        &app.clock,
-        &limits,
-    )
-    .await;
-    let outcome = word(&dispatched);
-    let attempt = Attempt {
-        task: slot.task(),
-        vm: slot.vm().clone(),
-        owner: app.node().clone(),
-        sent,
-        ended: Some(app.clock.now()),
-        outcome,
-    };
-    let verdict = verdict(dispatched);
-    if verdict != Verdict::Unknown {
-        slot.forget();
-    }
-    let done = Done {
-        verdict,
-        attempt: Some(attempt),
-    };
-    (done, slot)
-}
-
-/// Writes the log line of a placement.
-fn tell(app: &App, job: &Job<'_>, slot: &Slot, waited: Millis) {
-    let placement = slot.placement();
-    app.metrics.started(job.service, &job.class.name, waited);
-    log::info!(
-        request:% = job.request,
-        service = job.service.as_str(),
-        class = job.class.name.as_str(),
-        vm = slot.vm().as_str(),
-        epoch = slot.epoch().0,
-        score = placement.score,
-        considered = placement.considered,
-        ruled_out = placement.ruled_out,
-        waited_ms = waited.0;
-        "placed"
-    );
-}
-
-pub(super) fn verdict(dispatched: Dispatched) -> Verdict {
-    match dispatched {
-        Dispatched::Ran(answer) => Verdict::Ran(answer),
-        Dispatched::NotRun(_) => Verdict::NotRun(Reason::Refused),
-        Dispatched::Cut => Verdict::Cut,
-        Dispatched::Unknown => Verdict::Unknown,
+        Verdict::Ran(answer) => {
+            let vm = attempt.map(|attempt| attempt.vm).unwrap_or_default();
+            Tried::Ran(answer, vm)
+        }
+        Verdict::NotRun(reason @ (Reason::Refused | Reason::NoCapacity)) => Tried::Refused(reason),
+        Verdict::NotRun(reason) => Tried::Over(reason),
+        Verdict::Cut => Tried::Cut {
+            late: attempt.is_some_and(|it| ran_for(&it) >= request.class.timeout),
+        },
+        Verdict::Unknown => Tried::Doubt(doubt),
     }
 }
 
-pub(super) fn word(dispatched: &Dispatched) -> CompactString {
-    let word = match dispatched {
-        Dispatched::Ran(_) => "finished",
-        Dispatched::NotRun(NotRun::Lapsed) => "lapsed",
-        Dispatched::NotRun(NotRun::NotSent) => "not-sent",
-        Dispatched::NotRun(NotRun::Unavailable) => "unavailable",
-        Dispatched::NotRun(NotRun::Barred) => "barred",
-        Dispatched::NotRun(NotRun::Refused(refusal)) => match refusal {
-            Refusal::StaleEpoch { .. } => "stale-epoch",
-            Refusal::Full => "full",
-            Refusal::Leaving => "leaving",
-            Refusal::Stopped => "stopped",
-            Refusal::Seen => "seen",
-        },
-        Dispatched::Cut => "cut",
-        Dispatched::Unknown => "silent",
-    };
-    word.into()
+fn ran_for(attempt: &Attempt) -> Millis {
+    attempt.ended.unwrap_or(attempt.sent) - attempt.sent
 }
 
-fn budget<T>(app: &App, act: impl FnOnce(&mut dotterel_coord::Budget, Millis) -> T) -> T {
+fn budget<T>(app: &App, act: impl FnOnce(&mut Budget, Millis) -> T) -> T {
     let now = app.clock.now();
     let mut budget = app.budget.lock().unwrap_or_else(PoisonError::into_inner);
     act(&mut budget, now)
--- a/crates/dotterel-entry/src/requests/place.rs
+++ b/crates/dotterel-entry/src/requests/place.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dotterel_kernel::{Millis, Reason, TaskId};
+use dotterel_kernel::{Millis, NodeId, Reason, TaskId};
 
 use super::Request;
 use crate::app::App;
@@ -12,6 +12,25 @@
 /// How often a waiting request looks for room elsewhere.
 const LOOK_PERIOD: Millis = Millis(50);
 
+/// How long a node that turned a request away is not asked again.
+const TURNED_SPAN: Millis = Millis(500);
+
+/// The nodes that turned a request away, each with the time until which it is left alone.
+#[derive(Debug, Default)]
+pub(super) struct Turned(Vec<(NodeId, Millis)>);
+
+impl Turned {
+    /// Notes a node that turned the request away.
+    pub(super) fn add(&mut self, node: NodeId, now: Millis) {
+        self.0.push((node, now + TURNED_SPAN));
+    }
+
+    fn nodes(&mut self, now: Millis) -> &[(NodeId, Millis)] {
+        self.0.retain(|entry| entry.1 > now);
+        &self.0
+    }
+}
+
 /// Where an attempt goes.
 pub(super) enum Place {
     /// To a VM of this node.
@@ -28,8 +47,14 @@
 }
 
 /// Finds a place: a VM of this node that has room, else a node that has, else the queue.
-pub(super) async fn place(app: &Arc<App>, request: &Request, task: TaskId) -> Place {
+pub(super) async fn place(
+    app: &Arc<App>,
+    request: &Request,
+    task: TaskId,
+    turned: &mut Turned,
+) -> Place {
     let mut ticket = None;
+    let spill = request.class.spill;
     loop {
         let now = app.clock.now();
         if now >= request.deadline {
@@ -42,17 +67,17 @@
             match app.workers.submit(task, request.waiting()) {
                 Submitted::Placed(slot) => return Place::Here(slot),
                 Submitted::Queued(queued) => ticket = Some(queued),
-                Submitted::Refused(reason) => return elsewhere(app, request, reason),
+                Submitted::Refused(reason) => return elsewhere(app, request, turned, reason),
             }
         }
-        if let Some(target) = app.peers.spare(request.class.spill, now) {
+        if let Some(target) = app.peers.spare(spill, now, turned.nodes(now)) {
             return Place::There {
                 target,
                 queue: false,
             };
         }
         if !app.workers.any()
-            && let Some(target) = app.peers.any(request.class.spill, now)
+            && let Some(target) = app.peers.any(spill, now)
         {
             return Place::There {
                 target,
@@ -65,9 +90,9 @@
     }
 }
 
-fn elsewhere(app: &App, request: &Request, reason: Reason) -> Place {
+fn elsewhere(app: &App, request: &Request, turned: &mut Turned, reason: Reason) -> Place {
     let now = app.clock.now();
-    match app.peers.spare(request.class.spill, now) {
+    match app.peers.spare(request.class.spill, now, turned.nodes(now)) {
         Some(target) => Place::There {
             target,
             queue: false,
--- /dev/null
+++ b/crates/dotterel-entry/src/requests/record.rs
@@ -0,0 +1,51 @@
+//! Writes the attempts of a request into its record.
+
+use dotterel_kernel::{Attempt, Flag, Millis, Record, RequestId};
+
+use super::Request;
+use crate::app::App;
+use crate::messages::Verdict;
+
+/// Notes a start, which may yet turn out to be refused.
+pub(crate) fn started(app: &App, request: RequestId, attempt: &Attempt) {
+    app.journal.update(request, |record| {
+        if position(record, attempt).is_none() {
+            record.started = Some(attempt.sent);
+            record.attempts.push(attempt.clone());
+        }
+    });
+}
+
+/// Notes the end of an attempt.
+pub(super) fn ended(app: &App, request: RequestId, attempt: &Attempt, verdict: &Verdict) {
+    app.journal.update(request, |record| {
+        match position(record, attempt) {
+            Some(index) => record.attempts[index] = attempt.clone(),
+            None => record.attempts.push(attempt.clone()),
+        }
+        record.started = match verdict {
+            Verdict::NotRun(_) => None,
+            Verdict::Ran(_) | Verdict::Cut | Verdict::Unknown => Some(attempt.sent),
+        };
+    });
+}
+
+/// Flags a request that waited longer than its class allows, if its delays are signed off.
+pub(super) fn flag_delay(app: &App, request: &Request, waited: Millis) {
+    let Some(sign_off) = &request.class.sign_off else {
+        return;
+    };
+    if waited < request.class.start {
+        return;
+    }
+    app.journal.update(request.id, |record| {
+        record.flags.push(Flag::Delayed {
+            sign_off: sign_off.clone(),
+        });
+    });
+}
+
+fn position(record: &Record, attempt: &Attempt) -> Option<usize> {
+    let mut attempts = record.attempts.iter();
+    attempts.position(|known| known.task == attempt.task)
+}
--- a/crates/dotterel-entry/src/requests/resolve.rs
+++ b/crates/dotterel-entry/src/requests/resolve.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::Doubt;
 use super::forward::{Asked, ask};
-use super::{Outcome, Request, claim, close, serve};
+use super::{Outcome, Request, serve, settle};
 use crate::app::App;
 use crate::messages::Verdict;
 use crate::peers::Target;
@@ -24,16 +24,15 @@
         Doubt::There { target, task, sent } => {
             (there(&app, target, *task, *sent).await, VmId::default())
         }
-        Doubt::Cut => (None, VmId::default()),
     };
     let outcome = match verdict {
         Some(Verdict::Ran(answer)) => Outcome::Ran { answer, vm },
         Some(Verdict::NotRun(_)) => Outcome::NotRun(Reason::Refused),
         Some(Verdict::Cut | Verdict::Unknown) | None => Outcome::Unknown,
     };
-    claim::conclude(&app, &request, claim, &outcome).await;
-    close(&app, &request, &outcome);
+    // Gives the capacity back, now that the VM no longer runs the task.
     drop(doubt);
+    settle(&app, &request, claim, &outcome).await;
 }
 
 async fn there(app: &App, target: &Target, task: TaskId, sent: Millis) -> Option<Verdict> {
--- a/crates/dotterel-entry/src/requests/serve.rs
+++ b/crates/dotterel-entry/src/requests/serve.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 
 use dotterel_coord::dispatch::{Limits, settle};
-use dotterel_kernel::{Incarnation, Millis, NodeId, Reason, TaskId};
+use dotterel_kernel::{Attempt, Incarnation, Millis, NodeId, Reason, RequestId, TaskId};
 
-use super::attempt::{Job, here, verdict};
+use super::dispatch::{self, Job, forgettable, here, verdict};
 use super::recall::Recalled;
 use super::waiting;
 use crate::app::App;
-use crate::messages::{Done, Reply, Submit, Verdict};
+use crate::messages::{Call, Done, Reply, Submit, Verdict};
 use crate::workers::{Slot, Submitted};
 
+const TELL_TIMEOUT: Millis = Millis(1_000);
+
 /// Runs a task that another node sent, on a VM of this node only.
 pub async fn serve(app: &Arc<App>, from: &NodeId, submit: Submit) -> Reply {
     let Some(_pass) = app.gate.enter() else {
@@ -22,14 +24,16 @@
     }
     log::debug!(request:% = submit.request, peer = from.as_str(); "task received");
     let task = submit.task;
-    let (outcome, slot) = run(app, submit).await;
+    let (outcome, slot) = run(app, from, submit).await;
     match slot {
         Some(slot) if outcome.verdict == Verdict::Unknown => {
             tokio::spawn(prove(app.clone(), slot));
         }
         slot => {
             app.recall.settle(task, outcome.clone(), app.clock.now());
-            drop(slot);
+            if let Some(slot) = slot.filter(|_| forgettable(&outcome.verdict)) {
+                forget(app, slot);
+            }
         }
     }
     done(outcome)
@@ -47,7 +51,7 @@
     }
 }
 
-async fn run(app: &Arc<App>, submit: Submit) -> (Done, Option<Slot>) {
+async fn run(app: &Arc<App>, from: &NodeId, submit: Submit) -> (Done, Option<Slot>) {
     let document = app.feed.in_force(&submit.service);
     let class = document
         .as_ref()
@@ -66,7 +70,6 @@
             None => return (refusal(Reason::Deadline), None),
         },
         Submitted::Queued(_) => return (refusal(Reason::NoCapacity), None),
-        Submitted::Refused(_) if !submit.queue => return (refusal(Reason::NoCapacity), None),
         Submitted::Refused(reason) => return (refusal(reason), None),
     };
     let job = Job {
@@ -76,10 +79,31 @@
         body: submit.body.clone(),
         arrived,
     };
+    tokio::spawn(tell(
+        app.clone(),
+        from.clone(),
+        submit.request,
+        dispatch::begun(app, &slot),
+    ));
     let (outcome, slot) = here(app, &job, slot).await;
     (outcome, Some(slot))
 }
 
+/// Tells the node that sent a task that it starts, so that its account need not wait for the end.
+async fn tell(app: Arc<App>, node: NodeId, request: RequestId, attempt: Attempt) {
+    let call = Call::Started { request, attempt };
+    if let Err(fault) = app.mesh.call(&node, &call, TELL_TIMEOUT).await {
+        log::debug!(peer = node.as_str(), fault:% = fault; "start not told");
+    }
+}
+
+/// Gives the capacity back and lets the VM forget a task whose outcome is remembered here.
+fn forget(app: &App, slot: Slot) {
+    let (vm, task) = (slot.vm().clone(), slot.task());
+    drop(slot);
+    app.workers.forget(&vm, task);
+}
+
 /// Looks for a proof as long as the VM is known, and keeps its capacity set apart until then.
 async fn prove(app: Arc<App>, slot: Slot) {
     let task = slot.task();
@@ -89,8 +113,11 @@
         verdict,
         attempt: None,
     };
+    let forgets = forgettable(&outcome.verdict);
     app.recall.settle(task, outcome, app.clock.now());
-    drop(slot);
+    if forgets {
+        forget(&app, slot);
+    }
 }
 
 /// Asks the VM until the outcome of the task is proved; none when the VM is gone.
--- a/crates/dotterel-entry/src/workers.rs
+++ b/crates/dotterel-entry/src/workers.rs
@@ -14,17 +14,26 @@
 use dotterel_coord::Permit;
 use dotterel_kernel::scheduler::Load;
 use dotterel_kernel::{
-    Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Size, Submit, TaskId, VmId,
-    VmStatus, Waiting,
+    Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Service, Size, Submit,
+    TaskId, Team, VmId, VmStatus, Waiting,
 };
 use dotterel_platform::Upstream;
 use tokio::sync::oneshot;
 
-pub use slot::Slot;
+pub use slot::{End, Slot};
 pub use ticket::Ticket;
 
 use state::State;
 
+/// More than any team can hold.
+const NO_LIMIT: Size = Size {
+    milli_cores: u32::MAX,
+    memory_mb: u32::MAX,
+    accelerators: u32::MAX,
+    slots: u32::MAX,
+    connections: u32::MAX,
+};
+
 /// The answer to [`Workers::submit`].
 pub enum Submitted {
     /// Capacity is set apart.
@@ -35,6 +44,17 @@
     Refused(Reason),
 }
 
+/// A team's part of this node's VMs, for one of its services.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// The service.
+    pub service: Service,
+    /// The team.
+    pub team: Team,
+    /// The most that the team's tasks may hold here; none means no limit.
+    pub limit: Option<Size>,
+}
+
 /// The VMs that this node owns; clones share them.
 #[derive(Clone)]
 pub struct Workers {
@@ -71,10 +91,14 @@
         self.state().remove(vm);
     }
 
-    /// Says that a VM is about to go, so that nothing new starts there.
-    pub fn leaving(&self, vm: &VmId, leaving: bool) {
-        self.state().set_leaving(vm, leaving);
-        self.pump();
+    /// Notes that a VM is about to go, so that nothing new starts there.
+    pub fn leaving(&self, vm: &VmId) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        if let Some((owned, _)) = state.owned(vm) {
+            owned.leaving = true;
+        }
+        state.apply(vm, now);
     }
 
     /// Asks for capacity for a task.
@@ -85,7 +109,7 @@
         match state.scheduler.submit(waiting, now) {
             Submit::Refused(reason) => Submitted::Refused(reason),
             Submit::Placed(placement) => {
-                let started = state.begin(task, &placement);
+                let started = state.begin(task, &placement, now);
                 drop(state);
                 started.map_or(Submitted::Refused(Reason::NoCapacity), |begun| {
                     Submitted::Placed(self.slot(task, placement, begun))
@@ -108,7 +132,13 @@
     /// Returns true when the lease of at least one VM is held.
     #[must_use]
     pub fn any(&self) -> bool {
-        !self.state().scheduler.fleet().is_empty()
+        self.owned() > 0
+    }
+
+    /// Returns the number of VMs whose lease is held.
+    #[must_use]
+    pub fn owned(&self) -> usize {
+        self.state().scheduler.fleet().len()
     }
 
     /// Returns what is free on VMs that take new work, less what waits.
@@ -149,10 +179,10 @@
             let mut state = self.state();
             while let Some((key, _, placement)) = state.scheduler.next(now) {
                 let Some((task, sender)) = state.take_waiter(key) else {
-                    state.scheduler.finish(placement.hold, now);
+                    state.scheduler.release(placement.hold);
                     continue;
                 };
-                if let Some(begun) = state.begin(task, &placement) {
+                if let Some(begun) = state.begin(task, &placement, now) {
                     ready.push((sender, self.slot(task, placement, begun)));
                 }
             }
@@ -167,9 +197,29 @@
         Slot::new(self.clone(), task, placement, begun)
     }
 
-    fn finish(&self, vm: &VmId, task: TaskId, forget: bool) {
+    /// Lets a VM forget a task whose outcome is recorded.
+    pub fn forget(&self, vm: &VmId, task: TaskId) {
+        self.state().forget(vm, task);
+    }
+
+    /// Sets the allotments of teams on this node.
+    pub fn allot(&self, pieces: &[Piece]) {
+        let mut state = self.state();
+        let quotas = state.scheduler.quotas_mut();
+        for piece in pieces {
+            // A service that never had a limit needs no allotment.
+            if piece.limit.is_some() || quotas.team(&piece.service).is_some() {
+                let team = quotas.set(&piece.team, piece.limit.unwrap_or(NO_LIMIT));
+                quotas.assign(&piece.service, team);
+            }
+        }
+        drop(state);
+        self.pump();
+    }
+
+    fn finish(&self, vm: &VmId, task: TaskId, end: End) {
         let now = self.inner.clock.now();
-        self.state().finish(vm, task, forget, now);
+        self.state().finish(vm, task, end, now);
         self.pump();
     }
 
--- a/crates/dotterel-entry/src/workers/holder.rs
+++ b/crates/dotterel-entry/src/workers/holder.rs
@@ -10,30 +10,37 @@
 impl Holder for Workers {
     fn granted(&self, grant: &Grant, permit: Option<Permit>) {
         let now = self.inner.clock.now();
-        if let Some((owned, scheduler)) = self.state().owned(&grant.vm) {
+        let mut state = self.state();
+        if let Some((owned, scheduler)) = state.owned(&grant.vm) {
             lose(owned, scheduler);
             let data_centre = self.inner.data_centre.clone();
             let vm = Vm::new(grant.vm.clone(), data_centre, grant.capacity, grant.epoch);
             let key = scheduler.fleet_mut().insert(vm);
             owned.lease = Some(Lease { key, permit });
             owned.leaving |= grant.leaving;
-            adopt_all(owned, scheduler, grant, now);
+            for running in &grant.running {
+                adopt(owned, scheduler, running, now);
+            }
         }
+        state.apply(&grant.vm, now);
+        drop(state);
         self.pump();
     }
 
     fn renewed(&self, vm: &VmId, granted: &Granted, permit: Option<Permit>) {
         let now = self.inner.clock.now();
-        if let Some((owned, scheduler)) = self.state().owned(vm) {
+        let mut state = self.state();
+        if let Some((owned, scheduler)) = state.owned(vm) {
             if let Some(lease) = &mut owned.lease {
                 lease.permit = permit;
             }
             owned.leaving |= granted.leaving;
             let named = std::mem::take(&mut owned.forgetting);
             owned.forget.drain(..named);
-            reap(owned, scheduler, granted, now);
-            owned.apply(scheduler);
+            reap(owned, scheduler, granted);
         }
+        state.apply(vm, now);
+        drop(state);
         self.pump();
     }
 
@@ -56,14 +63,7 @@
     }
 }
 
-/// Counts what runs on the VM already, before anything new starts there.
-fn adopt_all(owned: &mut Owned, scheduler: &mut Scheduler, grant: &Grant, now: Millis) {
-    for running in &grant.running {
-        adopt(owned, scheduler, running, now);
-    }
-    owned.apply(scheduler);
-}
-
+/// Counts a task that runs on the VM already.
 fn adopt(owned: &mut Owned, scheduler: &mut Scheduler, running: &Running, now: Millis) {
     let Some(lease) = &owned.lease else {
         return;
@@ -82,7 +82,7 @@
 }
 
 /// Gives back the capacity of adopted tasks that no longer run.
-fn reap(owned: &mut Owned, scheduler: &mut Scheduler, granted: &Granted, now: Millis) {
+fn reap(owned: &mut Owned, scheduler: &mut Scheduler, granted: &Granted) {
     let runs = |task: &Task| {
         let mut seen = granted.tasks.iter().filter(|seen| seen.task == task.id);
         seen.any(|seen| seen.state == TaskState::Running)
@@ -90,7 +90,7 @@
     owned.tasks.retain(|task| {
         let stays = task.live || runs(task);
         if !stays && let Some(hold) = task.hold {
-            scheduler.finish(hold, now);
+            scheduler.release(hold);
         }
         stays
     });
--- a/crates/dotterel-entry/src/workers/slot.rs
+++ b/crates/dotterel-entry/src/workers/slot.rs
@@ -16,7 +16,18 @@
     task: TaskId,
     placement: Placement,
     begun: Begun,
-    forget: bool,
+    end: End,
+}
+
+/// How a task ended, as far as its VM is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It never started, or nothing is known of it.
+    Unused,
+    /// It ran to its end.
+    Ran,
+    /// It started and failed.
+    Failed,
 }
 
 impl Slot {
@@ -31,7 +42,7 @@
             task,
             placement,
             begun,
-            forget: false,
+            end: End::Unused,
         }
     }
 
@@ -71,15 +82,14 @@
         &self.begun.upstream
     }
 
-    /// Lets the VM forget the task, because its outcome is recorded.
-    pub const fn forget(&mut self) {
-        self.forget = true;
+    /// Says how the task ended, before the slot is dropped.
+    pub const fn ended(&mut self, end: End) {
+        self.end = end;
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.workers
-            .finish(&self.placement.id, self.task, self.forget);
+        self.workers.finish(&self.placement.id, self.task, self.end);
     }
 }
--- a/crates/dotterel-entry/src/workers/state.rs
+++ b/crates/dotterel-entry/src/workers/state.rs
@@ -2,21 +2,24 @@
 
 use std::sync::Arc;
 
-use dotterel_coord::Permit;
+use dotterel_coord::{Permit, SetAside, Standing};
 use dotterel_kernel::{
     HoldKey, Millis, Placement, Scheduler, Size, TaskId, VmId, VmKey, VmStatus, WaitKey,
 };
 use dotterel_platform::Upstream;
+use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
-use super::{Begun, Slot};
+use super::{Begun, End, Slot};
 
 /// The VMs, the queue and those who wait.
 pub(super) struct State {
     pub(super) scheduler: Scheduler,
     /// Sorted by name.
     vms: Vec<Owned>,
-    waiters: Vec<Waiter>,
+    waiters: SecondaryMap<WaitKey, Waiter>,
+    /// Which VMs fail what they start.
+    aside: SetAside,
 }
 
 /// A VM that this node owns or seeks.
@@ -47,17 +50,17 @@
 }
 
 struct Waiter {
-    key: WaitKey,
     task: TaskId,
     sender: oneshot::Sender<Slot>,
 }
 
 impl State {
-    pub(super) const fn new(scheduler: Scheduler) -> Self {
+    pub(super) fn new(scheduler: Scheduler) -> Self {
         Self {
             scheduler,
             vms: Vec::new(),
-            waiters: Vec::new(),
+            waiters: SecondaryMap::new(),
+            aside: SetAside::default(),
         }
     }
 
@@ -78,6 +81,7 @@
     }
 
     pub(super) fn remove(&mut self, vm: &VmId) {
+        self.aside.remove(vm);
         if let Ok(index) = self.position(vm)
             && let Some(lease) = self.vms.remove(index).lease
         {
@@ -90,27 +94,45 @@
         Some((&mut self.vms[index], &mut self.scheduler))
     }
 
-    pub(super) fn set_leaving(&mut self, vm: &VmId, leaving: bool) {
-        if let Some((owned, scheduler)) = self.owned(vm) {
-            owned.leaving = leaving;
-            owned.apply(scheduler);
+    /// Tells the scheduler whether a VM takes new work.
+    pub(super) fn apply(&mut self, vm: &VmId, now: Millis) {
+        let standing = self.aside.standing(vm, now);
+        let Some((owned, scheduler)) = self.owned(vm) else {
+            return;
+        };
+        let fit = match standing {
+            Standing::Normal => true,
+            Standing::Probe => owned.tasks.iter().all(|task| !task.live),
+            Standing::Aside(_) => false,
+        };
+        if let Some(lease) = &owned.lease {
+            let accepting = fit && lease.permit.is_some() && !owned.leaving;
+            scheduler.fleet_mut().set_accepting(lease.key, accepting);
         }
     }
 
     /// Notes a placed task; without a permit the capacity is given back.
-    pub(super) fn begin(&mut self, task: TaskId, placement: &Placement) -> Option<Begun> {
-        let begun = self.begun(placement);
-        if begun.is_none() {
-            self.scheduler.fleet_mut().release(placement.hold);
+    pub(super) fn begin(
+        &mut self,
+        task: TaskId,
+        placement: &Placement,
+        now: Millis,
+    ) -> Option<Begun> {
+        let Some(begun) = self.begun(placement) else {
+            self.scheduler.release(placement.hold);
             return None;
-        }
+        };
         let (owned, _) = self.owned(&placement.id)?;
         owned.tasks.push(Task {
             id: task,
             hold: Some(placement.hold),
             live: true,
         });
-        begun
+        if self.aside.standing(&placement.id, now) == Standing::Probe {
+            self.aside.probing(&placement.id, now);
+            self.apply(&placement.id, now);
+        }
+        Some(begun)
     }
 
     fn begun(&mut self, placement: &Placement) -> Option<Begun> {
@@ -124,29 +146,54 @@
         })
     }
 
-    pub(super) fn finish(&mut self, vm: &VmId, task: TaskId, forget: bool, now: Millis) {
+    pub(super) fn finish(&mut self, vm: &VmId, task: TaskId, end: End, now: Millis) {
         let Some((owned, scheduler)) = self.owned(vm) else {
             return;
         };
         let Some(index) = owned.tasks.iter().position(|known| known.id == task) else {
             return;
         };
-        let ended = owned.tasks.swap_remove(index);
-        if let Some(hold) = ended.hold {
-            scheduler.finish(hold, now);
+        let hold = owned.tasks.swap_remove(index).hold;
+        match (hold, end) {
+            (Some(hold), End::Ran) => drop(scheduler.finish(hold, now)),
+            (Some(hold), End::Unused | End::Failed) => drop(scheduler.release(hold)),
+            (None, _) => {}
+        }
+        self.judge(vm, end, now);
+    }
+
+    /// Sets a VM aside that fails far more than its peers.
+    fn judge(&mut self, vm: &VmId, end: End, now: Millis) {
+        if end == End::Unused {
+            return;
+        }
+        let before = self.aside.standing(vm, now);
+        let after = self.aside.ended(vm, end == End::Failed, now);
+        if before == after {
+            return;
         }
-        if forget {
+        match after {
+            Standing::Normal => log::info!(vm = vm.as_str(); "takes work again"),
+            Standing::Probe => {}
+            Standing::Aside(until) => {
+                log::warn!(vm = vm.as_str(), for_ms = (until - now).0; "set aside for failures");
+            }
+        }
+        self.apply(vm, now);
+    }
+
+    pub(super) fn forget(&mut self, vm: &VmId, task: TaskId) {
+        if let Some((owned, _)) = self.owned(vm) {
             owned.forget.push(task);
         }
     }
 
     pub(super) fn wait(&mut self, key: WaitKey, task: TaskId, sender: oneshot::Sender<Slot>) {
-        self.waiters.push(Waiter { key, task, sender });
+        self.waiters.insert(key, Waiter { task, sender });
     }
 
     pub(super) fn take_waiter(&mut self, key: WaitKey) -> Option<(TaskId, oneshot::Sender<Slot>)> {
-        let index = self.waiters.iter().position(|waiter| waiter.key == key)?;
-        let waiter = self.waiters.swap_remove(index);
+        let waiter = self.waiters.remove(key)?;
         Some((waiter.task, waiter.sender))
     }
 
@@ -198,13 +245,3 @@
         self.vms.binary_search_by(|owned| owned.id.cmp(vm))
     }
 }
-
-impl Owned {
-    /// Tells the scheduler whether the VM takes new work.
-    pub(super) fn apply(&self, scheduler: &mut Scheduler) {
-        if let Some(lease) = &self.lease {
-            let accepting = lease.permit.is_some() && !self.leaving;
-            scheduler.fleet_mut().set_accepting(lease.key, accepting);
-        }
-    }
-}
