--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -13,7 +13,7 @@
 
 use crate::messages::Messages;
 use crate::metrics::Metrics;
-use crate::ownership::Listed;
+use crate::ownership::{Connect, Listed};
 use crate::peers::Peers;
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
@@ -40,7 +40,9 @@
     /// The links to other nodes.
     pub mesh: Mesh<Messages>,
     /// What is known of other nodes.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
+    /// Makes the adapter of a listed VM.
+    pub connect: Connect,
     /// The platform's list as it was read last.
     pub listed: Listed,
     /// Tasks that other nodes forwarded to this one.
--- a/crates/dotterel-entry/src/messages.rs
+++ b/crates/dotterel-entry/src/messages.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterel_coord::Heartbeat;
+use dotterel_coord::claims::{Change, Verdict as ChangeVerdict};
 use dotterel_coord::feed::Passed;
 use dotterel_kernel::{
     Account, Attempt, Incarnation, Millis, Reason, Record, RequestId, Revision, Service, TaskId,
@@ -51,6 +52,8 @@
     Documents(Vec<(Service, Revision)>),
     /// A document was accepted; take it over if it is newer.
     Push(Passed),
+    /// Make a change of a claim durable.
+    Change(Change),
     /// Send your account.
     Account {
         /// One service, or all.
@@ -86,6 +89,8 @@
     NotMine,
     /// To [`Call::Documents`].
     Documents(Vec<Passed>),
+    /// To [`Call::Change`].
+    Changed(ChangeVerdict),
     /// To [`Call::Account`].
     Account(Account),
     /// To [`Call::Record`], if there is one.
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -25,7 +25,7 @@
 use crate::app::{App, Flag, Gate};
 use crate::metrics::Metrics;
 use crate::ownership::{self, Connect, Keepers, Listed};
-use crate::peers::{self, Peers};
+use crate::peers::{self, Peers, Writers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
 use crate::{Workers, front, quotas};
@@ -226,6 +226,11 @@
         spare: Size::ZERO,
         documents: Vec::new(),
     };
+    let peers = Arc::new(Peers::new(own, clock.now()));
+    let writers = Writers::new(mesh.clone(), peers.clone(), clock);
+    let claims = Claims::new(parts.table.clone(), clock, owner, claims::Config::default())
+        .with_peers(Arc::new(writers))
+        .with_store(parts.store.clone());
     let places = u32::try_from(settings.http.requests).unwrap_or(u32::MAX);
     Ok(App {
         clock,
@@ -240,9 +245,10 @@
             journal::Config::default(),
         ),
         reader: Reader::new(parts.store.clone()),
-        claims: Claims::new(parts.table.clone(), clock, owner, claims::Config::default()),
+        claims,
         mesh,
-        peers: Peers::new(own, clock.now()),
+        peers,
+        connect: parts.connect.clone(),
         listed: Listed::default(),
         recall: Recall::default(),
         bodies: Bodies::default(),
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -2,10 +2,11 @@
 
 mod beat;
 mod serve;
+mod writers;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use dotterel_coord::{Heard, Heartbeat, Members};
+use dotterel_coord::{Heard, Heartbeat, Members, rendezvous};
 use dotterel_kernel::{
     DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Revision, Service, Spill, VmId,
 };
@@ -15,6 +16,7 @@
 pub(crate) use beat::announce;
 pub use beat::beat;
 pub use serve::Server;
+pub use writers::Writers;
 
 /// How long a node may be silent before it counts as gone.
 pub const PATIENCE: Millis = Millis(2_500);
@@ -88,6 +90,17 @@
         self.state().members.heir(vm, dc, now).cloned()
     }
 
+    /// Returns the node that ranks highest for a key among all live ones; none for this node.
+    #[must_use]
+    pub fn first(&self, key: &str, now: Millis) -> Option<NodeId> {
+        let state = self.state();
+        let own = std::iter::once(state.members.own());
+        let live = own.chain(state.members.live_peers(now));
+        let staying = live.filter(|node| !node.stopping);
+        let first = rendezvous(key, staying, |node| node.node.as_str())?;
+        (first.node != state.members.own().node).then(|| first.node.clone())
+    }
+
     /// Returns the live nodes.
     #[must_use]
     pub fn live(&self, now: Millis) -> Vec<NodeId> {
@@ -96,6 +109,23 @@
         live.map(|peer| peer.node.clone()).collect()
     }
 
+    /// Returns true while a node is live in the life that work was sent to.
+    #[must_use]
+    pub fn alive(&self, target: &Target, now: Millis) -> bool {
+        let state = self.state();
+        let peer = state.members.peer(&target.node);
+        state.members.is_live(&target.node, now)
+            && peer.is_some_and(|peer| peer.heartbeat.incarnation == target.incarnation)
+    }
+
+    /// Returns the data centre of a node.
+    #[must_use]
+    pub fn data_centre(&self, node: &NodeId) -> Option<DataCentre> {
+        let state = self.state();
+        let peer = state.members.peer(node)?;
+        Some(peer.heartbeat.data_centre.clone())
+    }
+
     /// Returns true for nodes of this node's data centre, and for nodes not heard yet.
     #[must_use]
     pub fn near(&self, node: &NodeId) -> bool {
--- a/crates/dotterel-entry/src/peers/serve.rs
+++ b/crates/dotterel-entry/src/peers/serve.rs
@@ -39,6 +39,7 @@
                     .offer(&passed.service, passed.revision, &passed.text);
                 Reply::Heard
             }
+            Call::Change(change) => Reply::Changed(app.claims.serve(change).await),
             Call::Account { service, since } => {
                 Reply::Account(app.journal.account(service.as_ref(), since))
             }
--- a/crates/dotterel-entry/src/requests.rs
+++ b/crates/dotterel-entry/src/requests.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod forward;
 mod place;
+mod prove;
 mod recall;
 mod record;
 mod resolve;
--- a/crates/dotterel-entry/src/requests/claim.rs
+++ b/crates/dotterel-entry/src/requests/claim.rs
@@ -41,12 +41,20 @@
             State::Claimed => Err(Outcome::Earlier(entry)),
             State::Done(outcome) => Err(Outcome::Recorded {
                 request: entry.request,
-                outcome,
+                outcome: whole(app, outcome).await,
             }),
         },
     }
 }
 
+/// Returns the recorded outcome with its whole body, if that can be read.
+async fn whole(app: &App, outcome: RecordedOutcome) -> RecordedOutcome {
+    match app.claims.body(&outcome).await {
+        Ok(Some(body)) => RecordedOutcome::whole(outcome.status, outcome.content_type, body),
+        Ok(None) | Err(_) => outcome,
+    }
+}
+
 /// Records the outcome with the claim, or gives the key back when the request did not run.
 pub(super) async fn conclude(
     app: &App,
--- a/crates/dotterel-entry/src/requests/forward.rs
+++ b/crates/dotterel-entry/src/requests/forward.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use dotterel_kernel::{Millis, Reason, TaskId};
+use dotterel_kernel::{Millis, Reason, RequestId, TaskId};
 
-use super::Request;
+use super::{Request, prove};
 use crate::app::App;
 use crate::messages::{Call, Done, Reply, Submit, Verdict};
 use crate::peers::Target;
@@ -61,7 +61,7 @@
                 request:% = request.id, peer = target.node.as_str(), fault:% = fault;
                 "forward without an answer"
             );
-            inquire(app, target, task, now).await
+            inquire(app, request.id, target, task, now).await
         }
     }
 }
@@ -73,22 +73,26 @@
     }
 }
 
-/// Asks the node that got a task until it tells or has been silent for too long.
-async fn inquire(app: &App, target: &Target, task: TaskId, sent: Millis) -> Done {
+/// Asks the node that got a task, and the VMs once the node is silent.
+async fn inquire(
+    app: &App,
+    request: RequestId,
+    target: &Target,
+    task: TaskId,
+    sent: Millis,
+) -> Done {
     let mut heard = app.clock.now();
     while app.clock.now().since(heard) < SILENCE_LIMIT {
         match ask(app, target, task, sent).await {
             Asked::Done(done) if done.verdict != Verdict::Unknown => return done,
             Asked::Done(_) | Asked::NotMine => break,
             Asked::Pending => heard = app.clock.now(),
-            Asked::Silent => {}
+            Asked::Silent if app.peers.alive(target, app.clock.now()) => {}
+            Asked::Silent => break,
         }
         tokio::time::sleep(ASK_PERIOD.duration()).await;
     }
-    Done {
-        verdict: Verdict::Unknown,
-        attempt: None,
-    }
+    prove::prove(app, request, target, task).await
 }
 
 /// What another node says of a task.
--- a/crates/dotterel-entry/src/requests/resolve.rs
+++ b/crates/dotterel-entry/src/requests/resolve.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use dotterel_coord::claims::Claim;
-use dotterel_kernel::{Millis, Reason, TaskId, VmId};
+use dotterel_kernel::{Millis, Reason, RequestId, TaskId, VmId};
 
 use super::attempt::Doubt;
 use super::forward::{Asked, ask};
-use super::{Outcome, Request, serve, settle};
+use super::{Outcome, Request, prove, serve, settle};
 use crate::app::App;
 use crate::messages::Verdict;
 use crate::peers::Target;
@@ -21,9 +21,7 @@
 pub(super) async fn resolve(app: Arc<App>, request: Request, claim: Option<Claim>, doubt: Doubt) {
     let (verdict, vm) = match &doubt {
         Doubt::Here(slot) => (serve::search(&app, slot).await, slot.vm().clone()),
-        Doubt::There { target, task, sent } => {
-            (there(&app, target, *task, *sent).await, VmId::default())
-        }
+        Doubt::There { target, task, sent } => there(&app, request.id, target, *task, *sent).await,
     };
     let outcome = match verdict {
         Some(Verdict::Ran(answer)) => Outcome::Ran { answer, vm },
@@ -35,16 +33,34 @@
     settle(&app, &request, claim, &outcome).await;
 }
 
-async fn there(app: &App, target: &Target, task: TaskId, sent: Millis) -> Option<Verdict> {
+/// Asks the node that got the task, and the VMs once the node is silent.
+async fn there(
+    app: &App,
+    request: RequestId,
+    target: &Target,
+    task: TaskId,
+    sent: Millis,
+) -> (Option<Verdict>, VmId) {
     let mut heard = app.clock.now();
     while app.clock.now().since(heard) < SILENCE_LIMIT {
-        match ask(app, target, task, sent).await {
-            Asked::Done(done) => return Some(done.verdict),
-            Asked::NotMine => return None,
-            Asked::Pending => heard = app.clock.now(),
-            Asked::Silent => {}
+        let done = match ask(app, target, task, sent).await {
+            Asked::Done(done) => done,
+            Asked::Pending => {
+                heard = app.clock.now();
+                pause().await;
+                continue;
+            }
+            Asked::Silent | Asked::NotMine => prove::prove(app, request, target, task).await,
+        };
+        if done.verdict != Verdict::Unknown {
+            let vm = done.attempt.map(|attempt| attempt.vm);
+            return (Some(done.verdict), vm.unwrap_or_default());
         }
-        tokio::time::sleep(ASK_PERIOD.duration()).await;
+        pause().await;
     }
-    None
+    (None, VmId::default())
+}
+
+async fn pause() {
+    tokio::time::sleep(ASK_PERIOD.duration()).await;
 }
--- a/crates/dotterel-entry/tests/path/main.rs
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! Entry processes with a stand-in platform and workers, on loopback.
 
+mod death;
 mod documents;
 mod forward;
 mod input;
