Prove what callers are told: cut tasks, lost claims, silence, deadlines

Each check fails without its line (mutations on the path and recall tests, restored afterwards): - no question to the VM after a node's death: death test, 504 for 200; - no age limit for tasks not remembered: a forgotten task told as not-run; - a cut attempt not remembered: 503 not-run for 504 unknown; - no bar for a task asked for before it came: it began; - dispatch without a claim: reason deadline for claim-unavailable.

--- a/crates/dotterel-entry/src/requests.rs
+++ b/crates/dotterel-entry/src/requests.rs
@@ -29,7 +29,7 @@
 use tokio::sync::watch;
 
 pub use bodies::Bodies;
-pub use recall::Recall;
+pub use recall::{Recall, Recalled};
 pub(crate) use record::started;
 pub use serve::{recall, serve};
 
--- a/crates/dotterel-entry/tests/path/main.rs
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod death;
 mod documents;
+mod fate;
 mod forward;
 mod input;
 mod stop;
