--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod retry;
 
 pub use claims::{Claim, ClaimKey, ClaimOutcome, Claims, RecordedOutcome};
-pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
+pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, halt, launch, settle};
 pub use feed::{Accepted, Applied, Feed, Offered};
 pub use journal::{Journal, Reader, Segment};
 pub use keeper::{Batch, Holder, Keeper, Wish};
@@ -20,5 +20,5 @@
     WorkerLease,
 };
 pub use limit::{Adaptive, Outcome, SetAside, Standing};
-pub use membership::{Heard, Heartbeat, Leaving, Member, Members, rendezvous};
+pub use membership::{Heard, Heartbeat, Leaving, Member, Members, follow, rendezvous};
 pub use retry::Budget;
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -25,11 +25,11 @@
 use crate::app::{App, Flag, Gate};
 use crate::metrics::Metrics;
 use crate::ownership::{self, Connect, Keepers, Listed};
-use crate::peers::{self, Peers};
+use crate::peers::{self, Peers, Writers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
 use crate::traffic::Traffic;
-use crate::{Workers, front};
+use crate::{Workers, front, quotas};
 
 /// Retries that are allowed in ten seconds however few requests there are.
 const RETRY_FLOOR: u64 = 10;
@@ -137,6 +137,7 @@
             tokio::spawn(inbox.serve(Arc::new(peers::Server(app.clone())))),
             tokio::spawn(peers::beat(app.clone())),
             tokio::spawn(ownership::follow_list(app.clone(), parts.list)),
+            tokio::spawn(quotas::follow(app.clone())),
             tokio::spawn(follow_documents(app.clone())),
             tokio::spawn(ship(app.clone())),
         ];
@@ -178,7 +179,7 @@
         let until = self.app.clock.now() + grace;
         log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
         self.app.stopping.set(true);
-        peers::announce(&self.app);
+        peers::announce(&self.app, true);
         let handed = timeout(grace.duration(), self.keepers).await;
         if handed.is_err() {
             log::warn!("not all leases were handed over in time");
@@ -227,6 +228,11 @@
         spare: Size::ZERO,
         documents: Vec::new(),
     };
+    let peers = Arc::new(Peers::new(own, clock.now()));
+    let writers = Writers::new(mesh.clone(), peers.clone(), clock);
+    let claims = Claims::new(parts.table.clone(), clock, owner, claims::Config::default())
+        .with_peers(Arc::new(writers))
+        .with_store(parts.store.clone());
     let places = u32::try_from(settings.http.requests).unwrap_or(u32::MAX);
     Ok(App {
         clock,
@@ -241,9 +247,10 @@
             journal::Config::default(),
         ),
         reader: Reader::new(parts.store.clone()),
-        claims: Claims::new(parts.table.clone(), clock, owner, claims::Config::default()),
+        claims,
         mesh,
-        peers: Peers::new(own, clock.now()),
+        peers,
+        connect: parts.connect.clone(),
         listed: Listed::default(),
         recall: Recall::default(),
         bodies: Bodies::default(),
--- a/crates/dotterel-entry/tests/path/main.rs
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -1,6 +1,8 @@
 //! Entry processes with a stand-in platform and workers, on loopback.
 
+mod death;
 mod documents;
+mod fate;
 mod forward;
 mod input;
 mod stop;
