--- a/crates/dotterel-entry/tests/cut.rs
+++ b/crates/dotterel-entry/tests/cut.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterel_entry::{Node, Parts, Settings};
+use dotterel_entry::{Node, Parts, Settings, Traffic};
 use dotterel_kernel::{Clock, Fate, Record, Size, VmId};
 use dotterel_mesh::keys::Authority;
 use dotterel_platform::{ListedVm, Role, VmState};
@@ -57,6 +57,7 @@
         store: Arc::new(FakeStore::new(clock)),
         list: Arc::new(list),
         connect: Arc::new(move |_| Arc::new(handle.clone())),
+        traffic: Traffic::default(),
     };
     let node = Node::start(settings(), parts)
         .await
