--- /dev/null
+++ b/crates/dotterel-coord/src/jobs/engine.rs
@@ -0,0 +1,368 @@
+//! The part that owns shards and runs their jobs.
+
+mod effects;
+
+use std::sync::Arc;
+
+use dotterel_kernel::{Clock, JobId, Millis};
+use dotterel_platform::{Pressure, Table, Version};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+
+use super::host::JobHost;
+use super::job::Job;
+use super::ledger::{Flushed, Recorded, Shard};
+use super::place::Plan;
+use super::tenure::Tenure;
+use super::{Config, Jobs};
+use crate::jobs::record::Phase;
+use effects::Event;
+
+/// The most placements under way at once.
+const PLACEMENTS: usize = 64;
+
+/// The most orders that wait for an engine.
+const ORDERS: usize = 1024;
+
+/// Owns shards and runs their jobs until it is stopped.
+pub struct Engine {
+    table: Arc<dyn Table>,
+    clock: Clock,
+    jobs: Jobs,
+    config: Config,
+    host: Arc<dyn JobHost>,
+    tenure: Tenure,
+    shards: Vec<Shard>,
+    effects: JoinSet<Event>,
+    placements: usize,
+    /// Where the next round of placements begins, so that no job always comes last.
+    turn: usize,
+    next_beat: Millis,
+    next_survey: Millis,
+    orders: (mpsc::Sender<Order>, mpsc::Receiver<Order>),
+}
+
+/// Pressure on one task of a job.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    job: JobId,
+    index: u32,
+    pressure: Pressure,
+}
+
+/// Gives orders to a running [`Engine`].
+#[derive(Clone, Debug)]
+pub struct Commands(mpsc::Sender<Order>);
+
+impl Commands {
+    /// Throttles, restores or checkpoints a task; one that this engine does not run is left alone.
+    ///
+    /// A task that was checkpointed is placed again later and resumes.
+    pub async fn press(&self, job: JobId, index: u32, pressure: Pressure) {
+        let order = Order {
+            job,
+            index,
+            pressure,
+        };
+        if self.0.send(order).await.is_err() {
+            log::debug!(job:%; "pressure on a task of a stopped engine");
+        }
+    }
+}
+
+impl Engine {
+    pub(super) fn new(jobs: Jobs, host: Arc<dyn JobHost>) -> Self {
+        Self {
+            table: Arc::clone(&jobs.table),
+            clock: jobs.clock,
+            config: jobs.config,
+            host,
+            tenure: Tenure::new(jobs.owner.clone(), jobs.config.shards),
+            jobs,
+            shards: Vec::new(),
+            effects: JoinSet::new(),
+            placements: 0,
+            turn: 0,
+            next_beat: Millis::ZERO,
+            next_survey: Millis::ZERO,
+            orders: mpsc::channel(ORDERS),
+        }
+    }
+
+    /// Returns a way to give orders.
+    #[must_use]
+    pub fn commands(&self) -> Commands {
+        Commands(self.orders.0.clone())
+    }
+
+    /// Runs until `stop` turns true or its sender is gone, then gives the shards back.
+    ///
+    /// What runs on the VMs goes on; the next owners take it over.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let mut rounds = tokio::time::interval(self.config.round.duration());
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = rounds.tick() => self.round().await,
+                Some(Ok(event)) = self.effects.join_next() => self.apply(event),
+                Some(order) = self.orders.1.recv() => self.press(order),
+                _ = stop.wait_for(|stop| *stop) => break,
+            }
+        }
+        self.part().await;
+    }
+
+    async fn round(&mut self) {
+        let now = self.clock.now();
+        if now >= self.next_beat {
+            self.next_beat = now + self.config.beat();
+            self.claim(now).await;
+        }
+        self.intake().await;
+        self.judge();
+        self.place();
+        self.flush().await;
+        self.stop_doubts();
+        if now >= self.next_survey {
+            self.next_survey = now + self.config.survey;
+            self.survey();
+        }
+    }
+
+    /// Drops shards that another node has taken and takes those that are free.
+    async fn claim(&mut self, now: Millis) {
+        let table = Arc::clone(&self.table);
+        let read = self.tenure.read(&*table, &self.config, now).await;
+        let (versions, free) = match read {
+            Ok(found) => found,
+            Err(fault) => return log::warn!(fault:%; "leases of job shards not read"),
+        };
+        self.shards.retain(|shard| {
+            let kept = shard.in_force(versions[shard.index as usize]);
+            if !kept {
+                log::warn!(shard = shard.index; "job shard taken by another node");
+            }
+            kept
+        });
+        for free in free {
+            let owned = self.shards.iter().any(|shard| shard.index == free.shard);
+            if owned || !self.host.wants(free.shard) {
+                continue;
+            }
+            if let Some(version) = self.tenure.take(&*table, &self.config, free).await {
+                self.load(free.shard, version, now).await;
+            }
+        }
+    }
+
+    async fn load(&mut self, index: u32, lease: Version, now: Millis) {
+        match Shard::load(&*self.table, &self.config, index, lease, now).await {
+            Ok(shard) => {
+                log::info!(shard = index, jobs = shard.jobs.len(); "job shard taken");
+                self.shards.push(shard);
+            }
+            // The next beat finds this node as the holder and loads again.
+            Err(fault) => log::warn!(shard = index, fault:%; "job shard not read"),
+        }
+    }
+
+    async fn intake(&mut self) {
+        let now = self.clock.now();
+        let table = Arc::clone(&self.table);
+        let mut unused = Vec::new();
+        for shard in &mut self.shards {
+            let cancelled = match shard.intake(&*table, &self.config).await {
+                Ok(cancelled) => cancelled,
+                Err(fault) => {
+                    log::debug!(shard = shard.index, fault:%; "inbox of a job shard not read");
+                    // All shards are in the same table; the next round asks again.
+                    break;
+                }
+            };
+            for id in cancelled {
+                let plan = shard.job(id).and_then(|job| job.cancel(now));
+                unused.extend(plan);
+            }
+        }
+        self.release(unused);
+    }
+
+    fn judge(&mut self) {
+        for job in self.shards.iter_mut().flat_map(|shard| &mut shard.jobs) {
+            if matches!(job.phase, Phase::Active | Phase::Parked(_)) {
+                job.judge(self.host.runnable(&job.spec));
+            }
+        }
+    }
+
+    fn place(&mut self) {
+        let now = self.clock.now();
+        let count: usize = self.shards.iter().map(|shard| shard.jobs.len()).sum();
+        self.turn = (self.turn + 1) % count.max(1);
+        let turn = self.turn;
+        let jobs = || 0..count;
+        let order: Vec<usize> = jobs().skip(turn).chain(jobs().take(turn)).collect();
+        let mut all: Vec<&mut Job> = self.shards.iter_mut().flat_map(|s| &mut s.jobs).collect();
+        for index in order {
+            if self.placements >= PLACEMENTS {
+                break;
+            }
+            if let Some(need) = all[index].need(now, &self.config) {
+                self.placements += 1;
+                let host = Arc::clone(&self.host);
+                self.effects.spawn(effects::place(host, need));
+            }
+        }
+    }
+
+    async fn flush(&mut self) {
+        let table = Arc::clone(&self.table);
+        let mut kept = Vec::new();
+        // All shards are in the same table: when one write fails, the others wait for a round.
+        let mut down = false;
+        for mut shard in std::mem::take(&mut self.shards) {
+            let now = self.clock.now();
+            if down || !shard.dirty(now, &self.config) {
+                kept.push(shard);
+                continue;
+            }
+            let wanted = self.host.wants(shard.index);
+            let owner = wanted.then_some(&self.jobs.owner);
+            match shard.flush(&*table, &self.config, owner, now).await {
+                Flushed::Applied(recorded) => {
+                    self.recorded(&mut shard, recorded);
+                    kept.push(shard);
+                }
+                Flushed::Later => {
+                    down = true;
+                    kept.push(shard);
+                }
+                Flushed::Parted => log::info!(shard = shard.index; "job shard given back"),
+                Flushed::Deposed => log::warn!(shard = shard.index; "job shard lost"),
+            }
+        }
+        self.shards = kept;
+    }
+
+    /// Starts the attempts that are now durable.
+    fn recorded(&mut self, shard: &mut Shard, recorded: Vec<Recorded>) {
+        for Recorded {
+            job,
+            planned,
+            ended,
+        } in recorded
+        {
+            self.host.recorded(&ended);
+            let Some(entry) = shard.job(job) else {
+                continue;
+            };
+            if let Some((plan, starts)) = entry.committed(&planned) {
+                log::info!(job:%, tasks = starts.len(); "attempts recorded");
+                let host = Arc::clone(&self.host);
+                self.effects
+                    .spawn(effects::launch(host, job, plan.holds, starts));
+            }
+        }
+    }
+
+    fn stop_doubts(&mut self) {
+        for job in self.shards.iter_mut().flat_map(|shard| &mut shard.jobs) {
+            let doubts = job.take_doubts();
+            if !doubts.is_empty() {
+                let host = Arc::clone(&self.host);
+                self.effects.spawn(effects::stop(host, job.id, doubts));
+            }
+        }
+    }
+
+    fn survey(&mut self) {
+        let jobs = self.shards.iter().flat_map(|shard| &shard.jobs);
+        let running = jobs.flat_map(|job| {
+            let id = job.id;
+            job.running().map(move |(index, a)| (id, index, a.clone()))
+        });
+        let running: Vec<_> = running.collect();
+        if !running.is_empty() {
+            let host = Arc::clone(&self.host);
+            self.effects.spawn(effects::survey(host, running));
+        }
+    }
+
+    fn press(&mut self, order: Order) {
+        let job = self.shards.iter_mut().find_map(|s| s.job(order.job));
+        let Some(job) = job else {
+            return;
+        };
+        let attempt = match order.pressure {
+            Pressure::Checkpoint => job.checkpoint(order.index),
+            Pressure::Throttle | Pressure::Restore => {
+                let found = job.running().find(|entry| entry.0 == order.index);
+                found.map(|entry| entry.1.clone())
+            }
+        };
+        if let Some(attempt) = attempt {
+            let host = Arc::clone(&self.host);
+            self.effects
+                .spawn(effects::press(host, attempt, order.pressure));
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = self.clock.now();
+        let config = self.config;
+        match event {
+            Event::Placed(need, plan) => {
+                self.placements -= 1;
+                let unused = match self.job(need.job) {
+                    Some(job) => job.placed(&need, plan, now, &config),
+                    None => plan,
+                };
+                self.release(unused);
+            }
+            Event::Launched(id, outcomes) => {
+                for (index, task, outcome) in outcomes {
+                    self.change(id, |job| job.launched(index, task, &outcome, now, &config));
+                }
+            }
+            Event::Stood(found) => {
+                for (id, index, task, standing) in found {
+                    self.change(id, |job| job.stood(index, task, standing, now, &config));
+                }
+            }
+            Event::Done => {}
+        }
+    }
+
+    /// Changes a job and gives back what it no longer needs.
+    fn change(&mut self, id: JobId, change: impl FnOnce(&mut Job)) {
+        let now = self.clock.now();
+        let Some(job) = self.job(id) else {
+            return;
+        };
+        change(job);
+        let unused = job.unplan(now);
+        self.release(unused);
+    }
+
+    fn job(&mut self, id: JobId) -> Option<&mut Job> {
+        self.shards.iter_mut().find_map(|shard| shard.job(id))
+    }
+
+    fn release(&mut self, plans: impl IntoIterator<Item = Plan>) {
+        for plan in plans {
+            let host = Arc::clone(&self.host);
+            self.effects.spawn(effects::release(host, plan.holds));
+        }
+    }
+
+    /// Gives all shards back.
+    async fn part(&mut self) {
+        let table = Arc::clone(&self.table);
+        for shard in &mut self.shards {
+            let now = self.clock.now();
+            let parted = shard.flush(&*table, &self.config, None, now).await;
+            log::info!(shard = shard.index, parted:? = parted; "job shard given back");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-coord/src/jobs/host.rs
@@ -0,0 +1,164 @@
+//! What jobs need of the node that they are embedded in.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterel_kernel::{JobId, Millis, NodeId, Reason, Size, TaskId, VmId};
+use dotterel_platform::Pressure;
+use uuid::Uuid;
+
+use super::record::AttemptRecord;
+use super::spec::JobSpec;
+
+/// Identifies a hold, chosen by the one that asks for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HoldId(pub Uuid);
+
+/// A request to set capacity apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldAsk {
+    /// The hold; asking again under the same identifier returns the same hold.
+    pub id: HoldId,
+    /// The job.
+    pub job: JobId,
+    /// The most tasks to find room for.
+    pub count: u32,
+    /// What each task takes.
+    pub size: Size,
+    /// VMs that run tasks of the job already, to be used last, and likewise their racks.
+    pub avoid: Vec<VmId>,
+    /// How long the hold lasts unless it is committed.
+    pub ttl: Millis,
+}
+
+/// Capacity set apart by one owner of VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The VM for each task, at most as many as asked for, at least one.
+    pub vms: Vec<VmId>,
+}
+
+/// Why an owner of VMs holds nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoHold {
+    /// It has no room at present.
+    Full,
+    /// It could not be reached; a hold that it may have made lapses.
+    Unreachable,
+}
+
+/// A node as the owner of VMs.
+///
+/// Holds over several owners are taken in the order of their names, so that two gangs never wait
+/// for each other, and lapse by themselves when the asker dies.
+#[async_trait]
+pub trait GangOwner: Send + Sync {
+    /// Returns the node's name.
+    fn node(&self) -> &NodeId;
+
+    /// Sets capacity apart for up to `ask.count` tasks.
+    ///
+    /// # Errors
+    ///
+    /// Nothing is held, or lapses by itself.
+    async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold>;
+
+    /// Makes a hold last until its tasks have started and ended; false when it has lapsed.
+    async fn commit(&self, hold: HoldId) -> bool;
+
+    /// Gives a hold back; idempotent.
+    async fn release(&self, hold: HoldId);
+}
+
+/// A start of one task of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskStart {
+    /// The job.
+    pub job: JobId,
+    /// The task's number within the job.
+    pub index: u32,
+    /// The attempt.
+    pub attempt: AttemptRecord,
+    /// The hold that the start uses up.
+    pub hold: HoldId,
+    /// The service.
+    pub service: CompactString,
+    /// The class.
+    pub class: CompactString,
+    /// What the task takes.
+    pub size: Size,
+    /// How long its lease lasts.
+    pub task_ttl: Millis,
+    /// The longest it may run.
+    pub timeout: Millis,
+    /// What it is given.
+    pub body: Bytes,
+}
+
+/// The outcome of a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LaunchOutcome {
+    /// The VM runs the task.
+    Running,
+    /// The task did not start and never will under this attempt.
+    NotRun,
+    /// The task may run.
+    Unknown,
+}
+
+/// What is known of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It runs.
+    Running,
+    /// It ran to its end with this status.
+    Finished(u16),
+    /// It started and was stopped before its end.
+    Cut,
+    /// It never started and never will.
+    Barred,
+    /// The VM answered that it does not know the attempt, whose start may still arrive.
+    Unseen,
+    /// The VM does not answer.
+    Silent {
+        /// The latest time at which any node may have started the attempt or renewed its task
+        /// lease, or may do so yet; none when that cannot be told.
+        renewed: Option<Millis>,
+    },
+}
+
+/// The node that jobs are embedded in.
+///
+/// Every call returns in bounded time. The host renews the leases of the tasks that run.
+#[async_trait]
+pub trait JobHost: Send + Sync {
+    /// Returns true when this node should own the shard.
+    fn wants(&self, shard: u32) -> bool;
+
+    /// Tells whether the job could run if everything else stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can never run as things are.
+    fn runnable(&self, spec: &JobSpec) -> Result<(), Reason>;
+
+    /// Returns the owners of VMs that can be reached, in any order.
+    fn owners(&self) -> Vec<Arc<dyn GangOwner>>;
+
+    /// Starts a task at the attempt's VM.
+    async fn launch(&self, start: TaskStart) -> LaunchOutcome;
+
+    /// Tells what is known of attempts, in their order.
+    async fn survey(&self, attempts: &[AttemptRecord]) -> Vec<Standing>;
+
+    /// Stops an attempt or bars it from starting; never returns [`Standing::Unseen`].
+    async fn stop(&self, attempt: &AttemptRecord) -> Standing;
+
+    /// Throttles, restores or checkpoints a running attempt.
+    async fn press(&self, attempt: &AttemptRecord, pressure: Pressure);
+
+    /// Learns that the ends of these attempts are recorded, so that their VMs may forget them.
+    fn recorded(&self, tasks: &[TaskId]);
+}
--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod dispatch;
 pub mod feed;
+pub mod jobs;
 pub mod journal;
 pub mod keeper;
 pub mod lease;
@@ -13,6 +14,7 @@
 pub use claims::{Claim, ClaimKey, ClaimOutcome, Claims, RecordedOutcome};
 pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
 pub use feed::{Accepted, Applied, Feed, Offered};
+pub use jobs::Jobs;
 pub use journal::{Journal, Reader, Segment};
 pub use keeper::{Batch, Holder, Keeper, Wish};
 pub use lease::{
