--- a/crates/dotterel-coord/src/jobs/engine.rs
+++ b/crates/dotterel-coord/src/jobs/engine.rs
@@ -107,7 +107,7 @@
                 _ = rounds.tick() => self.round().await,
                 Some(Ok(event)) = self.effects.join_next() => self.apply(event),
                 Some(order) = self.orders.1.recv() => self.press(order),
-                _ = stop.wait_for(|stop| *stop) => break,
+                () = stopped(&mut stop) => break,
             }
         }
         self.part().await;
@@ -366,3 +366,9 @@
         }
     }
 }
+
+/// Waits until `stop` turns true or its sender is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // An error means that the sender is gone, which is an order to stop as well.
+    drop(stop.wait_for(|stop| *stop).await);
+}
--- a/crates/dotterel-coord/src/jobs/host.rs
+++ b/crates/dotterel-coord/src/jobs/host.rs
@@ -29,6 +29,8 @@
     pub size: Size,
     /// VMs that run tasks of the job already, to be used last, and likewise their racks.
     pub avoid: Vec<VmId>,
+    /// Whether each task must have a VM of its own, and none that is to be avoided.
+    pub apart: bool,
     /// How long the hold lasts unless it is committed.
     pub ttl: Millis,
 }
--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -144,6 +144,7 @@
             size: self.spec.size,
             avoid: self.vms(),
             whole,
+            spread: self.spec.kind == Kind::Service,
             ttl: config.hold,
         })
     }
--- a/crates/dotterel-coord/src/jobs/place.rs
+++ b/crates/dotterel-coord/src/jobs/place.rs
@@ -18,6 +18,8 @@
     pub(super) avoid: Vec<VmId>,
     /// All of the tasks or none.
     pub(super) whole: bool,
+    /// On as many VMs as possible.
+    pub(super) spread: bool,
     pub(super) ttl: Millis,
 }
 
@@ -38,19 +40,10 @@
 pub(super) async fn place(mut owners: Owners, need: &Need) -> Option<Plan> {
     owners.sort_by(|a, b| a.node().cmp(b.node()));
     let mut plan = Plan::default();
-    for owner in &owners {
-        let done = plan.spots.len();
-        let left = &need.indices[done..];
-        if left.is_empty() {
-            break;
-        }
-        let ask = ask(need, left.len(), &plan);
-        match owner.hold(&ask).await {
-            Ok(held) => plan.take(left, &held, ask.id, owner.node()),
-            // A hold whose answer was lost is given back rather than left to lapse.
-            Err(_) => owner.release(ask.id).await,
-        }
+    if need.spread {
+        hold(&owners, need, true, &mut plan).await;
     }
+    hold(&owners, need, false, &mut plan).await;
     let enough = match need.whole {
         true => plan.spots.len() == need.indices.len(),
         false => !plan.spots.is_empty(),
@@ -62,6 +55,22 @@
     None
 }
 
+/// Asks each owner once for what is not held yet.
+async fn hold(owners: &Owners, need: &Need, apart: bool, plan: &mut Plan) {
+    for owner in owners {
+        let left = &need.indices[plan.spots.len()..];
+        if left.is_empty() {
+            return;
+        }
+        let ask = ask(need, left.len(), apart, plan);
+        match owner.hold(&ask).await {
+            Ok(held) => plan.take(left, &held, ask.id, owner.node()),
+            // A hold whose answer was lost is given back rather than left to lapse.
+            Err(_) => owner.release(ask.id).await,
+        }
+    }
+}
+
 /// Makes all holds last; false when one has lapsed, after which all are given back.
 pub(super) async fn commit(owners: &Owners, holds: &[(HoldId, NodeId)]) -> bool {
     for (hold, node) in holds {
@@ -86,7 +95,7 @@
     }
 }
 
-fn ask(need: &Need, left: usize, plan: &Plan) -> HoldAsk {
+fn ask(need: &Need, left: usize, apart: bool, plan: &Plan) -> HoldAsk {
     let mut avoid = need.avoid.clone();
     avoid.extend(plan.spots.iter().map(|spot| spot.1.clone()));
     HoldAsk {
@@ -95,6 +104,7 @@
         count: u32::try_from(left).unwrap_or(u32::MAX),
         size: need.size,
         avoid,
+        apart,
         ttl: need.ttl,
     }
 }
--- /dev/null
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -0,0 +1,352 @@
+//! Workers, owners of VMs and nodes that run jobs, over one table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterel_coord::Jobs;
+use dotterel_coord::jobs::{
+    AttemptRecord, Cancelled, Commands, Config, GangOwner, JobHost, JobSpec, LaunchOutcome, Phase,
+    Progress, Standing, Submitted, TaskStart,
+};
+use dotterel_kernel::{Clock, Incarnation, JobId, Kind, Millis, Reason, Size, TaskId};
+use dotterel_platform::{
+    Owner, Pressure, Refusal, Start, Started, StopAnswer, TaskState, Upstream,
+};
+use dotterel_standin::witness::{self, Run};
+use dotterel_standin::{FakeTable, FakeWorker};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::owner::VmOwner;
+
+const DAY: Millis = Millis::secs(86_400);
+const CALL: Duration = Duration::from_millis(500);
+pub(crate) const TASK_TTL: Millis = Millis(10_000);
+
+pub(crate) const CONFIG: Config = Config {
+    shards: 2,
+    round: Millis(200),
+    ttl: Millis(6_000),
+    call: Millis(1_000),
+    hold: Millis(5_000),
+    backoff: Millis(1_000),
+    survey: Millis(1_000),
+    margin: Millis(1_000),
+    batch: 64,
+};
+
+/// Everything that a test of jobs needs.
+pub(crate) struct Cluster {
+    pub(crate) clock: Clock,
+    pub(crate) table: FakeTable,
+    pub(crate) workers: Vec<FakeWorker>,
+    owners: Vec<Arc<VmOwner>>,
+    pub(crate) nodes: Vec<Node>,
+}
+
+/// A node that runs jobs.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) jobs: Jobs,
+    pub(crate) commands: Commands,
+    pub(crate) launches: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    engine: JoinHandle<()>,
+}
+
+/// The host of one node; it reaches all owners of VMs.
+struct Host {
+    owners: Vec<Arc<VmOwner>>,
+    largest: Size,
+    /// Starts wait while this is false, as those of a paused node do.
+    launches: watch::Receiver<bool>,
+}
+
+pub(crate) fn slots(count: u32) -> Size {
+    Size {
+        slots: count,
+        ..Size::ZERO
+    }
+}
+
+impl Cluster {
+    /// Starts two owners of VMs that share the workers.
+    pub(crate) fn new(workers: u32, size: u32) -> Self {
+        let clock = Clock::starting_at(DAY);
+        let workers: Vec<_> = (1..=workers)
+            .map(|n| FakeWorker::new(format!("w{n}").as_str().into(), slots(size), clock))
+            .collect();
+        let (left, right) = workers.split_at(workers.len().div_ceil(2));
+        let owners = vec![
+            VmOwner::new("x", clock, left),
+            VmOwner::new("y", clock, right),
+        ];
+        Self {
+            clock,
+            table: FakeTable::new(clock),
+            workers,
+            owners,
+            nodes: Vec::new(),
+        }
+    }
+
+    pub(crate) fn start_node(&mut self, name: &str, incarnation: u64) {
+        let owner = Owner {
+            node: name.into(),
+            incarnation: Incarnation(incarnation),
+        };
+        let jobs = Jobs::new(Arc::new(self.table.of(name)), self.clock, owner, CONFIG);
+        let (launches, allowed) = watch::channel(true);
+        let host = Host {
+            owners: self.owners.clone(),
+            largest: self.workers[0].capacity(),
+            launches: allowed,
+        };
+        let engine = jobs.engine(Arc::new(host));
+        let (stop, stopped) = watch::channel(false);
+        self.nodes.push(Node {
+            name: name.to_owned(),
+            jobs,
+            commands: engine.commands(),
+            launches,
+            stop,
+            engine: tokio::spawn(engine.run(stopped)),
+        });
+    }
+
+    pub(crate) fn node(&self, name: &str) -> &Node {
+        let found = self.nodes.iter().find(|node| node.name == name);
+        found.expect("the node was started")
+    }
+
+    pub(crate) fn kill(&mut self, name: &str) {
+        self.node(name).engine.abort();
+        self.nodes.retain(|node| node.name != name);
+    }
+
+    pub(crate) fn stop_node(&self, name: &str) {
+        self.node(name).stop.send_replace(true);
+    }
+
+    /// Cuts a node off from the table, or lets it back.
+    pub(crate) fn cut_table(&self, name: &str, cut: bool) {
+        self.table.set_faults(|faults| {
+            faults.cut.retain(|other| other != name);
+            if cut {
+                faults.cut.push(name.into());
+            }
+        });
+    }
+
+    /// Submits a job through some node until it is accepted.
+    pub(crate) async fn submit(&self, spec: &JobSpec) -> JobId {
+        let through = &self.nodes.last().expect("a node was started").jobs;
+        let deadline = self.clock.now() + Millis::secs(5);
+        match through.submit(spec, deadline).await {
+            Submitted::Accepted(job) => job,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub(crate) async fn cancel(&self, jobs: &[JobId]) -> Cancelled {
+        let through = &self.nodes.last().expect("a node was started").jobs;
+        through
+            .cancel(jobs, self.clock.now() + Millis::secs(5))
+            .await
+    }
+
+    pub(crate) async fn progress(&self, job: JobId) -> Option<Progress> {
+        let owner = Owner {
+            node: "reader".into(),
+            incarnation: Incarnation(1),
+        };
+        let reader = Jobs::new(Arc::new(self.table.clone()), self.clock, owner, CONFIG);
+        reader.progress(job).await.ok().flatten()
+    }
+
+    pub(crate) async fn phase(&self, job: JobId) -> Option<Phase> {
+        self.progress(job).await.map(|progress| progress.phase)
+    }
+
+    /// Waits in the cluster's time until the condition holds.
+    pub(crate) async fn until(&self, what: &str, seconds: u64, holds: impl AsyncFn() -> bool) {
+        for _ in 0..seconds * 10 {
+            if holds().await {
+                return;
+            }
+            pass(Millis(100)).await;
+        }
+        panic!("{what}: not within {seconds} s; runs: {:#?}", self.runs());
+    }
+
+    pub(crate) async fn until_phase(&self, job: JobId, phase: Phase, seconds: u64) {
+        let holds = async || self.phase(job).await == Some(phase);
+        self.until(&format!("phase {phase:?}"), seconds, holds)
+            .await;
+    }
+
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        witness::runs(&self.workers)
+    }
+
+    pub(crate) fn running(&self, job: JobId) -> Vec<Run> {
+        let mut runs = witness::runs_of_job(&self.workers, job);
+        runs.retain(|run| run.end.is_none());
+        runs
+    }
+
+    /// Checks what must always hold.
+    pub(crate) fn judge(&self) {
+        assert_eq!(witness::two_places(&self.workers), []);
+        assert_eq!(witness::over_capacity(&self.workers), []);
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for node in &self.nodes {
+            node.engine.abort();
+        }
+    }
+}
+
+pub(crate) async fn pass(span: Millis) {
+    tokio::time::sleep(span.duration()).await;
+}
+
+/// Returns a job of this kind whose tasks run for so long.
+pub(crate) fn spec(kind: Kind, tasks: u32, run: Millis) -> JobSpec {
+    JobSpec {
+        service: "quotes".into(),
+        class: "roof".into(),
+        kind,
+        tasks,
+        size: slots(1),
+        repeatable: true,
+        tries: 3,
+        task_ttl: TASK_TTL,
+        timeout: Millis::secs(36_000),
+        body: Bytes::from(run.0.to_string()),
+    }
+}
+
+impl Host {
+    fn owner(&self, attempt: &AttemptRecord) -> (&VmOwner, &FakeWorker) {
+        let found = self.owners.iter().find_map(|owner| {
+            let worker = owner.worker(&attempt.vm)?;
+            Some((&**owner, worker))
+        });
+        found.expect("every VM has an owner")
+    }
+
+    fn silent(&self, attempt: &AttemptRecord) -> Standing {
+        let renewed = self.owner(attempt).0.give_up(attempt.task);
+        Standing::Silent { renewed }
+    }
+
+    fn over(&self, attempt: &AttemptRecord, standing: Standing) -> Standing {
+        self.owner(attempt).0.end(attempt.task);
+        standing
+    }
+}
+
+#[async_trait]
+impl JobHost for Host {
+    fn wants(&self, _: u32) -> bool {
+        true
+    }
+
+    fn runnable(&self, spec: &JobSpec) -> Result<(), Reason> {
+        match spec.size.fits(&self.largest) {
+            true => Ok(()),
+            false => Err(Reason::TooLarge),
+        }
+    }
+
+    fn owners(&self) -> Vec<Arc<dyn GangOwner>> {
+        let owners = self.owners.iter().cloned();
+        owners.map(|owner| owner as Arc<dyn GangOwner>).collect()
+    }
+
+    async fn launch(&self, start: TaskStart) -> LaunchOutcome {
+        let mut launches = self.launches.clone();
+        if launches.wait_for(|allowed| *allowed).await.is_err() {
+            return LaunchOutcome::Unknown;
+        }
+        let (owner, worker) = self.owner(&start.attempt);
+        let task = start.attempt.task;
+        let Some(epoch) = owner.begin(&start.attempt.vm, start.hold, task) else {
+            return LaunchOutcome::NotRun;
+        };
+        let run_ms = String::from_utf8_lossy(&start.body);
+        let body = format!("{{\"run_ms\":{run_ms},\"index\":{}}}", start.index);
+        let start = Start {
+            epoch,
+            task,
+            request: None,
+            job: Some(start.job),
+            service: start.service,
+            class: start.class,
+            size: start.size,
+            task_ttl: start.task_ttl,
+            timeout: start.timeout,
+        };
+        let call = worker.launch(&start, body.into());
+        match tokio::time::timeout(CALL, call).await {
+            Ok(Ok(Started::Accepted)) => LaunchOutcome::Running,
+            Ok(Ok(Started::Refused(Refusal::Seen))) => LaunchOutcome::Unknown,
+            Ok(Ok(Started::Refused(_))) => {
+                owner.end(task);
+                LaunchOutcome::NotRun
+            }
+            Ok(Err(fault)) if fault.without_effect() => {
+                owner.end(task);
+                LaunchOutcome::NotRun
+            }
+            _ => LaunchOutcome::Unknown,
+        }
+    }
+
+    async fn survey(&self, attempts: &[AttemptRecord]) -> Vec<Standing> {
+        let mut standings = Vec::new();
+        for attempt in attempts {
+            let call = self.owner(attempt).1.state(attempt.task);
+            let standing = match tokio::time::timeout(CALL, call).await {
+                Ok(Ok(TaskState::Running)) => Standing::Running,
+                Ok(Ok(TaskState::Unseen)) => Standing::Unseen,
+                Ok(Ok(TaskState::Finished(a))) => self.over(attempt, Standing::Finished(a.status)),
+                Ok(Ok(TaskState::Cut)) => self.over(attempt, Standing::Cut),
+                Ok(Ok(TaskState::Barred)) => self.over(attempt, Standing::Barred),
+                _ => self.silent(attempt),
+            };
+            standings.push(standing);
+        }
+        standings
+    }
+
+    async fn stop(&self, attempt: &AttemptRecord) -> Standing {
+        let call = self.owner(attempt).1.stop(attempt.task);
+        match tokio::time::timeout(CALL, call).await {
+            Ok(Ok(StopAnswer::Finished(answer))) => {
+                self.over(attempt, Standing::Finished(answer.status))
+            }
+            Ok(Ok(StopAnswer::Cut)) => self.over(attempt, Standing::Cut),
+            Ok(Ok(StopAnswer::Barred)) => self.over(attempt, Standing::Barred),
+            _ => self.silent(attempt),
+        }
+    }
+
+    async fn press(&self, attempt: &AttemptRecord, pressure: Pressure) {
+        let (owner, worker) = self.owner(attempt);
+        let epoch = worker.witness().last().map(|seen| seen.epoch);
+        let _ = owner;
+        if let Some(epoch) = epoch {
+            let call = worker.press(epoch, attempt.task, pressure);
+            let _ = tokio::time::timeout(CALL, call).await;
+        }
+    }
+
+    fn recorded(&self, _: &[TaskId]) {}
+}
--- /dev/null
+++ b/crates/dotterel-coord/tests/jobs/owner.rs
@@ -0,0 +1,235 @@
+//! A node that owns VMs: it keeps their worker leases and renews the tasks on them.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use async_trait::async_trait;
+use dotterel_coord::jobs::{GangOwner, Held, HoldAsk, HoldId, NoHold};
+use dotterel_kernel::{Clock, Epoch, Incarnation, Millis, NodeId, Size, TaskId, VmId};
+use dotterel_platform::{Acquire, LeaseAnswer, Owner, Renew, Renewed, Upstream};
+use dotterel_standin::FakeWorker;
+
+const TTL: Millis = Millis(3_000);
+const TASK_TTL: Millis = Millis(10_000);
+const PERIOD: Millis = Millis(1_000);
+const CALL: Millis = Millis(500);
+
+/// Capacity in use or set apart on a VM.
+#[derive(Debug)]
+struct Place {
+    vm: VmId,
+    hold: HoldId,
+    size: Size,
+    /// None once committed.
+    until: Option<Millis>,
+    task: Option<TaskId>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    places: Vec<Place>,
+    epochs: Vec<(VmId, Epoch)>,
+    /// When a task was last started or renewed, or may have been.
+    renewed: Vec<(TaskId, Millis)>,
+    /// Tasks that are never started or renewed again.
+    given_up: Vec<TaskId>,
+}
+
+/// An owner of VMs that never dies, so that tests concern the owners of jobs alone.
+#[derive(Debug)]
+pub(crate) struct VmOwner {
+    node: NodeId,
+    clock: Clock,
+    workers: Vec<FakeWorker>,
+    state: Mutex<State>,
+}
+
+impl VmOwner {
+    pub(crate) fn new(node: &str, clock: Clock, workers: &[FakeWorker]) -> Arc<Self> {
+        let owner = Arc::new(Self {
+            node: node.into(),
+            clock,
+            workers: workers.iter().map(|worker| worker.of(node)).collect(),
+            state: Mutex::default(),
+        });
+        tokio::spawn(Arc::clone(&owner).keep());
+        owner
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Returns the way to a VM, if this node owns it.
+    pub(crate) fn worker(&self, vm: &VmId) -> Option<&FakeWorker> {
+        self.workers.iter().find(|worker| worker.vm() == *vm)
+    }
+
+    /// Returns the epoch to start a task under, and counts the start as one that may happen.
+    pub(crate) fn begin(&self, vm: &VmId, hold: HoldId, task: TaskId) -> Option<Epoch> {
+        let mut state = self.state();
+        if state.given_up.contains(&task) {
+            return None;
+        }
+        let free = |p: &&mut Place| p.vm == *vm && p.hold == hold && p.task.is_none();
+        state.places.iter_mut().find(free)?.task = Some(task);
+        state.renewed.push((task, self.clock.now()));
+        let found = state.epochs.iter().find(|entry| entry.0 == *vm);
+        found.map(|entry| entry.1)
+    }
+
+    /// Frees what a task took, once it is known to be over.
+    pub(crate) fn end(&self, task: TaskId) {
+        self.state().places.retain(|place| place.task != Some(task));
+    }
+
+    /// Never starts or renews a task again; returns when that may have happened last.
+    pub(crate) fn give_up(&self, task: TaskId) -> Option<Millis> {
+        let mut state = self.state();
+        state.given_up.push(task);
+        let entry = state.renewed.iter().find(|entry| entry.0 == task);
+        Some(entry.map_or(Millis::ZERO, |entry| entry.1))
+    }
+
+    async fn keep(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(PERIOD.duration());
+        loop {
+            ticks.tick().await;
+            for worker in &self.workers {
+                self.renew(worker).await;
+            }
+        }
+    }
+
+    async fn renew(&self, worker: &FakeWorker) {
+        let Some(epoch) = self.epoch(worker).await else {
+            return;
+        };
+        let renewal = self.renewal(&worker.vm(), epoch);
+        let call = worker.renew(&renewal);
+        let answer = tokio::time::timeout(CALL.duration(), call).await;
+        if let Ok(Ok(Renewed::Lost { .. })) = answer {
+            self.state().epochs.retain(|entry| entry.1 != epoch);
+        }
+    }
+
+    /// Names the tasks on a VM and counts them as renewed.
+    fn renewal(&self, vm: &VmId, epoch: Epoch) -> Renew {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let State {
+            places,
+            renewed,
+            given_up,
+            ..
+        } = &mut *state;
+        let here = places.iter().filter(|place| place.vm == *vm);
+        let tasks: Vec<_> = here
+            .filter_map(|place| place.task)
+            .filter(|task| !given_up.contains(task))
+            .collect();
+        for entry in renewed.iter_mut().filter(|e| tasks.contains(&e.0)) {
+            entry.1 = now;
+        }
+        Renew {
+            epoch,
+            ttl: TTL,
+            tasks,
+            task_ttl: TASK_TTL,
+            forget: Vec::new(),
+        }
+    }
+
+    async fn epoch(&self, worker: &FakeWorker) -> Option<Epoch> {
+        let vm = worker.vm();
+        let known = self.state().epochs.iter().find(|e| e.0 == vm).map(|e| e.1);
+        if known.is_some() {
+            return known;
+        }
+        let ask = Acquire {
+            owner: Owner {
+                node: self.node.clone(),
+                incarnation: Incarnation(1),
+            },
+            ttl: TTL,
+        };
+        match tokio::time::timeout(CALL.duration(), worker.acquire(&ask)).await {
+            Ok(Ok(LeaseAnswer::Granted(grant))) => {
+                self.state().epochs.push((vm, grant.epoch));
+                Some(grant.epoch)
+            }
+            _ => None,
+        }
+    }
+
+    fn room(&self, state: &State, worker: &FakeWorker) -> Size {
+        let vm = worker.vm();
+        let here = state.places.iter().filter(|place| place.vm == vm);
+        let used = here.fold(Size::ZERO, |sum, place| sum.plus(&place.size));
+        worker.capacity().minus(&used)
+    }
+
+    /// Returns the VM with the fewest tasks of the asker that has room.
+    fn choose(&self, state: &State, ask: &HoldAsk, taken: &[VmId]) -> Option<VmId> {
+        let fits = |worker: &&FakeWorker| ask.size.fits(&self.room(state, worker));
+        let count = |worker: &&FakeWorker| {
+            let vm = worker.vm();
+            ask.avoid.iter().chain(taken).filter(|v| **v == vm).count()
+        };
+        let apart = |worker: &&FakeWorker| !ask.apart || count(worker) == 0;
+        let workers = self.workers.iter().filter(fits).filter(apart);
+        let best = workers.min_by_key(count);
+        best.map(FakeWorker::vm)
+    }
+}
+
+#[async_trait]
+impl GangOwner for VmOwner {
+    fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        state
+            .places
+            .retain(|place| place.until.is_none_or(|until| now < until));
+        let mut vms = Vec::new();
+        while vms.len() < ask.count as usize
+            && let Some(vm) = self.choose(&state, ask, &vms)
+        {
+            state.places.push(Place {
+                vm: vm.clone(),
+                hold: ask.id,
+                size: ask.size,
+                until: Some(now + ask.ttl),
+                task: None,
+            });
+            vms.push(vm);
+        }
+        match vms.is_empty() {
+            true => Err(NoHold::Full),
+            false => Ok(Held { vms }),
+        }
+    }
+
+    async fn commit(&self, hold: HoldId) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let mut held = false;
+        for place in state.places.iter_mut().filter(|place| place.hold == hold) {
+            if place.until.is_some_and(|until| now >= until) {
+                return false;
+            }
+            place.until = None;
+            held = true;
+        }
+        held
+    }
+
+    async fn release(&self, hold: HoldId) {
+        self.state()
+            .places
+            .retain(|place| place.hold != hold || place.task.is_some());
+    }
+}
--- /dev/null
+++ b/crates/dotterel-coord/tests/jobs/scenarios.rs
@@ -0,0 +1,261 @@
+//! The steps of `features/jobs.feature`.
+
+use cucumber::writer::Stats as _;
+use cucumber::{World as _, given, then, when};
+use dotterel_coord::jobs::{Cancelled, Phase};
+use dotterel_kernel::{JobId, Kind, Millis, Reason};
+use dotterel_platform::Pressure;
+use dotterel_standin::witness::{self, RunEnd};
+use dotterel_standin::{CutCause, EVERYONE};
+
+use crate::cluster::{Cluster, pass, slots, spec};
+
+#[derive(Default, cucumber::World)]
+struct World {
+    cluster: Option<Cluster>,
+    jobs: Vec<JobId>,
+}
+
+impl std::fmt::Debug for World {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("World").field("jobs", &self.jobs).finish()
+    }
+}
+
+impl World {
+    fn cluster(&mut self) -> &mut Cluster {
+        self.cluster.as_mut().expect("the workers come first")
+    }
+
+    fn job(&self) -> JobId {
+        *self.jobs.last().expect("a job was submitted")
+    }
+
+    async fn submit(&mut self, kind: Kind, tasks: u32, run: Millis) {
+        let job = self.cluster().submit(&spec(kind, tasks, run)).await;
+        self.jobs.push(job);
+    }
+
+    async fn until(&mut self, phase: Phase, seconds: u64) {
+        let job = self.job();
+        self.cluster().until_phase(job, phase, seconds).await;
+        self.cluster().judge();
+    }
+
+    fn runs(&mut self) -> Vec<witness::Run> {
+        let job = self.job();
+        witness::runs_of_job(&self.cluster().workers, job)
+    }
+}
+
+#[given(expr = "{int} workers of {int} slots")]
+async fn workers(world: &mut World, count: u32, size: u32) {
+    world.cluster = Some(Cluster::new(count, size));
+    // The owners of the VMs acquire the worker leases first.
+    pass(Millis(100)).await;
+}
+
+#[given(expr = "node {word}")]
+#[when(expr = "node {word} starts")]
+async fn node(world: &mut World, name: String) {
+    world.cluster().start_node(&name, 1);
+}
+
+#[given(expr = "the starts of node {word} are held up")]
+async fn hold_starts(world: &mut World, name: String) {
+    world.cluster().node(&name).launches.send_replace(false);
+}
+
+#[when(expr = "the starts of node {word} go on")]
+async fn release_starts(world: &mut World, name: String) {
+    world.cluster().node(&name).launches.send_replace(true);
+}
+
+#[when(expr = "a batch of {int} tasks of {int} ms is submitted")]
+async fn batch(world: &mut World, tasks: u32, run: u64) {
+    world.submit(Kind::Batch, tasks, Millis(run)).await;
+}
+
+#[when(expr = "an unrepeatable batch of {int} tasks of {int} ms is submitted")]
+async fn unrepeatable(world: &mut World, tasks: u32, run: u64) {
+    let mut spec = spec(Kind::Batch, tasks, Millis(run));
+    spec.repeatable = false;
+    let job = world.cluster().submit(&spec).await;
+    world.jobs.push(job);
+}
+
+#[when(expr = "a batch of {int} tasks of {int} ms and {int} slots is submitted")]
+async fn large(world: &mut World, tasks: u32, run: u64, size: u32) {
+    let mut spec = spec(Kind::Batch, tasks, Millis(run));
+    spec.size = slots(size);
+    let job = world.cluster().submit(&spec).await;
+    world.jobs.push(job);
+}
+
+#[when(expr = "a gang of {int} tasks of {int} ms is submitted")]
+async fn gang(world: &mut World, tasks: u32, run: u64) {
+    world.submit(Kind::Gang, tasks, Millis(run)).await;
+}
+
+#[when(expr = "a service of {int} tasks is submitted")]
+async fn service(world: &mut World, tasks: u32) {
+    world.submit(Kind::Service, tasks, Millis::MAX).await;
+}
+
+#[when(expr = "{int} services of {int} task are submitted")]
+async fn services(world: &mut World, count: u32, tasks: u32) {
+    for _ in 0..count {
+        world.submit(Kind::Service, tasks, Millis::MAX).await;
+    }
+}
+
+#[when(expr = "{int} ms pass")]
+async fn time_passes(world: &mut World, span: u64) {
+    pass(Millis(span)).await;
+    world.cluster().judge();
+}
+
+#[when(expr = "node {word} dies")]
+async fn kill(world: &mut World, name: String) {
+    world.cluster().kill(&name);
+}
+
+#[when(expr = "node {word} stops")]
+async fn stop(world: &mut World, name: String) {
+    world.cluster().stop_node(&name);
+}
+
+#[when(expr = "node {word} is cut off from the table")]
+async fn cut(world: &mut World, name: String) {
+    world.cluster().cut_table(&name, true);
+}
+
+#[when(expr = "the table is down for {int} ms")]
+async fn table_down(world: &mut World, span: u64) {
+    let until = world.cluster().clock.now() + Millis(span);
+    let table = &world.cluster().table;
+    table.set_faults(|faults| faults.down_until = until);
+}
+
+#[when(expr = "the table loses {int} answers")]
+async fn table_loses(world: &mut World, count: u32) {
+    let table = &world.cluster().table;
+    table.set_faults(|faults| faults.lose_answers = count);
+}
+
+#[when("the worker of the job goes silent")]
+async fn worker_silent(world: &mut World) {
+    let vm = world.runs()[0].vm.clone();
+    let workers = &world.cluster().workers;
+    let worker = workers.iter().find(|worker| worker.vm() == vm);
+    let worker = worker.expect("the run was on a worker");
+    worker.set_faults(|faults| faults.silent.push(EVERYONE.into()));
+}
+
+#[when(expr = "worker {int} restarts")]
+async fn worker_restarts(world: &mut World, number: usize) {
+    world.cluster().workers[number - 1].restart();
+}
+
+#[when(expr = "task {int} of the job is checkpointed")]
+async fn checkpoint(world: &mut World, index: u32) {
+    let job = world.job();
+    for node in &world.cluster().nodes {
+        node.commands.press(job, index, Pressure::Checkpoint).await;
+    }
+}
+
+#[when(expr = "all jobs are cancelled while the table loses {int} answers")]
+async fn cancel(world: &mut World, count: u32) {
+    let jobs = world.jobs.clone();
+    let cluster = world.cluster();
+    cluster
+        .table
+        .set_faults(|faults| faults.lose_answers = count);
+    assert_eq!(cluster.cancel(&jobs).await, Cancelled::Durable);
+}
+
+#[then(expr = "the job is finished within {int} s")]
+async fn finished(world: &mut World, seconds: u64) {
+    world.until(Phase::Finished, seconds).await;
+}
+
+#[then(expr = "the job is failed within {int} s")]
+async fn failed(world: &mut World, seconds: u64) {
+    world.until(Phase::Failed, seconds).await;
+}
+
+#[then("the job is parked")]
+async fn parked(world: &mut World) {
+    world.until(Phase::Parked(Reason::TooLarge), 5).await;
+}
+
+#[then(expr = "all jobs are cancelled within {int} s")]
+async fn cancelled(world: &mut World, seconds: u64) {
+    for job in world.jobs.clone() {
+        let cluster = world.cluster();
+        cluster.until_phase(job, Phase::Cancelled, seconds).await;
+    }
+    world.cluster().judge();
+}
+
+#[then("nothing runs")]
+async fn nothing_runs(world: &mut World) {
+    let runs = world.cluster().runs();
+    assert!(runs.iter().all(|run| run.end.is_some()), "{runs:#?}");
+}
+
+#[then("every task ran once")]
+async fn ran_once(world: &mut World) {
+    let job = world.job();
+    let progress = world.cluster().progress(job).await;
+    let mut indices: Vec<_> = world.runs().iter().filter_map(|r| r.info.index).collect();
+    indices.sort_unstable();
+    let tasks = match progress {
+        Some(progress) => progress.tasks.len(),
+        // The table is down.
+        None => indices.len().max(1),
+    };
+    let all: Vec<_> = (0..u32::try_from(tasks).expect("few tasks")).collect();
+    assert_eq!(indices, all, "{:#?}", world.runs());
+}
+
+#[then(expr = "the job has {int} run(s)")]
+async fn has_runs(world: &mut World, count: usize) {
+    let runs = world.runs();
+    assert_eq!(runs.len(), count, "{runs:#?}");
+}
+
+#[then("the first run was cut because it lapsed")]
+async fn lapsed(world: &mut World) {
+    let end = world.runs()[0].end.expect("the first run is over");
+    assert_eq!(end.1, RunEnd::Cut(CutCause::Lapsed));
+}
+
+#[then("all its runs started together")]
+async fn together(world: &mut World) {
+    let runs = world.runs();
+    assert!(runs.iter().all(|run| run.from == runs[0].from), "{runs:#?}");
+}
+
+#[then(expr = "{int} tasks run on {int} workers")]
+async fn spread(world: &mut World, tasks: usize, workers: usize) {
+    let job = world.job();
+    let running = world.cluster().running(job);
+    let mut vms: Vec<_> = running.iter().map(|run| run.vm.clone()).collect();
+    vms.sort();
+    vms.dedup();
+    assert_eq!((running.len(), vms.len()), (tasks, workers));
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_keep_their_promises() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/features/jobs.feature");
+    let outcome = World::cucumber()
+        .max_concurrent_scenarios(1)
+        .fail_on_skipped()
+        .with_default_cli()
+        .run(path)
+        .await;
+    assert!(!outcome.execution_has_failed());
+}
--- /dev/null
+++ b/crates/dotterel-coord/tests/jobs/schedules.rs
@@ -0,0 +1,1 @@
+//! Random schedules of faults.
