--- a/crates/dotterel-coord/src/jobs/host.rs
+++ b/crates/dotterel-coord/src/jobs/host.rs
@@ -31,7 +31,7 @@
     pub avoid: Vec<VmId>,
     /// Whether each task must have a VM of its own, and none that is to be avoided.
     pub apart: bool,
-    /// How long the hold lasts unless it is committed.
+    /// How long the hold lasts, and again after it is committed.
     pub ttl: Millis,
 }
 
@@ -67,7 +67,10 @@
     /// Nothing is held, or lapses by itself.
     async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold>;
 
-    /// Makes a hold last until its tasks have started and ended; false when it has lapsed.
+    /// Renews a hold for its tasks' starts, which now follow; false when it has lapsed.
+    ///
+    /// Each start uses its part of the hold up. What is left when the hold lapses is free again,
+    /// so that an asker that dies before its starts blocks nothing.
     async fn commit(&self, hold: HoldId) -> bool;
 
     /// Gives a hold back; idempotent.
@@ -149,7 +152,7 @@
     /// Returns the owners of VMs that can be reached, in any order.
     fn owners(&self) -> Vec<Arc<dyn GangOwner>>;
 
-    /// Starts a task at the attempt's VM.
+    /// Starts a task at the attempt's VM; one whose hold has lapsed is not run.
     async fn launch(&self, start: TaskStart) -> LaunchOutcome;
 
     /// Tells what is known of attempts, in their order.
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -178,7 +178,26 @@
             }
             pass(Millis(100)).await;
         }
-        panic!("{what}: not within {seconds} s; runs: {:#?}", self.runs());
+        panic!("{what}: not within {seconds} s; {}", self.story());
+    }
+
+    /// Tells in short what ran and what the table says of jobs.
+    pub(crate) fn story(&self) -> String {
+        let since = |time: Millis| time - DAY;
+        let runs = self.runs().into_iter().map(|run| {
+            let (from, end) = (since(run.from), run.end.map(|end| (since(end.0), end.1)));
+            let job = run.info.job.expect("every run is a job's");
+            format!("{job} {:?} {} {from} {end:?}", run.info.index, run.vm)
+        });
+        let rows = self.table.peek("jobs/").into_iter().map(|row| {
+            let progress: Option<Progress> = postcard::from_bytes(&row.value).ok();
+            format!("{} {progress:?}", row.key)
+        });
+        let mut lines: Vec<_> = runs.collect();
+        lines.sort();
+        lines.extend(rows);
+        lines.extend(self.owners.iter().map(|owner| format!("{owner:?}")));
+        lines.join("\n")
     }
 
     pub(crate) async fn until_phase(&self, job: JobId, phase: Phase, seconds: u64) {
--- a/crates/dotterel-coord/tests/jobs/owner.rs
+++ b/crates/dotterel-coord/tests/jobs/owner.rs
@@ -5,13 +5,17 @@
 use async_trait::async_trait;
 use dotterel_coord::jobs::{GangOwner, Held, HoldAsk, HoldId, NoHold};
 use dotterel_kernel::{Clock, Epoch, Incarnation, Millis, NodeId, Size, TaskId, VmId};
-use dotterel_platform::{Acquire, LeaseAnswer, Owner, Renew, Renewed, Upstream};
+use dotterel_platform::{
+    Acquire, Granted, LeaseAnswer, Owner, Renew, Renewed, TaskState, Upstream,
+};
 use dotterel_standin::FakeWorker;
 
 const TTL: Millis = Millis(3_000);
 const TASK_TTL: Millis = Millis(10_000);
 const PERIOD: Millis = Millis(1_000);
 const CALL: Millis = Millis(500);
+/// How long a start may be under way.
+const FRESH: Millis = Millis(2_000);
 
 /// Capacity in use or set apart on a VM.
 #[derive(Debug)]
@@ -19,7 +23,8 @@
     vm: VmId,
     hold: HoldId,
     size: Size,
-    /// None once committed.
+    ttl: Millis,
+    /// When it lapses; none once its task has been started.
     until: Option<Millis>,
     task: Option<TaskId>,
 }
@@ -30,10 +35,19 @@
     epochs: Vec<(VmId, Epoch)>,
     /// When a task was last started or renewed, or may have been.
     renewed: Vec<(TaskId, Millis)>,
+    /// When a task's start was sent.
+    begun: Vec<(TaskId, Millis)>,
     /// Tasks that are never started or renewed again.
     given_up: Vec<TaskId>,
 }
 
+impl State {
+    fn expire(&mut self, now: Millis) {
+        self.places
+            .retain(|place| place.until.is_none_or(|until| now < until));
+    }
+}
+
 /// An owner of VMs that never dies, so that tests concern the owners of jobs alone.
 #[derive(Debug)]
 pub(crate) struct VmOwner {
@@ -70,11 +84,16 @@
         if state.given_up.contains(&task) {
             return None;
         }
+        let now = self.clock.now();
+        state.expire(now);
+        let epoch = state.epochs.iter().find(|entry| entry.0 == *vm)?.1;
         let free = |p: &&mut Place| p.vm == *vm && p.hold == hold && p.task.is_none();
-        state.places.iter_mut().find(free)?.task = Some(task);
-        state.renewed.push((task, self.clock.now()));
-        let found = state.epochs.iter().find(|entry| entry.0 == *vm);
-        found.map(|entry| entry.1)
+        let place = state.places.iter_mut().find(free)?;
+        place.task = Some(task);
+        place.until = None;
+        state.renewed.push((task, now));
+        state.begun.push((task, now));
+        Some(epoch)
     }
 
     /// Frees what a task took, once it is known to be over.
@@ -107,11 +126,33 @@
         let renewal = self.renewal(&worker.vm(), epoch);
         let call = worker.renew(&renewal);
         let answer = tokio::time::timeout(CALL.duration(), call).await;
-        if let Ok(Ok(Renewed::Lost { .. })) = answer {
-            self.state().epochs.retain(|entry| entry.1 != epoch);
+        let vm = worker.vm();
+        match answer {
+            Ok(Ok(Renewed::Lost { .. })) => self.state().epochs.retain(|entry| entry.0 != vm),
+            Ok(Ok(Renewed::Done(granted))) => self.reconcile(&vm, &granted),
+            _ => {}
         }
     }
 
+    /// Frees what the VM does not run, except for starts that may be under way.
+    fn reconcile(&self, vm: &VmId, granted: &Granted) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let State { places, begun, .. } = &mut *state;
+        let running = |task: TaskId| {
+            let observed = granted.tasks.iter().find(|seen| seen.task == task);
+            observed.is_some_and(|seen| seen.state == TaskState::Running)
+        };
+        let fresh = |task: TaskId| {
+            let start = begun.iter().find(|entry| entry.0 == task);
+            start.is_some_and(|entry| now < entry.1 + FRESH)
+        };
+        places.retain(|place| {
+            let task = place.task.filter(|_| place.vm == *vm);
+            task.is_none_or(|task| running(task) || fresh(task))
+        });
+    }
+
     /// Names the tasks on a VM and counts them as renewed.
     fn renewal(&self, vm: &VmId, epoch: Epoch) -> Renew {
         let now = self.clock.now();
@@ -191,9 +232,7 @@
     async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold> {
         let now = self.clock.now();
         let mut state = self.state();
-        state
-            .places
-            .retain(|place| place.until.is_none_or(|until| now < until));
+        state.expire(now);
         let mut vms = Vec::new();
         while vms.len() < ask.count as usize
             && let Some(vm) = self.choose(&state, ask, &vms)
@@ -202,6 +241,7 @@
                 vm: vm.clone(),
                 hold: ask.id,
                 size: ask.size,
+                ttl: ask.ttl,
                 until: Some(now + ask.ttl),
                 task: None,
             });
@@ -216,12 +256,10 @@
     async fn commit(&self, hold: HoldId) -> bool {
         let now = self.clock.now();
         let mut state = self.state();
+        state.expire(now);
         let mut held = false;
         for place in state.places.iter_mut().filter(|place| place.hold == hold) {
-            if place.until.is_some_and(|until| now >= until) {
-                return false;
-            }
-            place.until = None;
+            place.until = Some(now + place.ttl);
             held = true;
         }
         held
