--- a/crates/dotterel-coord/tests/features/jobs.feature
+++ b/crates/dotterel-coord/tests/features/jobs.feature
@@ -31,6 +31,46 @@
     Then the job is finished within 90 s
     And every task ran once
 
+  Scenario: A start under way for long never runs beside its successor
+    Given 2 workers of 4 slots
+    And node a
+    And the starts of node a travel for 8000 ms
+    When a batch of 2 tasks of 30000 ms is submitted
+    And 4000 ms pass
+    And node a dies
+    And node b starts
+    Then the job is finished within 90 s
+    And every task ran once
+
+  Scenario: Nothing starts on a record that may be lost
+    Given 2 workers of 1 slots
+    And node a
+    When a batch of 2 tasks of 10000 ms is submitted
+    And 2000 ms pass
+    And a batch of 1 tasks of 30000 ms is submitted
+    And 2000 ms pass
+    And the table drops 500 calls
+    And 12000 ms pass
+    And node a dies
+    And the table drops 0 calls
+    And node b starts
+    Then the job is finished within 90 s
+    And every task ran once
+
+  Scenario: A superseded owner writes nothing
+    Given 4 workers of 2 slots
+    And node a
+    When a batch of 4 tasks of 30000 ms is submitted
+    And 3000 ms pass
+    And node a is cut off from the table
+    And node b starts
+    And 10000 ms pass
+    And worker 1 restarts
+    And worker 2 restarts
+    And 800 ms pass
+    And node a is back at the table
+    Then the job is finished within 90 s
+
   Scenario: A new owner goes on with what runs
     Given 2 workers of 2 slots
     And node a
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -52,6 +52,7 @@
     pub(crate) jobs: Jobs,
     pub(crate) commands: Commands,
     pub(crate) launches: watch::Sender<bool>,
+    pub(crate) travel: watch::Sender<Millis>,
     stop: watch::Sender<bool>,
     engine: JoinHandle<()>,
 }
@@ -62,6 +63,8 @@
     largest: Size,
     /// Starts wait while this is false, as those of a paused node do.
     launches: watch::Receiver<bool>,
+    /// How long starts travel to the VM.
+    travel: watch::Receiver<Millis>,
 }
 
 pub(crate) fn slots(count: u32) -> Size {
@@ -99,10 +102,12 @@
         };
         let jobs = Jobs::new(Arc::new(self.table.of(name)), self.clock, owner, CONFIG);
         let (launches, allowed) = watch::channel(true);
+        let (travel, travelling) = watch::channel(Millis::ZERO);
         let host = Host {
             owners: self.owners.clone(),
             largest: self.workers[0].capacity(),
             launches: allowed,
+            travel: travelling,
         };
         let engine = jobs.engine(Arc::new(host));
         let (stop, stopped) = watch::channel(false);
@@ -111,6 +116,7 @@
             jobs,
             commands: engine.commands(),
             launches,
+            travel,
             stop,
             engine: tokio::spawn(engine.run(stopped)),
         });
@@ -312,7 +318,13 @@
             task_ttl: start.task_ttl,
             timeout: start.timeout,
         };
-        let call = worker.launch(&start, body.into());
+        let (worker, travel) = (worker.clone(), *self.travel.borrow());
+        // What was sent arrives, whatever becomes of the sender.
+        let call = tokio::spawn(async move {
+            pass(travel).await;
+            worker.launch(&start, body.into()).await
+        });
+        let call = async { call.await.expect("a launch does not panic") };
         match tokio::time::timeout(CALL, call).await {
             Ok(Ok(Started::Accepted)) => LaunchOutcome::Running,
             Ok(Ok(Started::Refused(Refusal::Seen))) => LaunchOutcome::Unknown,
--- a/crates/dotterel-coord/tests/jobs/scenarios.rs
+++ b/crates/dotterel-coord/tests/jobs/scenarios.rs
@@ -71,6 +71,12 @@
     world.cluster().node(&name).launches.send_replace(true);
 }
 
+#[given(expr = "the starts of node {word} travel for {int} ms")]
+async fn slow_starts(world: &mut World, name: String, span: u64) {
+    let cluster = world.cluster();
+    cluster.node(&name).travel.send_replace(Millis(span));
+}
+
 #[when(expr = "a batch of {int} tasks of {int} ms is submitted")]
 async fn batch(world: &mut World, tasks: u32, run: u64) {
     world.submit(Kind::Batch, tasks, Millis(run)).await;
@@ -130,6 +136,11 @@
     world.cluster().cut_table(&name, true);
 }
 
+#[when(expr = "node {word} is back at the table")]
+async fn back(world: &mut World, name: String) {
+    world.cluster().cut_table(&name, false);
+}
+
 #[when(expr = "the table is down for {int} ms")]
 async fn table_down(world: &mut World, span: u64) {
     let until = world.cluster().clock.now() + Millis(span);
@@ -143,6 +154,12 @@
     table.set_faults(|faults| faults.lose_answers = count);
 }
 
+#[when(expr = "the table drops {int} calls")]
+async fn table_drops(world: &mut World, count: u32) {
+    let table = &world.cluster().table;
+    table.set_faults(|faults| faults.drop_calls = count);
+}
+
 #[when("the worker of the job goes silent")]
 async fn worker_silent(world: &mut World) {
     let vm = world.runs()[0].vm.clone();
--- a/crates/dotterel-coord/tests/jobs/schedules.rs
+++ b/crates/dotterel-coord/tests/jobs/schedules.rs
@@ -1,6 +1,6 @@
 //! Random schedules of faults: nothing runs in two places, and everything ends in the end.
 
-use dotterel_coord::jobs::{JobSpec, Phase};
+use dotterel_coord::jobs::{JobSpec, Phase, Submitted};
 use dotterel_kernel::{JobId, Kind, Millis};
 use dotterel_platform::Pressure;
 use dotterel_standin::{EVERYONE, witness};
@@ -31,6 +31,7 @@
     Kill(u8),
     StopNode(u8),
     HoldStarts(u8, bool),
+    Travel(u8, Millis),
     CutTable(u8, bool),
     TableDown(Millis),
     TableDelay(Millis),
@@ -57,6 +58,7 @@
         let n = u8::arbitrary(g);
         let yes = bool::arbitrary(g);
         let few = u32::arbitrary(g) % 3 + 1;
+        let many = if yes { few } else { few * 40 };
         let actions = [
             Self::Submit(n),
             Self::Submit(n),
@@ -66,11 +68,12 @@
             Self::Kill(n),
             Self::StopNode(n),
             Self::HoldStarts(n, yes),
+            Self::Travel(n, Millis(u64::arbitrary(g) % 12_000)),
             Self::CutTable(n, yes),
             Self::TableDown(Millis(u64::arbitrary(g) % 30_000)),
             Self::TableDelay(Millis(u64::arbitrary(g) % 900)),
             Self::TableLoses(few),
-            Self::TableDrops(few),
+            Self::TableDrops(many),
             Self::Silent(n, yes),
             Self::Mute(n, yes),
             Self::Restart(n),
@@ -115,11 +118,14 @@
             Action::Submit(n) => return self.submit(n).await,
             Action::Cancel(n) => return self.cancel(n).await,
             Action::Checkpoint(n) => return self.checkpoint(n).await,
-            Action::Kill(n) => return self.replace(name(n)),
+            Action::Kill(n) => self.replace(name(n)),
             Action::StopNode(n) => self.cluster.stop_node(name(n)),
             Action::HoldStarts(n, held) => {
                 self.cluster.node(name(n)).launches.send_replace(!held);
             }
+            Action::Travel(n, span) => {
+                self.cluster.node(name(n)).travel.send_replace(span);
+            }
             Action::CutTable(n, cut) => self.cluster.cut_table(name(n), cut),
             Action::TableDown(span) => {
                 let until = self.cluster.clock.now() + span;
@@ -148,7 +154,6 @@
         let through = &self.cluster.node(NODES[usize::from(n) % 3]).jobs;
         let deadline = self.cluster.clock.now() + Millis::secs(3);
         let submitted = through.submit(&spec, deadline).await;
-        use dotterel_coord::jobs::Submitted;
         if let Submitted::Accepted(job) | Submitted::Unknown(job) = submitted {
             self.jobs.push((job, spec));
         }
