--- a/crates/dotterel-coord/tests/jobs/schedules.rs
+++ b/crates/dotterel-coord/tests/jobs/schedules.rs
@@ -37,6 +37,7 @@
     TableDelay(Millis),
     TableLoses(u32),
     TableDrops(u32),
+    CommitsDropped(u32),
     Silent(u8, bool),
     Mute(u8, bool),
     Restart(u8),
@@ -74,6 +75,7 @@
             Self::TableDelay(Millis(u64::arbitrary(g) % 900)),
             Self::TableLoses(few),
             Self::TableDrops(many),
+            Self::CommitsDropped(many),
             Self::Silent(n, yes),
             Self::Mute(n, yes),
             Self::Restart(n),
@@ -134,6 +136,9 @@
             Action::TableDelay(span) => table.set_faults(|faults| faults.delay = span),
             Action::TableLoses(count) => table.set_faults(|faults| faults.lose_answers = count),
             Action::TableDrops(count) => table.set_faults(|faults| faults.drop_calls = count),
+            Action::CommitsDropped(count) => {
+                table.set_faults(|faults| faults.drop_commits = count);
+            }
             Action::Silent(n, on) => worker(n).set_faults(|faults| switch(&mut faults.silent, on)),
             Action::Mute(n, on) => worker(n).set_faults(|faults| switch(&mut faults.mute, on)),
             Action::Restart(n) => worker(n).restart(),
--- a/crates/dotterel-standin/src/faults.rs
+++ b/crates/dotterel-standin/src/faults.rs
@@ -19,6 +19,8 @@
     pub answer_delay: Millis,
     /// How many of the next calls are dropped before their effect.
     pub drop_calls: u32,
+    /// How many of the next transactions of a table are dropped before their effect.
+    pub drop_commits: u32,
     /// How many of the next answers are lost after the effect.
     pub lose_answers: u32,
     /// Callers that cannot connect.
--- a/crates/dotterel-standin/src/gate.rs
+++ b/crates/dotterel-standin/src/gate.rs
@@ -90,6 +90,18 @@
         Ok(answer)
     }
 
+    /// Brings a transaction to the model, applies it and brings the answer back.
+    pub(crate) async fn commit<T, F>(&self, effect: F) -> Result<T, CallError>
+    where
+        T: Send + 'static,
+        F: FnOnce() -> T + Send + 'static,
+    {
+        if take(&mut lock(&self.faults).drop_commits) {
+            return Err(broken());
+        }
+        self.call(effect).await
+    }
+
     /// Brings a call to the model and applies it.
     ///
     /// A delayed call travels in a task of its own, because what was sent arrives even when the
@@ -142,12 +154,16 @@
             return Err(CallError::Unavailable("out of service".into()));
         }
         if take(&mut faults.drop_calls) {
-            return Err(CallError::Unknown("the connection broke".into()));
+            return Err(broken());
         }
         Ok(())
     }
 }
 
+fn broken() -> CallError {
+    CallError::Unknown("the connection broke".into())
+}
+
 fn take(count: &mut u32) -> bool {
     let some = *count > 0;
     *count = count.saturating_sub(1);
--- a/crates/dotterel-standin/src/table.rs
+++ b/crates/dotterel-standin/src/table.rs
@@ -136,6 +136,6 @@
 
     async fn commit(&self, writes: &[Write]) -> Result<Commit, CallError> {
         let (state, writes) = (self.state.clone(), writes.to_vec());
-        self.gate.call(move || lock(&state).commit(&writes)).await
+        self.gate.commit(move || lock(&state).commit(&writes)).await
     }
 }
