--- a/crates/dotterel-coord/tests/features/jobs.feature
+++ b/crates/dotterel-coord/tests/features/jobs.feature
@@ -42,21 +42,30 @@
     Then the job is finished within 90 s
     And every task ran once
 
-  Scenario: Nothing starts on a record that may be lost
-    Given 2 workers of 1 slots
+  Scenario Outline: Nothing starts on a record that may be lost
+    Given 2 workers of 2 slots
     And node a
-    When a batch of 2 tasks of 10000 ms is submitted
-    And 2000 ms pass
-    And a batch of 1 tasks of 30000 ms is submitted
-    And 2000 ms pass
-    And the table drops 500 calls
-    And 12000 ms pass
+    And no VM has room
+    When a batch of 1 tasks of 60000 ms is submitted
+    And <span> ms pass
+    And the VMs have room
+    And the table drops 500 transactions
+    And 3000 ms pass
     And node a dies
-    And the table drops 0 calls
+    And the table drops 0 transactions
     And node b starts
-    Then the job is finished within 90 s
+    Then the job is finished within 150 s
     And every task ran once
 
+    Examples: The first dropped transaction is the record or a renewal
+      | span |
+      | 2000 |
+      | 2300 |
+      | 2600 |
+      | 2900 |
+      | 3200 |
+      | 3500 |
+
   Scenario: A superseded owner writes nothing
     Given 4 workers of 2 slots
     And node a
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -1,6 +1,7 @@
 //! Workers, owners of VMs and nodes that run jobs, over one table.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -127,6 +128,13 @@
         found.expect("the node was started")
     }
 
+    /// Makes the owners of VMs hold nothing new, or hold again.
+    pub(crate) fn close_owners(&self, closed: bool) {
+        for owner in &self.owners {
+            owner.closed.store(closed, Ordering::SeqCst);
+        }
+    }
+
     pub(crate) fn kill(&mut self, name: &str) {
         self.node(name).engine.abort();
         self.nodes.retain(|node| node.name != name);
--- a/crates/dotterel-coord/tests/jobs/owner.rs
+++ b/crates/dotterel-coord/tests/jobs/owner.rs
@@ -1,5 +1,6 @@
 //! A node that owns VMs: it keeps their worker leases and renews the tasks on them.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use async_trait::async_trait;
@@ -55,6 +56,8 @@
     clock: Clock,
     workers: Vec<FakeWorker>,
     state: Mutex<State>,
+    /// While true, nothing new is held.
+    pub(crate) closed: AtomicBool,
 }
 
 impl VmOwner {
@@ -64,6 +67,7 @@
             clock,
             workers: workers.iter().map(|worker| worker.of(node)).collect(),
             state: Mutex::default(),
+            closed: AtomicBool::new(false),
         });
         tokio::spawn(Arc::clone(&owner).keep());
         owner
@@ -230,6 +234,9 @@
     }
 
     async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold> {
+        if self.closed.load(Ordering::SeqCst) {
+            return Err(NoHold::Full);
+        }
         let now = self.clock.now();
         let mut state = self.state();
         state.expire(now);
--- a/crates/dotterel-coord/tests/jobs/scenarios.rs
+++ b/crates/dotterel-coord/tests/jobs/scenarios.rs
@@ -154,10 +154,20 @@
     table.set_faults(|faults| faults.lose_answers = count);
 }
 
-#[when(expr = "the table drops {int} calls")]
+#[when(expr = "the table drops {int} transactions")]
 async fn table_drops(world: &mut World, count: u32) {
     let table = &world.cluster().table;
-    table.set_faults(|faults| faults.drop_calls = count);
+    table.set_faults(|faults| faults.drop_commits = count);
+}
+
+#[given("no VM has room")]
+async fn no_room(world: &mut World) {
+    world.cluster().close_owners(true);
+}
+
+#[when("the VMs have room")]
+async fn room(world: &mut World) {
+    world.cluster().close_owners(false);
 }
 
 #[when("the worker of the job goes silent")]
