--- a/crates/dotterel-coord/tests/features/jobs.feature
+++ b/crates/dotterel-coord/tests/features/jobs.feature
@@ -66,7 +66,7 @@
       | 3200 |
       | 3500 |
 
-  Scenario: A superseded owner writes nothing
+  Scenario Outline: A superseded owner writes nothing
     Given 4 workers of 2 slots
     And node a
     When a batch of 4 tasks of 30000 ms is submitted
@@ -76,10 +76,20 @@
     And 10000 ms pass
     And worker 1 restarts
     And worker 2 restarts
-    And 800 ms pass
+    And <span> ms pass
     And node a is back at the table
     Then the job is finished within 90 s
 
+    Examples: Before and after the returning node looks at the leases
+      | span |
+      | 2700 |
+      | 3000 |
+      | 3300 |
+      | 3600 |
+      | 3900 |
+      | 4200 |
+      | 4500 |
+
   Scenario: A new owner goes on with what runs
     Given 2 workers of 2 slots
     And node a
