--- a/crates/dotterel-coord/src/jobs/engine.rs
+++ b/crates/dotterel-coord/src/jobs/engine.rs
@@ -1,5 +1,6 @@
 //! The part that owns shards and runs their jobs.
 
+mod commands;
 mod effects;
 
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 use super::tenure::Tenure;
 use super::{Config, Jobs};
 use crate::jobs::record::Phase;
+pub use commands::Commands;
+use commands::Order;
 use effects::Event;
 
 /// The most placements under way at once.
@@ -43,34 +46,6 @@
     orders: (mpsc::Sender<Order>, mpsc::Receiver<Order>),
 }
 
-/// Pressure on one task of a job.
-#[derive(Clone, Copy, Debug)]
-struct Order {
-    job: JobId,
-    index: u32,
-    pressure: Pressure,
-}
-
-/// Gives orders to a running [`Engine`].
-#[derive(Clone, Debug)]
-pub struct Commands(mpsc::Sender<Order>);
-
-impl Commands {
-    /// Throttles, restores or checkpoints a task; one that this engine does not run is left alone.
-    ///
-    /// A task that was checkpointed is placed again later and resumes.
-    pub async fn press(&self, job: JobId, index: u32, pressure: Pressure) {
-        let order = Order {
-            job,
-            index,
-            pressure,
-        };
-        if self.0.send(order).await.is_err() {
-            log::debug!(job:%; "pressure on a task of a stopped engine");
-        }
-    }
-}
-
 impl Engine {
     pub(super) fn new(jobs: Jobs, host: Arc<dyn JobHost>) -> Self {
         Self {
@@ -93,7 +68,7 @@
     /// Returns a way to give orders.
     #[must_use]
     pub fn commands(&self) -> Commands {
-        Commands(self.orders.0.clone())
+        Commands::new(self.orders.0.clone())
     }
 
     /// Runs until `stop` turns true or its sender is gone, then gives the shards back.
--- a/crates/dotterel-coord/src/jobs/host.rs
+++ b/crates/dotterel-coord/src/jobs/host.rs
@@ -136,7 +136,12 @@
 
 /// The node that jobs are embedded in.
 ///
-/// Every call returns in bounded time. The host renews the leases of the tasks that run.
+/// Every call returns in bounded time. The owners of VMs renew the leases of the tasks that run
+/// there, whoever owns their jobs, and free the capacity of those that the VM no longer lists.
+///
+/// A host that answers [`Standing::Silent`] with a time promises that no node starts the attempt
+/// or renews its lease from then on. [`Config::margin`](super::Config::margin) must cover the
+/// longest time that a call sent before may be under way.
 #[async_trait]
 pub trait JobHost: Send + Sync {
     /// Returns true when this node should own the shard.
--- a/crates/dotterel-coord/src/jobs/ledger.rs
+++ b/crates/dotterel-coord/src/jobs/ledger.rs
@@ -1,18 +1,17 @@
 //! The rows of one owned shard and the writes that change them.
 
+mod draft;
+
 use compact_str::CompactString;
 use dotterel_kernel::{JobId, Millis, TaskId};
-use dotterel_platform::{CallError, Commit, Owner, Table, Version, Write};
-use uuid::Uuid;
+use dotterel_platform::{CallError, Commit, Owner, Table, Version};
 
 use super::Config;
 use super::job::Job;
-use super::record::{
-    LeaseRow, Progress, decode, encode, end_key, inbox_prefix, lease_key, run_key, run_prefix,
-    spec_key,
-};
+use super::record::{LeaseRow, Progress, decode, inbox_prefix, lease_key, run_prefix, spec_key};
 use super::spec::JobSpec;
 use crate::lease::bounded;
+use draft::{Draft, Part};
 
 /// The most rows of one scan.
 const PAGE: usize = 512;
@@ -33,27 +32,6 @@
     pending: Option<Draft>,
 }
 
-/// A composed write.
-#[derive(Clone, Debug)]
-struct Draft {
-    stamp: Uuid,
-    writes: Vec<Write>,
-    parts: Vec<Part>,
-    parting: bool,
-}
-
-/// One job's part in a write.
-#[derive(Clone, Debug)]
-struct Part {
-    job: JobId,
-    planned: Vec<TaskId>,
-    ended: Vec<TaskId>,
-    answered: usize,
-    over: bool,
-    /// The place of its progress among the writes.
-    place: usize,
-}
-
 /// What a write has recorded of one job.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct Recorded {
@@ -242,34 +220,6 @@
         Flushed::Applied(draft.parts.iter().map(recorded).collect())
     }
 
-    fn draft(&mut self, config: &Config, owner: Option<&Owner>) -> Draft {
-        let stamp = Uuid::now_v7();
-        let lease = LeaseRow {
-            holder: owner.cloned(),
-            stamp,
-        };
-        let mut writes = vec![Write {
-            key: lease_key(self.index),
-            expect: self.lease,
-            value: Some(encode(&lease)),
-        }];
-        for (key, version) in self.stray.drain(..) {
-            writes.push(delete(key, version));
-        }
-        let mut parts = Vec::new();
-        for job in &mut self.jobs {
-            if job.dirty && writes.len() < config.batch {
-                parts.push(compose(job, self.index, &mut writes));
-            }
-        }
-        Draft {
-            stamp,
-            writes,
-            parts,
-            parting: owner.is_none(),
-        }
-    }
-
     /// Makes the jobs of a write that had no effect due again.
     fn abandon(&mut self, draft: &Draft) {
         for part in &draft.parts {
@@ -351,48 +301,6 @@
     }
 }
 
-/// Adds one job's rows to a write.
-fn compose(job: &mut Job, shard: u32, writes: &mut Vec<Write>) -> Part {
-    let over = job.phase.over();
-    job.dirty = false;
-    let run = run_key(shard, job.id);
-    let value = Some(encode(&job.progress()));
-    let place = writes.len();
-    if over {
-        writes.push(Write {
-            key: end_key(shard, job.id),
-            expect: Version::ABSENT,
-            value,
-        });
-        if job.row != Version::ABSENT {
-            writes.push(delete(run, job.row));
-        }
-    } else {
-        let expect = job.row;
-        writes.push(Write {
-            key: run,
-            expect,
-            value,
-        });
-    }
-    for (key, version) in &job.answered {
-        writes.push(delete(key.clone(), *version));
-    }
-    Part {
-        job: job.id,
-        planned: job.planned(),
-        ended: job.ended.clone(),
-        answered: job.answered.len(),
-        over,
-        place,
-    }
-}
-
-fn delete(key: CompactString, expect: Version) -> Write {
-    let value = None;
-    Write { key, expect, value }
-}
-
 fn parse_inbox<'a>(prefix: &str, key: &'a str) -> Option<(JobId, &'a str)> {
     let (id, ask) = key.strip_prefix(prefix)?.split_once('/')?;
     Some((id.parse().ok()?, ask))
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -379,11 +379,10 @@
 
     async fn press(&self, attempt: &AttemptRecord, pressure: Pressure) {
         let (owner, worker) = self.owner(attempt);
-        let epoch = worker.witness().last().map(|seen| seen.epoch);
-        let _ = owner;
-        if let Some(epoch) = epoch {
+        if let Some(epoch) = owner.epoch_of(&attempt.vm) {
             let call = worker.press(epoch, attempt.task, pressure);
-            let _ = tokio::time::timeout(CALL, call).await;
+            // Pressure that does not arrive is not repeated.
+            drop(tokio::time::timeout(CALL, call).await);
         }
     }
 
--- a/crates/dotterel-coord/tests/jobs/owner.rs
+++ b/crates/dotterel-coord/tests/jobs/owner.rs
@@ -43,6 +43,11 @@
 }
 
 impl State {
+    fn epoch_of(&self, vm: &VmId) -> Option<Epoch> {
+        let found = self.epochs.iter().find(|entry| entry.0 == *vm);
+        found.map(|entry| entry.1)
+    }
+
     fn expire(&mut self, now: Millis) {
         self.places
             .retain(|place| place.until.is_none_or(|until| now < until));
@@ -82,6 +87,11 @@
         self.workers.iter().find(|worker| worker.vm() == *vm)
     }
 
+    /// Returns the epoch of the worker lease on a VM, if it is held.
+    pub(crate) fn epoch_of(&self, vm: &VmId) -> Option<Epoch> {
+        self.state().epoch_of(vm)
+    }
+
     /// Returns the epoch to start a task under, and counts the start as one that may happen.
     pub(crate) fn begin(&self, vm: &VmId, hold: HoldId, task: TaskId) -> Option<Epoch> {
         let mut state = self.state();
@@ -90,7 +100,7 @@
         }
         let now = self.clock.now();
         state.expire(now);
-        let epoch = state.epochs.iter().find(|entry| entry.0 == *vm)?.1;
+        let epoch = state.epoch_of(vm)?;
         let free = |p: &&mut Place| p.vm == *vm && p.hold == hold && p.task.is_none();
         let place = state.places.iter_mut().find(free)?;
         place.task = Some(task);
@@ -186,7 +196,7 @@
 
     async fn epoch(&self, worker: &FakeWorker) -> Option<Epoch> {
         let vm = worker.vm();
-        let known = self.state().epochs.iter().find(|e| e.0 == vm).map(|e| e.1);
+        let known = self.epoch_of(&vm);
         if known.is_some() {
             return known;
         }
