--- a/crates/dotterel-coord/src/jobs.rs
+++ b/crates/dotterel-coord/src/jobs.rs
@@ -16,6 +16,12 @@
 //! [`JobHost`] tells truly when a task was last renewed, or that it does not know. Without either
 //! proof a task waits rather than runs twice.
 //!
+//! # What an embedder does
+//!
+//! It implements [`JobHost`] and [`GangOwner`], runs [`Engine::run`] in a task and lets any node
+//! call [`Jobs::submit`], [`Jobs::cancel`] and [`Jobs::progress`]. [`JobHost::wants`] spreads the
+//! shards over the nodes; disagreement about it costs idle shards or handovers, never safety.
+//!
 //! # In an outage of the table
 //!
 //! What runs goes on. Nothing new is accepted, started or adopted. Ends are recorded afterwards.
