--- a/crates/dotterel-mesh/tests/links.rs
+++ b/crates/dotterel-mesh/tests/links.rs
@@ -179,3 +179,24 @@
 
     assert!(before.is_ok() && after.is_ok(), "{before:?} {after:?}");
 }
+
+#[tokio::test]
+async fn bytes_of_open_and_lost_connections_count_on_both_sides() {
+    const BODY: u64 = 10_000;
+    let authority = Authority::generate().expect("an authority is made");
+    let (a, b) = (serving(&authority, "a"), serving(&authority, "b"));
+    know(&a, "b", &b);
+
+    let call = (100, vec![0; BODY as usize]);
+    let reply = a.call(&"b".into(), &call, Millis::secs(10)).await;
+    let (open, served) = (a.counters(), b.counters());
+    b.close().await;
+    until(|| !a.status()[0].connected).await;
+    let lost = a.counters();
+
+    assert_eq!(reply, Ok(call));
+    assert!(open.sent > BODY && open.received > BODY, "{open:?}");
+    assert!(served.sent > BODY && served.received > BODY, "{served:?}");
+    assert!(lost.sent >= open.sent, "{lost:?} after {open:?}");
+    assert!(lost.received >= open.received, "{lost:?} after {open:?}");
+}
--- a/crates/dotterel-standin/tests/http.rs
+++ b/crates/dotterel-standin/tests/http.rs
@@ -1,13 +1,14 @@
 //! The HTTP clients tell exactly whether a failed call may have had an effect.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use dotterel_kernel::{Clock, Epoch, Incarnation, Millis, Size, TaskId};
 use dotterel_platform::{
     Acquire, CallError, Commit, HttpStore, HttpTable, HttpUpstream, HttpVmList, LeaseAnswer,
-    Limits, ObjectStore, Owner, Refusal, Start, Started, Table, TaskState, Upstream, Version,
-    VmList, Write,
+    Limits, ObjectStore, Owner, Refusal, Start, Started, Table, TaskState, Traffic, Upstream,
+    Version, VmList, Write,
 };
 use dotterel_standin::{Cluster, EVERYONE, witness};
 
@@ -272,3 +273,21 @@
     assert!(matches!(beyond, Err(CallError::NotSent(_))), "{beyond:?}");
     assert_eq!(cluster.workers()[0].used().slots, 4);
 }
+
+#[tokio::test]
+async fn a_client_counts_its_calls_and_their_bytes() {
+    const BODY: u64 = 10_000;
+    let cluster = cluster().await;
+    let traffic = Arc::new(Traffic::default());
+    let store = HttpStore::new(cluster.platform_addr(), &"a".into(), LIMITS).counted(&traffic);
+
+    let put = store.put("x", vec![0; BODY as usize].into()).await;
+    let (sent, received) = (traffic.sent(), traffic.received());
+    let got = store.get("x").await;
+
+    assert_eq!(put, Ok(()));
+    assert!(sent > BODY && received < BODY, "{sent} {received}");
+    assert!(got.is_ok_and(|value| value.is_some()));
+    assert!(traffic.received() > BODY, "{traffic:?}");
+    assert_eq!(traffic.calls(), 2);
+}
