--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod dispatch;
 pub mod feed;
+pub mod jobs;
 pub mod journal;
 pub mod keeper;
 pub mod lease;
@@ -11,8 +12,9 @@
 pub mod retry;
 
 pub use claims::{Claim, ClaimKey, ClaimOutcome, Claims, RecordedOutcome};
-pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, launch, settle};
+pub use dispatch::{Dispatched, Launched, Limits, NotRun, dispatch, halt, launch, settle};
 pub use feed::{Accepted, Applied, Feed, Offered};
+pub use jobs::Jobs;
 pub use journal::{Journal, Reader, Segment};
 pub use keeper::{Batch, Holder, Keeper, Wish};
 pub use lease::{
@@ -20,5 +22,5 @@
     WorkerLease,
 };
 pub use limit::{Adaptive, Outcome, SetAside, Standing};
-pub use membership::{Heard, Heartbeat, Leaving, Member, Members, rendezvous};
+pub use membership::{Heard, Heartbeat, Leaving, Member, Members, follow, rendezvous};
 pub use retry::Budget;
--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -13,10 +13,11 @@
 
 use crate::messages::Messages;
 use crate::metrics::Metrics;
-use crate::ownership::Listed;
+use crate::ownership::{Connect, Listed};
 use crate::peers::Peers;
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::workers::Workers;
 
 /// The parts of one node.
@@ -40,7 +41,9 @@
     /// The links to other nodes.
     pub mesh: Mesh<Messages>,
     /// What is known of other nodes.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
+    /// Makes the adapter of a listed VM.
+    pub connect: Connect,
     /// The platform's list as it was read last.
     pub listed: Listed,
     /// Tasks that other nodes forwarded to this one.
@@ -51,6 +54,8 @@
     pub budget: Mutex<Budget>,
     /// The counters for operators.
     pub metrics: Metrics,
+    /// What calls to workers and to the platform cost.
+    pub traffic: Traffic,
     /// Places for requests in flight.
     pub gate: Arc<Gate>,
     /// Whether the node is stopping.
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -25,10 +25,11 @@
 use crate::app::{App, Flag, Gate};
 use crate::metrics::Metrics;
 use crate::ownership::{self, Connect, Keepers, Listed};
-use crate::peers::{self, Peers};
+use crate::peers::{self, Peers, Writers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
-use crate::{Workers, front};
+use crate::traffic::Traffic;
+use crate::{Workers, front, quotas};
 
 /// Retries that are allowed in ten seconds however few requests there are.
 const RETRY_FLOOR: u64 = 10;
@@ -50,6 +51,8 @@
     pub list: Arc<dyn VmList>,
     /// Makes the adapter of a listed worker.
     pub connect: Connect,
+    /// What all of these count.
+    pub traffic: Traffic,
 }
 
 impl Parts {
@@ -58,26 +61,25 @@
     pub fn http(settings: &Settings) -> Self {
         let (addr, node) = (settings.platform, settings.node.clone());
         let limits = Limits::default();
+        let traffic = Traffic::default();
         Self {
-            table: Arc::new(HttpTable::new(addr, &node, limits)),
-            store: Arc::new(HttpStore::new(addr, &node, limits)),
-            list: Arc::new(HttpVmList::new(addr, &node, limits)),
-            connect: connect(node),
+            table: Arc::new(HttpTable::new(addr, &node, limits).counted(&traffic.table)),
+            store: Arc::new(HttpStore::new(addr, &node, limits).counted(&traffic.store)),
+            list: Arc::new(HttpVmList::new(addr, &node, limits).counted(&traffic.list)),
+            connect: connect(node, traffic.clone()),
+            traffic,
         }
     }
 }
 
-fn connect(node: NodeId) -> Connect {
+fn connect(node: NodeId, traffic: Traffic) -> Connect {
     Arc::new(move |vm| {
-        let limits = Limits::default();
-        match vm.addr.parse() {
-            Ok(addr) => Arc::new(HttpUpstream::new(addr, &node, limits)),
-            Err(fault) => {
-                log::error!(vm = vm.id.as_str(), fault:% = fault; "listed address not usable");
-                let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-                Arc::new(HttpUpstream::new(nowhere, &node, limits))
-            }
-        }
+        let addr = vm.addr.parse().unwrap_or_else(|fault| {
+            log::error!(vm = vm.id.as_str(), fault:% = fault; "listed address not usable");
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        });
+        let upstream = HttpUpstream::new(addr, &node, Limits::default());
+        Arc::new(upstream.counted(&traffic.runs, &traffic.leases))
     })
 }
 
@@ -135,6 +137,7 @@
             tokio::spawn(inbox.serve(Arc::new(peers::Server(app.clone())))),
             tokio::spawn(peers::beat(app.clone())),
             tokio::spawn(ownership::follow_list(app.clone(), parts.list)),
+            tokio::spawn(quotas::follow(app.clone())),
             tokio::spawn(follow_documents(app.clone())),
             tokio::spawn(ship(app.clone())),
         ];
@@ -176,7 +179,7 @@
         let until = self.app.clock.now() + grace;
         log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
         self.app.stopping.set(true);
-        peers::announce(&self.app);
+        peers::announce(&self.app, true);
         let handed = timeout(grace.duration(), self.keepers).await;
         if handed.is_err() {
             log::warn!("not all leases were handed over in time");
@@ -225,6 +228,11 @@
         spare: Size::ZERO,
         documents: Vec::new(),
     };
+    let peers = Arc::new(Peers::new(own, clock.now()));
+    let writers = Writers::new(mesh.clone(), peers.clone(), clock);
+    let claims = Claims::new(parts.table.clone(), clock, owner, claims::Config::default())
+        .with_peers(Arc::new(writers))
+        .with_store(parts.store.clone());
     let places = u32::try_from(settings.http.requests).unwrap_or(u32::MAX);
     Ok(App {
         clock,
@@ -239,14 +247,16 @@
             journal::Config::default(),
         ),
         reader: Reader::new(parts.store.clone()),
-        claims: Claims::new(parts.table.clone(), clock, owner, claims::Config::default()),
+        claims,
         mesh,
-        peers: Peers::new(own, clock.now()),
+        peers,
+        connect: parts.connect.clone(),
         listed: Listed::default(),
         recall: Recall::default(),
         bodies: Bodies::default(),
         budget: Mutex::new(Budget::new(RETRY_FLOOR)),
         metrics: Metrics::new(),
+        traffic: parts.traffic.clone(),
         gate: Arc::new(Gate::new(places)),
         stopping: Flag::default(),
         platform: Flag::default(),
