Measure claims per table write and show the claims alone

Cause: with each node writing the shards itself, 650 unrepeatable starts a second from 60 nodes need more than the platform's several hundred writes a second.

Ruled out: pacing alone, which without forwarding bounds each node and not the shard.

--- /dev/null
+++ b/crates/dotterel-coord/benches/claims.rs
@@ -0,0 +1,361 @@
+//! Claims per table write, and the writes of claims, journals and documents at 650 starts a second.
+//!
+//! Time is virtual: the figures depend on the latencies below and on nothing of the machine. Every
+//! request is unrepeatable, which is the worst case; each one is claimed and then settled.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::format_compact;
+use dotterel_coord::claims::{Ask, Change, Config, Counters, Peers, Verdict, digest};
+use dotterel_coord::journal::{self, Shipped};
+use dotterel_coord::{ClaimKey, ClaimOutcome, Claims, Journal, RecordedOutcome, rendezvous};
+use dotterel_kernel::{Clock, Fate, Incarnation, Millis, NodeId, Record, RequestId};
+use dotterel_platform::{CallError, Owner};
+use dotterel_standin::{FakeStore, FakeTable};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// One-way delay between a node and the table.
+const TABLE_DELAY: Millis = Millis(5);
+
+/// One-way delay between nodes of different regions.
+const MESH_DELAY: Millis = Millis(8);
+
+/// How long a request runs.
+const RUN: Millis = Millis(40);
+
+/// How long callers wait for their claim.
+const PATIENCE: Millis = Millis(1400);
+
+/// How long a day's window is.
+const WINDOW: Millis = Millis::secs(86_400);
+
+/// The span before counting starts.
+const WARM_UP_S: u64 = 5;
+
+/// The counted span.
+const SPAN_S: u64 = 20;
+
+/// Requests a second.
+const RATES: [u64; 5] = [1, 10, 50, 200, 650];
+
+/// The most starts a second to design for.
+const PEAK: u64 = 650;
+
+/// The writes a second that the platform has for the whole system.
+const WRITE_LIMIT: f64 = 300.0;
+
+/// The way between nodes.
+struct Mesh {
+    me: NodeId,
+    names: Arc<Vec<NodeId>>,
+    nodes: Arc<OnceLock<Vec<Claims>>>,
+}
+
+#[async_trait]
+impl Peers for Mesh {
+    fn writer(&self, shard: u32) -> Option<NodeId> {
+        let key = format_compact!("shard-{shard}");
+        let writer = rendezvous(&key, self.names.iter(), |name| name.as_str())?;
+        (*writer != self.me).then(|| writer.clone())
+    }
+
+    async fn forward(&self, to: &NodeId, change: &Change) -> Result<Verdict, CallError> {
+        let index = self.names.iter().position(|name| name == to);
+        let nodes = self.nodes.get().expect("the nodes are set first");
+        let claims = &nodes[index.expect("peers are nodes")];
+        tokio::time::sleep(MESH_DELAY.duration()).await;
+        let verdict = claims.serve(change.clone()).await;
+        tokio::time::sleep(MESH_DELAY.duration()).await;
+        Ok(verdict)
+    }
+}
+
+/// All nodes and the platform.
+struct Cluster {
+    clock: Clock,
+    table: FakeTable,
+    store: FakeStore,
+    claims: Vec<Claims>,
+    journals: Vec<Journal>,
+    segments: Arc<AtomicU64>,
+}
+
+/// What a run has cost per second, and how long claims took.
+struct Cost {
+    claims: f64,
+    writes: f64,
+    conflicts: f64,
+    rows: f64,
+    bytes: f64,
+    reads: f64,
+    segments: f64,
+    median: Millis,
+    p99: Millis,
+    refused: usize,
+}
+
+impl Cluster {
+    fn new(count: usize, forwarding: bool) -> Self {
+        let clock = Clock::starting_at(WINDOW);
+        let table = FakeTable::new(clock);
+        table.set_faults(|faults| {
+            faults.delay = TABLE_DELAY;
+            faults.answer_delay = TABLE_DELAY;
+        });
+        let store = FakeStore::new(clock);
+        let names: Vec<NodeId> = (0..count)
+            .map(|index| NodeId(format_compact!("entry-{index}")))
+            .collect();
+        let (names, nodes) = (Arc::new(names), Arc::new(OnceLock::new()));
+        let node = |me: &NodeId| {
+            let owner = Owner {
+                node: me.clone(),
+                incarnation: Incarnation(1),
+            };
+            let claims = Claims::new(Arc::new(table.clone()), clock, owner, Config::default());
+            if !forwarding {
+                return claims;
+            }
+            claims.with_peers(Arc::new(Mesh {
+                me: me.clone(),
+                names: names.clone(),
+                nodes: nodes.clone(),
+            }))
+        };
+        let claims: Vec<Claims> = names.iter().map(node).collect();
+        assert!(nodes.set(claims.clone()).is_ok());
+        let journal = |me: &NodeId| {
+            let store = Arc::new(store.clone());
+            let config = journal::Config::default();
+            Journal::new(me.clone(), Incarnation(1), clock, store, config)
+        };
+        let journals = names.iter().map(journal).collect();
+        Self {
+            clock,
+            table,
+            store,
+            claims,
+            journals,
+            segments: Arc::default(),
+        }
+    }
+
+    /// Ships each journal once a period, and counts the segments.
+    fn ship(&self) {
+        for journal in &self.journals {
+            let (journal, segments) = (journal.clone(), self.segments.clone());
+            tokio::spawn(async move {
+                loop {
+                    tokio::time::sleep(journal::Config::default().period.duration()).await;
+                    if matches!(journal.ship().await, Shipped::Segment(_)) {
+                        segments.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    }
+
+    /// Handles one request at a node; returns how long its claim took, or none if it got none.
+    fn request(&self, node: usize) -> impl Future<Output = Option<Millis>> + use<> {
+        let (claims, journal) = (self.claims[node].clone(), self.journals[node].clone());
+        let clock = self.clock;
+        async move {
+            let request = RequestId::mint();
+            journal.open(record(request, clock.now()));
+            let asked = clock.now();
+            let ask = Ask {
+                key: ClaimKey {
+                    service: "booking".into(),
+                    key: request.to_string().as_str().into(),
+                },
+                digest: digest(b"palette"),
+                request,
+                window: WINDOW,
+                deadline: asked + PATIENCE,
+            };
+            let ClaimOutcome::Won(claim) = claims.claim(ask).await else {
+                return None;
+            };
+            let took = clock.now() - asked;
+            tokio::time::sleep(RUN.duration()).await;
+            journal.close(request, Fate::Ran);
+            let body = Bytes::from_static(b"{\"order\":\"accepted\"}");
+            let outcome = RecordedOutcome::whole(200, "application/json".into(), body);
+            claims.settle(&claim, outcome, clock.now() + PATIENCE).await;
+            Some(took)
+        }
+    }
+
+    fn total(&self, counter: impl Fn(&Counters) -> &AtomicU64) -> u64 {
+        let counters = self.claims.iter().map(Claims::counters);
+        counters
+            .map(|counters| counter(counters).load(Ordering::Relaxed))
+            .sum()
+    }
+
+    fn totals(&self) -> [u64; 7] {
+        let counts = self.table.counts();
+        [
+            self.total(|counters| &counters.won),
+            counts.commits + counts.conflicts,
+            counts.conflicts,
+            counts.rows,
+            self.total(|counters| &counters.bytes),
+            counts.reads,
+            self.segments.load(Ordering::Relaxed),
+        ]
+    }
+}
+
+fn record(request: RequestId, now: Millis) -> Record {
+    Record {
+        request,
+        service: "booking".into(),
+        class: "palette-order".into(),
+        key: Some(request.to_string().as_str().into()),
+        node: "entry".into(),
+        arrived: now,
+        deadline: now + PATIENCE,
+        started: None,
+        ended: None,
+        fate: None,
+        attempts: Vec::new(),
+        flags: Vec::new(),
+    }
+}
+
+/// Runs arrivals at a rate and measures after the warm-up.
+async fn measure(nodes: usize, forwarding: bool, rate: u64) -> Cost {
+    let cluster = Cluster::new(nodes, forwarding);
+    cluster.ship();
+    let mut random = StdRng::seed_from_u64(rate);
+    let mut requests = Vec::new();
+    let start = cluster.clock.now();
+    let counted = start + Millis::secs(WARM_UP_S);
+    let end = counted + Millis::secs(SPAN_S);
+    let mut before = None;
+    let mut next_us = start.0 * 1000;
+    while cluster.clock.now() < end {
+        let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+        next_us += (-uniform.ln() * 1e6 / rate as f64) as u64;
+        cluster.clock.sleep_until(Millis(next_us / 1000)).await;
+        if cluster.clock.now() >= counted && before.is_none() {
+            before = Some(cluster.totals());
+            requests.clear();
+        }
+        let node = random.random_range(0..nodes);
+        requests.push(tokio::spawn(cluster.request(node)));
+    }
+    let after = cluster.totals();
+    let before = before.unwrap_or_default();
+    let per_second = |index: usize| (after[index] - before[index]) as f64 / SPAN_S as f64;
+    let (mut took, refused) = latencies(requests).await;
+    took.sort_unstable();
+    let at = |share: usize| {
+        took.get(took.len() * share / 100)
+            .copied()
+            .unwrap_or_default()
+    };
+    assert!(cluster.store.faults().down_until == Millis::ZERO);
+    Cost {
+        claims: per_second(0),
+        writes: per_second(1),
+        conflicts: per_second(2),
+        rows: per_second(3),
+        bytes: per_second(4),
+        reads: per_second(5),
+        segments: per_second(6),
+        median: at(50),
+        p99: at(99),
+        refused,
+    }
+}
+
+async fn latencies(requests: Vec<tokio::task::JoinHandle<Option<Millis>>>) -> (Vec<Millis>, usize) {
+    let mut took = Vec::new();
+    let mut refused = 0;
+    for request in requests {
+        match request.await.expect("a request does not panic") {
+            Some(span) => took.push(span),
+            None => refused += 1,
+        }
+    }
+    (took, refused)
+}
+
+fn run(nodes: usize, forwarding: bool, rate: u64) -> Cost {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O starts");
+    runtime.block_on(measure(nodes, forwarding, rate))
+}
+
+fn print_line(nodes: usize, forwarding: bool, rate: u64, cost: &Cost) {
+    let way = if forwarding {
+        "forwarded"
+    } else {
+        "each writes"
+    };
+    println!(
+        "{nodes:>5} {way:<11} {rate:>6} {:>8.1} {:>8.1} {:>9.1} {:>7.1} {:>7.2} {:>8.1} {:>7.1} {:>6} {:>6} {:>7}",
+        cost.claims,
+        cost.writes,
+        cost.conflicts,
+        cost.rows,
+        cost.claims / cost.writes.max(0.1),
+        cost.bytes / 1024.0,
+        cost.reads,
+        cost.median.0,
+        cost.p99.0,
+        cost.refused,
+    );
+}
+
+fn main() {
+    println!(
+        "{:>5} {:<11} {:>6} {:>8} {:>8} {:>9} {:>7} {:>7} {:>8} {:>7} {:>6} {:>6} {:>7}",
+        "nodes",
+        "way",
+        "rate/s",
+        "claims/s",
+        "writes/s",
+        "conflicts",
+        "rows/s",
+        "cl./wr.",
+        "KB/s",
+        "reads/s",
+        "p50 ms",
+        "p99 ms",
+        "refused"
+    );
+    for nodes in [8, 60] {
+        for forwarding in [false, true] {
+            for rate in RATES {
+                let cost = run(nodes, forwarding, rate);
+                print_line(nodes, forwarding, rate, &cost);
+            }
+        }
+    }
+    print_system();
+}
+
+/// Prints the writes a second of the whole system at the peak.
+fn print_system() {
+    let cost = run(60, true, PEAK);
+    let sum = cost.writes + cost.segments;
+    println!();
+    println!("60 nodes, {PEAK} unrepeatable starts a second:");
+    println!("  table transactions of claims  {:>7.1}/s", cost.writes);
+    println!("  journal segments              {:>7.1}/s", cost.segments);
+    println!("  both                          {sum:>7.1}/s of {WRITE_LIMIT:.0}/s");
+    println!(
+        "  rows of claims and segments   {:>7.1}/s",
+        cost.rows + cost.segments
+    );
+}
