--- a/crates/dotterel-coord/src/keeper.rs
+++ b/crates/dotterel-coord/src/keeper.rs
@@ -13,8 +13,11 @@
 
 use crate::lease::{Held, Permit, Renewal, Sought, Terms, WorkerLease};
 
-/// How often a lease held by another is asked for, in milliseconds.
-const SEEK_MS: u64 = 300;
+/// The time between two requests for a lease that may be handed over any moment, in milliseconds.
+const SEEK_MS: u64 = 100;
+
+/// How long a lease that is sought may be handed over any moment, in milliseconds.
+const HANDOVER_MS: u64 = 1_500;
 
 /// The shortest time between two calls that bring nothing, in milliseconds.
 const RETRY_MS: u64 = 50;
@@ -116,6 +119,8 @@
     /// Asks for the lease until it is granted or no longer wanted.
     async fn seek(&mut self, wish: &mut watch::Receiver<Wish>) -> Option<WorkerLease<Held>> {
         let mut lease = WorkerLease::new(self.owner.clone(), self.terms);
+        let mut patience = Millis(SEEK_MS);
+        let handover = self.clock.now() + Millis(HANDOVER_MS);
         while holds(wish) {
             let pause = match lease.acquire(&*self.upstream, &self.clock).await {
                 Sought::Held(lease, grant) => {
@@ -129,14 +134,18 @@
                     ..
                 } => {
                     lease = sought;
-                    self.seek_pause(left)
+                    left.min(patience).max(Millis(RETRY_MS))
                 }
                 Sought::Failed(sought, error) => {
                     log::debug!(vm:% = self.vm, error:%; "worker lease not granted");
                     lease = sought;
-                    self.seek_pause(Millis(SEEK_MS))
+                    patience
                 }
             };
+            if self.clock.now() > handover {
+                patience = Millis(2 * patience.0).min(self.terms.ttl());
+            }
+            let pause = pause + self.jitter(RETRY_MS);
             self.pause_or_change(pause, wish).await;
         }
         None
@@ -197,14 +206,15 @@
         self.holder.lost(&self.vm);
     }
 
-    /// Stops new work first, renews the tasks once more for the heir's sake, then releases.
+    /// Stops new work, renews the tasks once more for the heir's sake, then releases.
     async fn give_back(&mut self, lease: WorkerLease<Held>, wish: &watch::Receiver<Wish>) {
+        // The embedder may forget adopted tasks once the lease is lost.
+        let batch = self.holder.tasks(&self.vm);
         self.holder.lost(&self.vm);
         let heir = match &*wish.borrow() {
             Wish::GiveTo(heir) => Some(heir.clone()),
             Wish::Hold | Wish::Drop => None,
         };
-        let batch = self.holder.tasks(&self.vm);
         let lease = match lease.renew(&*self.upstream, &self.clock, batch).await {
             Renewal::Held(lease, _) | Renewal::Failed(lease, _) => lease,
             Renewal::Lost(_) => return,
@@ -215,12 +225,6 @@
         }
     }
 
-    /// Returns how long to wait before a lease that another holds for `left` is asked for again.
-    fn seek_pause(&mut self, left: Millis) -> Millis {
-        let wait = left.0.clamp(RETRY_MS, SEEK_MS);
-        Millis(wait) + self.jitter(RETRY_MS)
-    }
-
     /// Returns a span below `limit` that differs between nodes, VMs and attempts.
     fn jitter(&mut self, limit: u64) -> Millis {
         self.attempts += 1;
