--- a/crates/dotterel-coord/src/jobs/engine.rs
+++ b/crates/dotterel-coord/src/jobs/engine.rs
@@ -171,19 +171,18 @@
         }
     }
 
+    /// Looks for room, for urgent jobs first and for equals in turn.
     fn place(&mut self) {
         let now = self.clock.now();
-        let count: usize = self.shards.iter().map(|shard| shard.jobs.len()).sum();
-        self.turn = (self.turn + 1) % count.max(1);
-        let turn = self.turn;
-        let jobs = || 0..count;
-        let order: Vec<usize> = jobs().skip(turn).chain(jobs().take(turn)).collect();
         let mut all: Vec<&mut Job> = self.shards.iter_mut().flat_map(|s| &mut s.jobs).collect();
-        for index in order {
+        self.turn = (self.turn + 1) % all.len().max(1);
+        all.rotate_left(self.turn);
+        all.sort_by_key(|job| job.spec.urgency);
+        for job in all {
             if self.placements >= PLACEMENTS {
                 break;
             }
-            if let Some(need) = all[index].need(now, &self.config) {
+            if let Some(need) = job.need(now, &self.config) {
                 self.placements += 1;
                 let host = Arc::clone(&self.host);
                 self.effects.spawn(effects::place(host, need));
--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -163,7 +163,7 @@
             return plan;
         }
         for index in &need.indices {
-            self.tasks[*index as usize].rest(now + config.backoff);
+            self.tasks[*index as usize].rest(next_try(now, config.backoff));
         }
         let plan = plan?;
         for (index, vm, hold) in &plan.spots {
@@ -305,6 +305,13 @@
     }
 }
 
+/// Returns when work without room is placed again: at the same moments for all jobs, so that their
+/// urgency decides.
+fn next_try(now: Millis, pause: Millis) -> Millis {
+    let pause = pause.0.max(1);
+    Millis((now.0 / pause + 1) * pause)
+}
+
 impl From<&Task> for TaskRecord {
     fn from(task: &Task) -> Self {
         let phase = match (&task.stage, task.attempt()) {
--- a/crates/dotterel-coord/src/jobs/spec.rs
+++ b/crates/dotterel-coord/src/jobs/spec.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_kernel::{Class, Kind, Millis, Service, Size};
+use dotterel_kernel::{Class, Kind, Millis, Service, Size, Urgency};
 use serde::{Deserialize, Serialize};
 
 /// The largest body of a job, in bytes.
@@ -22,6 +22,8 @@
     pub class: CompactString,
     /// How its tasks run.
     pub kind: Kind,
+    /// How much its start matters against that of other jobs.
+    pub urgency: Urgency,
     /// How many tasks it has.
     pub tasks: u32,
     /// What each task takes of a VM.
@@ -75,6 +77,7 @@
             service,
             class: class.name.clone(),
             kind: class.kind,
+            urgency: class.urgency,
             tasks: class.tasks,
             size: class.size,
             repeatable: class.repeatable,
--- a/crates/dotterel-coord/tests/features/jobs.feature
+++ b/crates/dotterel-coord/tests/features/jobs.feature
@@ -209,3 +209,13 @@
     And a batch of 2 tasks of 2000 ms is submitted
     Then the job is finished within 20 s
     And every task ran once
+
+  Scenario: Urgent jobs get room before others that wait
+    Given 1 workers of 1 slots
+    And node a
+    And no VM has room
+    When 5 overnight batches and then an urgent one are submitted
+    And 2500 ms pass
+    And the VMs have room
+    Then the job is finished within 10 s
+    And the job ran first
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -11,7 +11,7 @@
     AttemptRecord, Cancelled, Commands, Config, GangOwner, JobHost, JobSpec, LaunchOutcome, Phase,
     Progress, Standing, Submitted, TaskStart,
 };
-use dotterel_kernel::{Clock, Incarnation, JobId, Kind, Millis, Reason, Size, TaskId};
+use dotterel_kernel::{Clock, Incarnation, JobId, Kind, Millis, Reason, Size, TaskId, Urgency};
 use dotterel_platform::{
     Owner, Pressure, Refusal, Start, Started, StopAnswer, TaskState, Upstream,
 };
@@ -255,6 +255,7 @@
         service: "quotes".into(),
         class: "roof".into(),
         kind,
+        urgency: Urgency::Normal,
         tasks,
         size: slots(1),
         repeatable: true,
--- a/crates/dotterel-coord/tests/jobs/scenarios.rs
+++ b/crates/dotterel-coord/tests/jobs/scenarios.rs
@@ -3,7 +3,7 @@
 use cucumber::writer::Stats as _;
 use cucumber::{World as _, given, then, when};
 use dotterel_coord::jobs::{Cancelled, Phase};
-use dotterel_kernel::{JobId, Kind, Millis, Reason};
+use dotterel_kernel::{JobId, Kind, Millis, Reason, Urgency};
 use dotterel_platform::Pressure;
 use dotterel_standin::witness::{self, RunEnd};
 use dotterel_standin::{CutCause, EVERYONE};
@@ -82,6 +82,25 @@
     world.submit(Kind::Batch, tasks, Millis(run)).await;
 }
 
+#[when(expr = "{int} overnight batches and then an urgent one are submitted")]
+async fn urgencies(world: &mut World, count: u32) {
+    let urgencies = (0..count).map(|_| Urgency::Overnight);
+    for urgency in urgencies.chain([Urgency::Urgent]) {
+        let mut spec = spec(Kind::Batch, 1, Millis(3000));
+        spec.urgency = urgency;
+        let job = world.cluster().submit(&spec).await;
+        world.jobs.push(job);
+    }
+}
+
+#[then("the job ran first")]
+async fn ran_first(world: &mut World) {
+    let job = world.job();
+    let runs = world.cluster().runs();
+    let first = runs.iter().min_by_key(|run| run.from);
+    assert_eq!(first.and_then(|run| run.info.job), Some(job));
+}
+
 #[when(expr = "an unrepeatable batch of {int} tasks of {int} ms is submitted")]
 async fn unrepeatable(world: &mut World, tasks: u32, run: u64) {
     let mut spec = spec(Kind::Batch, tasks, Millis(run));
