Purge old jobs, and count the table's work for a stream of job starts

Cause: rows of jobs that are over stayed for ever, and the cost of recording attempts before their starts was not known. The property also demands that every accepted job ends and can be read.

--- /dev/null
+++ b/crates/dotterel-coord/examples/job_writes.rs
@@ -0,0 +1,171 @@
+//! Counts the table's transactions, rows and reads for a steady stream of job starts.
+//!
+//! Runs in virtual time, so the counts are the same on every machine; the processor time is this
+//! machine's. Usage: `cargo run --release -p dotterel-coord --example job_writes`.
+
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use async_trait::async_trait;
+use dotterel_coord::Jobs;
+use dotterel_coord::jobs::{
+    AttemptRecord, Config, GangOwner, Held, HoldAsk, HoldId, JobHost, JobSpec, LaunchOutcome,
+    NoHold, Standing, TaskStart,
+};
+use dotterel_kernel::{Clock, Incarnation, Kind, Millis, NodeId, Reason, Size, TaskId, Urgency};
+use dotterel_platform::{Owner, Pressure};
+use dotterel_standin::FakeTable;
+use tokio::sync::watch;
+
+const SECONDS: u64 = 60;
+const RUN: Millis = Millis(20_000);
+
+/// A node whose VMs always have room and whose tasks end in time.
+struct Host {
+    clock: Clock,
+    node: NodeId,
+    number: u32,
+    nodes: u32,
+    started: Mutex<Vec<(TaskId, Millis)>>,
+}
+
+#[async_trait]
+impl GangOwner for Host {
+    fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    async fn hold(&self, ask: &HoldAsk) -> Result<Held, NoHold> {
+        let vms = (0..ask.count).map(|_| "w1".into()).collect();
+        Ok(Held { vms })
+    }
+
+    async fn commit(&self, _: HoldId) -> bool {
+        true
+    }
+
+    async fn release(&self, _: HoldId) {}
+}
+
+struct Shared(Arc<Host>);
+
+#[async_trait]
+impl JobHost for Shared {
+    fn wants(&self, shard: u32) -> bool {
+        shard % self.0.nodes == self.0.number
+    }
+
+    fn runnable(&self, _: &JobSpec) -> Result<(), Reason> {
+        Ok(())
+    }
+
+    fn owners(&self) -> Vec<Arc<dyn GangOwner>> {
+        vec![Arc::clone(&self.0) as Arc<dyn GangOwner>]
+    }
+
+    async fn launch(&self, start: TaskStart) -> LaunchOutcome {
+        let now = self.0.clock.now();
+        let mut started = self.0.started.lock().expect("no holder panics");
+        started.push((start.attempt.task, now));
+        LaunchOutcome::Running
+    }
+
+    async fn survey(&self, attempts: &[AttemptRecord]) -> Vec<Standing> {
+        let now = self.0.clock.now();
+        let mut started = self.0.started.lock().expect("no holder panics");
+        started.sort_unstable();
+        let standing = |attempt: &AttemptRecord| {
+            let index = started.binary_search_by_key(&attempt.task, |entry| entry.0);
+            match index {
+                Ok(index) if now.since(started[index].1) < RUN => Standing::Running,
+                Ok(_) => Standing::Finished(200),
+                Err(_) => Standing::Unseen,
+            }
+        };
+        attempts.iter().map(standing).collect()
+    }
+
+    async fn stop(&self, _: &AttemptRecord) -> Standing {
+        Standing::Barred
+    }
+
+    async fn press(&self, _: &AttemptRecord, _: Pressure) {}
+
+    fn recorded(&self, tasks: &[TaskId]) {
+        let mut started = self.0.started.lock().expect("no holder panics");
+        started.retain(|entry| !tasks.contains(&entry.0));
+    }
+}
+
+fn spec(tasks: u32) -> JobSpec {
+    JobSpec {
+        service: "quotes".into(),
+        class: "roof".into(),
+        kind: Kind::Batch,
+        urgency: Urgency::Normal,
+        tasks,
+        size: Size::ZERO,
+        repeatable: true,
+        tries: 3,
+        task_ttl: Millis(15_000),
+        timeout: Millis::secs(3_600),
+        body: vec![0; 200].into(),
+    }
+}
+
+/// Runs a stream of jobs of 20 tasks on some nodes and prints one line of the table.
+async fn measure(nodes: u32, jobs_per_second: u64) {
+    let clock = Clock::starting_at(Millis::secs(86_400));
+    let table = FakeTable::new(clock);
+    let (_stop, stopped) = watch::channel(false);
+    let mut handles = Vec::new();
+    for number in 0..nodes {
+        let node: NodeId = format!("n{number}").as_str().into();
+        let owner = Owner {
+            node: node.clone(),
+            incarnation: Incarnation(1),
+        };
+        let jobs = Jobs::new(Arc::new(table.clone()), clock, owner, Config::default());
+        let host = Host {
+            clock,
+            node,
+            number,
+            nodes,
+            started: Mutex::default(),
+        };
+        let engine = jobs.engine(Arc::new(Shared(Arc::new(host))));
+        tokio::spawn(engine.run(stopped.clone()));
+        handles.push(jobs);
+    }
+    tokio::time::sleep(Millis::secs(5).duration()).await;
+    let (before, began) = (table.counts(), Instant::now());
+    for number in 0..SECONDS * jobs_per_second {
+        let through = &handles[(number % u64::from(nodes)) as usize];
+        let deadline = clock.now() + Millis::secs(5);
+        through.submit(&spec(20), deadline).await;
+        tokio::time::sleep(Millis(1000 / jobs_per_second).duration()).await;
+    }
+    let (after, spent) = (table.counts(), began.elapsed());
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    let rate = |count: u64| count as f64 / SECONDS as f64;
+    println!(
+        "{nodes:5} {:10} {:12.1} {:10.1} {:10.1} {:18.1}",
+        jobs_per_second * 20,
+        rate(after.commits - before.commits),
+        rate(after.rows - before.rows),
+        rate(after.reads - before.reads),
+        spent.as_secs_f64() * 1000.0 / SECONDS as f64 / f64::from(nodes),
+    );
+}
+
+fn main() {
+    println!("nodes   starts/s transactions/s     rows/s    reads/s  cpu ms/s and node");
+    for (nodes, jobs) in [(8, 1), (8, 4), (8, 16), (8, 32), (4, 32), (16, 32)] {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime with a timer alone needs nothing");
+        runtime.block_on(measure(nodes, jobs));
+    }
+}
--- a/crates/dotterel-coord/src/jobs.rs
+++ b/crates/dotterel-coord/src/jobs.rs
@@ -69,6 +69,8 @@
     pub survey: Millis,
     /// What is added to a task lease for clock drift before it counts as lapsed.
     pub margin: Millis,
+    /// How long the progress of a job that is over can be read.
+    pub retention: Millis,
     /// The most rows in one transaction.
     pub batch: usize,
 }
@@ -84,6 +86,7 @@
             backoff: Millis(1_000),
             survey: Millis(1_000),
             margin: Millis(1_000),
+            retention: Millis::secs(86_400),
             batch: 256,
         }
     }
--- a/crates/dotterel-coord/src/jobs/engine.rs
+++ b/crates/dotterel-coord/src/jobs/engine.rs
@@ -2,11 +2,12 @@
 
 mod commands;
 mod effects;
+mod shards;
 
 use std::sync::Arc;
 
 use dotterel_kernel::{Clock, JobId, Millis};
-use dotterel_platform::{Pressure, Table, Version};
+use dotterel_platform::{Pressure, Table};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
@@ -25,6 +26,9 @@
 /// The most placements under way at once.
 const PLACEMENTS: usize = 64;
 
+/// The time between two removals of old jobs.
+const PURGE: Millis = Millis::secs(60);
+
 /// The most orders that wait for an engine.
 const ORDERS: usize = 1024;
 
@@ -43,6 +47,7 @@
     turn: usize,
     next_beat: Millis,
     next_survey: Millis,
+    next_purge: Millis,
     orders: (mpsc::Sender<Order>, mpsc::Receiver<Order>),
 }
 
@@ -61,6 +66,7 @@
             turn: 0,
             next_beat: Millis::ZERO,
             next_survey: Millis::ZERO,
+            next_purge: Millis::ZERO,
             orders: mpsc::channel(ORDERS),
         }
     }
@@ -103,42 +109,9 @@
             self.next_survey = now + self.config.survey;
             self.survey();
         }
-    }
-
-    /// Drops shards that another node has taken and takes those that are free.
-    async fn claim(&mut self, now: Millis) {
-        let table = Arc::clone(&self.table);
-        let read = self.tenure.read(&*table, &self.config, now).await;
-        let (versions, free) = match read {
-            Ok(found) => found,
-            Err(fault) => return log::warn!(fault:%; "leases of job shards not read"),
-        };
-        self.shards.retain(|shard| {
-            let kept = shard.in_force(versions[shard.index as usize]);
-            if !kept {
-                log::warn!(shard = shard.index; "job shard taken by another node");
-            }
-            kept
-        });
-        for free in free {
-            let owned = self.shards.iter().any(|shard| shard.index == free.shard);
-            if owned || !self.host.wants(free.shard) {
-                continue;
-            }
-            if let Some(version) = self.tenure.take(&*table, &self.config, free).await {
-                self.load(free.shard, version, now).await;
-            }
-        }
-    }
-
-    async fn load(&mut self, index: u32, lease: Version, now: Millis) {
-        match Shard::load(&*self.table, &self.config, index, lease, now).await {
-            Ok(shard) => {
-                log::info!(shard = index, jobs = shard.jobs.len(); "job shard taken");
-                self.shards.push(shard);
-            }
-            // The next beat finds this node as the holder and loads again.
-            Err(fault) => log::warn!(shard = index, fault:%; "job shard not read"),
+        if now >= self.next_purge {
+            self.next_purge = now + PURGE;
+            self.purge(now).await;
         }
     }
 
@@ -329,16 +302,6 @@
             self.effects.spawn(effects::release(host, plan.holds));
         }
     }
-
-    /// Gives all shards back.
-    async fn part(&mut self) {
-        let table = Arc::clone(&self.table);
-        for shard in &mut self.shards {
-            let now = self.clock.now();
-            let parted = shard.flush(&*table, &self.config, None, now).await;
-            log::info!(shard = shard.index, parted:? = parted; "job shard given back");
-        }
-    }
 }
 
 /// Waits until `stop` turns true or its sender is gone.
--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -66,9 +66,10 @@
     }
 
     /// Returns the progress to be recorded.
-    pub(super) fn progress(&self) -> Progress {
+    pub(super) fn progress(&self, now: Millis) -> Progress {
         Progress {
             phase: self.phase,
+            at: now,
             tasks: self.tasks.iter().map(TaskRecord::from).collect(),
         }
     }
--- a/crates/dotterel-coord/src/jobs/ledger.rs
+++ b/crates/dotterel-coord/src/jobs/ledger.rs
@@ -1,6 +1,7 @@
 //! The rows of one owned shard and the writes that change them.
 
 mod draft;
+mod purge;
 
 use compact_str::CompactString;
 use dotterel_kernel::{JobId, Millis, TaskId};
@@ -137,7 +138,7 @@
         let retried = self.pending.is_some();
         let draft = match self.pending.take() {
             Some(draft) => draft,
-            None => self.draft(config, owner),
+            None => self.draft(config, owner, now),
         };
         match bounded(config.call, table.commit(&draft.writes)).await {
             Ok(Commit::Applied(versions)) => self.applied(&draft, Some(&versions), now),
--- a/crates/dotterel-coord/src/jobs/ledger/draft.rs
+++ b/crates/dotterel-coord/src/jobs/ledger/draft.rs
@@ -1,7 +1,7 @@
 //! Composing the writes of a shard.
 
 use compact_str::CompactString;
-use dotterel_kernel::{JobId, TaskId};
+use dotterel_kernel::{JobId, Millis, TaskId};
 use dotterel_platform::{Owner, Version, Write};
 use uuid::Uuid;
 
@@ -33,7 +33,7 @@
 
 impl Shard {
     /// Composes a write of everything that has changed, up to the limit of a transaction.
-    pub(super) fn draft(&mut self, config: &Config, owner: Option<&Owner>) -> Draft {
+    pub(super) fn draft(&mut self, config: &Config, owner: Option<&Owner>, now: Millis) -> Draft {
         let stamp = Uuid::now_v7();
         let lease = LeaseRow {
             holder: owner.cloned(),
@@ -50,7 +50,7 @@
         let mut parts = Vec::new();
         for job in &mut self.jobs {
             if job.dirty && writes.len() < config.batch {
-                parts.push(compose(job, self.index, &mut writes));
+                parts.push(compose(job, self.index, now, &mut writes));
             }
         }
         Draft {
@@ -63,11 +63,11 @@
 }
 
 /// Adds one job's rows to a write.
-fn compose(job: &mut Job, shard: u32, writes: &mut Vec<Write>) -> Part {
+fn compose(job: &mut Job, shard: u32, now: Millis, writes: &mut Vec<Write>) -> Part {
     let over = job.phase.over();
     job.dirty = false;
     let run = run_key(shard, job.id);
-    let value = Some(encode(&job.progress()));
+    let value = Some(encode(&job.progress(now)));
     let place = writes.len();
     if over {
         writes.push(Write {
@@ -99,7 +99,7 @@
     }
 }
 
-fn delete(key: CompactString, expect: Version) -> Write {
+pub(super) fn delete(key: CompactString, expect: Version) -> Write {
     let value = None;
     Write { key, expect, value }
 }
--- /dev/null
+++ b/crates/dotterel-coord/src/jobs/ledger/purge.rs
@@ -0,0 +1,56 @@
+//! Removing jobs that have been over for long.
+
+use dotterel_kernel::{JobId, Millis};
+use dotterel_platform::{CallError, Commit, Row, Table};
+
+use super::draft::delete;
+use super::{PAGE, Shard};
+use crate::jobs::Config;
+use crate::jobs::record::{Progress, decode, end_prefix, spec_key};
+use crate::lease::bounded;
+
+impl Shard {
+    /// Removes jobs whose retention is over, at most a transaction's worth.
+    ///
+    /// Identifiers sort by the time of submission, so the first page holds the oldest jobs.
+    pub(in crate::jobs) async fn purge(
+        &self,
+        table: &dyn Table,
+        config: &Config,
+        now: Millis,
+    ) -> Result<(), CallError> {
+        let prefix = end_prefix(self.index);
+        let page = bounded(config.call, table.scan(&prefix, "", PAGE)).await?;
+        let mut writes = Vec::new();
+        for row in page {
+            if writes.len() + 2 > config.batch {
+                break;
+            }
+            let Some(job) = expired(&prefix, &row, config, now) else {
+                continue;
+            };
+            let key = spec_key(self.index, job);
+            if let Some(spec) = bounded(config.call, table.get(&key)).await? {
+                writes.push(delete(spec.key, spec.version));
+            }
+            writes.push(delete(row.key, row.version));
+        }
+        if writes.is_empty() {
+            return Ok(());
+        }
+        // After a conflict or a lost answer the next round reads the rows anew.
+        match bounded(config.call, table.commit(&writes)).await? {
+            Commit::Applied(_) => log::debug!(shard = self.index, rows = writes.len(); "purged"),
+            Commit::Conflict { key, .. } => log::debug!(key:%; "purge met a change"),
+        }
+        Ok(())
+    }
+}
+
+fn expired(prefix: &str, row: &Row, config: &Config, now: Millis) -> Option<JobId> {
+    let progress: Progress = decode(&row.value)?;
+    if now.since(progress.at) < config.retention {
+        return None;
+    }
+    row.key.strip_prefix(prefix)?.parse().ok()
+}
--- a/crates/dotterel-coord/src/jobs/record.rs
+++ b/crates/dotterel-coord/src/jobs/record.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use dotterel_kernel::{JobId, Reason, TaskId, VmId};
+use dotterel_kernel::{JobId, Millis, Reason, TaskId, VmId};
 use dotterel_platform::Owner;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,8 @@
 pub struct Progress {
     /// Its state.
     pub phase: Phase,
+    /// When this was recorded, by its owner's clock; zero before the first record.
+    pub at: Millis,
     /// Its tasks by number.
     pub tasks: Vec<TaskRecord>,
 }
@@ -96,6 +98,7 @@
         };
         Self {
             phase: Phase::Active,
+            at: Millis::ZERO,
             tasks: vec![idle; tasks as usize],
         }
     }
@@ -130,8 +133,13 @@
     format_compact!("{}{job}", run_prefix(shard))
 }
 
+/// The prefix of a shard's jobs that are over.
+pub(super) fn end_prefix(shard: u32) -> CompactString {
+    format_compact!("jobs/end/{shard:04}/")
+}
+
 pub(super) fn end_key(shard: u32, job: JobId) -> CompactString {
-    format_compact!("jobs/end/{shard:04}/{job}")
+    format_compact!("{}{job}", end_prefix(shard))
 }
 
 /// The row that tells a shard's owner of a new job.
--- a/crates/dotterel-coord/tests/features/jobs.feature
+++ b/crates/dotterel-coord/tests/features/jobs.feature
@@ -219,3 +219,13 @@
     And the VMs have room
     Then the job is finished within 10 s
     And the job ran first
+
+  Scenario: A job that is over can be read for its retention
+    Given 1 workers of 1 slots
+    And node a
+    When a batch of 1 tasks of 1000 ms is submitted
+    Then the job is finished within 10 s
+    When 3500000 ms pass
+    Then the job is finished within 1 s
+    When 200000 ms pass
+    Then nothing is left of the job in the table
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -35,6 +35,7 @@
     backoff: Millis(1_000),
     survey: Millis(1_000),
     margin: Millis(1_000),
+    retention: Millis::secs(3_600),
     batch: 64,
 };
 
--- a/crates/dotterel-coord/tests/jobs/scenarios.rs
+++ b/crates/dotterel-coord/tests/jobs/scenarios.rs
@@ -245,6 +245,13 @@
     world.cluster().judge();
 }
 
+#[then("nothing is left of the job in the table")]
+async fn purged(world: &mut World) {
+    let job = world.job().to_string();
+    let rows = world.cluster().table.peek("jobs/");
+    assert!(rows.iter().all(|row| !row.key.contains(&job)), "{rows:?}");
+}
+
 #[then("nothing runs")]
 async fn nothing_runs(world: &mut World) {
     let runs = world.cluster().runs();
--- a/crates/dotterel-coord/tests/jobs/schedules.rs
+++ b/crates/dotterel-coord/tests/jobs/schedules.rs
@@ -1,6 +1,6 @@
 //! Random schedules of faults: nothing runs in two places, and everything ends in the end.
 
-use dotterel_coord::jobs::{JobSpec, Phase, Submitted};
+use dotterel_coord::jobs::{JobSpec, Submitted};
 use dotterel_kernel::{JobId, Kind, Millis};
 use dotterel_platform::Pressure;
 use dotterel_standin::{EVERYONE, witness};
@@ -91,6 +91,7 @@
 struct Trial {
     cluster: Cluster,
     jobs: Vec<(JobId, JobSpec)>,
+    accepted: Vec<JobId>,
     lives: u64,
 }
 
@@ -103,6 +104,7 @@
         Self {
             cluster,
             jobs: Vec::new(),
+            accepted: Vec::new(),
             lives: 1,
         }
     }
@@ -159,8 +161,13 @@
         let through = &self.cluster.node(NODES[usize::from(n) % 3]).jobs;
         let deadline = self.cluster.clock.now() + Millis::secs(3);
         let submitted = through.submit(&spec, deadline).await;
-        if let Submitted::Accepted(job) | Submitted::Unknown(job) = submitted {
-            self.jobs.push((job, spec));
+        match submitted {
+            Submitted::Accepted(job) => {
+                self.accepted.push(job);
+                self.jobs.push((job, spec));
+            }
+            Submitted::Unknown(job) => self.jobs.push((job, spec)),
+            Submitted::Unavailable | Submitted::Refused(_) => {}
         }
     }
 
@@ -206,8 +213,12 @@
         let services: Vec<_> = services.map(|entry| entry.0).collect();
         self.cluster.cancel(&services).await;
         for (job, _) in jobs {
-            // A job whose submission is unknown may not exist.
-            let over = async || self.cluster.phase(*job).await.is_none_or(Phase::over);
+            // Only a job whose submission is unknown may not exist.
+            let accepted = self.accepted.contains(job);
+            let over = async || match self.cluster.phase(*job).await {
+                Some(phase) => phase.over(),
+                None => !accepted,
+            };
             self.cluster.until("job over", END_SECONDS, over).await;
         }
         pass(Millis::secs(1)).await;
