Bring a restarted node into the cell at once

Cause: a node that started again during an outage of the platform had no document 3 s after its start: its peers kept their connections to its last life until the idle timeout, so their heartbeats did not reach it. With the platform up it said that it was ready as soon as the list of VMs was read, before the documents were, and refused calls with 404. Ruled out: the peers' memory of the node's address, which had not changed. Change: a peer gives up its connection when a known node shows a new incarnation; a node without documents asks each peer that answers its heartbeat; readiness and 404 wait for the first read of the documents. Links leave from the address that the node listens at. Before: the newest document was not in force on the restarted node within 3 s, and a repeated order got 404.

--- a/crates/dotterel-coord/src/feed.rs
+++ b/crates/dotterel-coord/src/feed.rs
@@ -17,6 +17,7 @@
 mod row;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use compact_str::CompactString;
 use dotterel_kernel::{Clock, Document, DocumentError, Millis, Revision, Service};
@@ -114,6 +115,8 @@
     config: Config,
     in_force: watch::Sender<InForce>,
     cursor: tokio::sync::Mutex<Option<Sequence>>,
+    /// Whether the table was read once.
+    read: AtomicBool,
 }
 
 impl Feed {
@@ -127,6 +130,7 @@
                 config,
                 in_force: watch::Sender::new(InForce::default()),
                 cursor: tokio::sync::Mutex::new(None),
+                read: AtomicBool::new(false),
             }),
         }
     }
@@ -139,6 +143,12 @@
         documents.get(index).map(Arc::clone)
     }
 
+    /// Returns true once all documents were read from the table, even if there were none.
+    #[must_use]
+    pub fn read(&self) -> bool {
+        self.inner.read.load(Ordering::Acquire)
+    }
+
     /// Returns a channel that shows the documents in force and wakes at every change.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<InForce> {
@@ -238,6 +248,7 @@
             None => self.scan().await?,
         };
         *cursor = Some(head.sequence());
+        self.inner.read.store(true, Ordering::Release);
         Ok(count)
     }
 
--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -71,7 +71,7 @@
     /// Returns true when the node takes requests.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && (self.platform.get() || !self.feed.revisions().is_empty())
+        !self.stopping.get() && (self.feed.read() || !self.feed.revisions().is_empty())
     }
 }
 
--- a/crates/dotterel-entry/src/front/answer.rs
+++ b/crates/dotterel-entry/src/front/answer.rs
@@ -6,6 +6,8 @@
 use salvo::prelude::{Request, Response, handler};
 use serde::Serialize;
 
+const RETRY_AFTER_SECONDS: &str = "1";
+
 /// A call that is not served.
 #[derive(Clone, Debug)]
 pub(super) struct Refusal {
@@ -47,6 +49,9 @@
 
     /// Writes the refusal.
     pub(super) fn write(&self, res: &mut Response) {
+        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+            header(res, "retry-after", RETRY_AFTER_SECONDS);
+        }
         json(res, self.status, &self.body);
     }
 }
--- a/crates/dotterel-entry/src/front/requests.rs
+++ b/crates/dotterel-entry/src/front/requests.rs
@@ -18,7 +18,6 @@
 use crate::requests::{self, Outcome};
 
 const KEY_LIMIT: usize = 128;
-const RETRY_AFTER_SECONDS: &str = "1";
 
 /// Takes a caller's request.
 pub(super) struct Post(pub(super) Arc<App>);
@@ -97,6 +96,11 @@
 
 fn find(app: &App, service: &Service, name: &str) -> Result<Class, Refusal> {
     let Some(accepted) = app.feed.in_force(service) else {
+        if !app.feed.read() {
+            let reason = "the node has not read the documents yet";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Refusal::new(status, "service", reason));
+        }
         let reason = format_compact!("no document is in force for service {service}");
         return Err(Refusal::new(StatusCode::NOT_FOUND, "service", reason));
     };
@@ -201,7 +205,6 @@
 
 fn not_run(res: &mut Response, id: RequestId, reason: Reason) {
     head(res, id, &Fate::NotRun(reason));
-    header(res, "retry-after", RETRY_AFTER_SECONDS);
     let text = format_compact!("not run: {reason}");
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "request", text).write(res);
 }
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -143,6 +143,12 @@
         peer.map_or_else(Vec::new, |peer| peer.heartbeat.documents.clone())
     }
 
+    /// Returns true when the node was heard before.
+    #[must_use]
+    pub fn met(&self, node: &NodeId) -> bool {
+        self.state().members.peer(node).is_some()
+    }
+
     /// Returns the other nodes with the addresses they gave, sorted by name.
     #[must_use]
     pub fn heard(&self) -> Vec<Heartbeat> {
--- a/crates/dotterel-entry/src/peers/beat.rs
+++ b/crates/dotterel-entry/src/peers/beat.rs
@@ -53,8 +53,13 @@
 
 async fn send(app: Arc<App>, node: NodeId, beat: Beat) {
     let sent = app.mesh.call(&node, &Call::Beat(beat), BEAT_TIMEOUT).await;
-    if let Err(fault) = sent {
-        log::debug!(peer = node.as_str(), fault:% = fault; "heartbeat not answered");
+    match sent {
+        // A fresh node need not wait until the peer's heartbeats find their way to it.
+        Ok(_) if app.feed.revisions().is_empty() => pull(app, node).await,
+        Ok(_) => {}
+        Err(fault) => {
+            log::debug!(peer = node.as_str(), fault:% = fault; "heartbeat not answered");
+        }
     }
 }
 
@@ -120,8 +125,15 @@
     let known = app.peers.documents(&from);
     let changed = digest(&known) != beat.documents;
     heartbeat.documents = known;
+    let met = app.peers.met(&from);
     match app.peers.hear(heartbeat.clone(), app.clock.now()) {
-        Heard::Joined => log::info!(peer = from.as_str(); "peer joined"),
+        Heard::Joined => {
+            log::info!(peer = from.as_str(); "peer joined");
+            if met {
+                // Packets of a connection to its last life would vanish until that times out.
+                app.mesh.redial(&from);
+            }
+        }
         Heard::Superseded => {
             log::error!(peer = from.as_str(); "another process uses this node's name");
         }
--- a/crates/dotterel-mesh/src/endpoint.rs
+++ b/crates/dotterel-mesh/src/endpoint.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Gives up the connection to a peer and makes a new one, because the peer has restarted.
+    pub fn redial(&self, peer: &NodeId) {
+        let mut links = self.links();
+        let found = links.binary_search_by(|link| link.peer.node.cmp(peer));
+        if let Ok(index) = found {
+            let peer = links[index].peer.clone();
+            links[index] = Link::open(self.dial(peer));
+        }
+    }
+
     /// Calls a peer and waits for the answer, at most for `limit`.
     ///
     /// # Errors
@@ -210,6 +220,7 @@
         Dial {
             peer,
             own: self.shared.node.clone(),
+            addr: self.shared.addr.ip(),
             incarnation: self.shared.incarnation,
             config: self.shared.client.clone(),
             counted: self.shared.counted.clone(),
--- a/crates/dotterel-mesh/src/link.rs
+++ b/crates/dotterel-mesh/src/link.rs
@@ -1,5 +1,6 @@
 //! The outgoing connection to one peer, kept by one task.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
 pub(crate) struct Dial {
     pub(crate) peer: Peer,
     pub(crate) own: NodeId,
+    /// The IP address to connect from.
+    pub(crate) addr: IpAddr,
     pub(crate) incarnation: Incarnation,
     pub(crate) config: ClientConfig,
     pub(crate) counted: Arc<Counted>,
@@ -155,7 +158,7 @@
     }
 
     async fn connect(&self) -> Result<(Endpoint, Connection), MeshError> {
-        let endpoint = transport::dialer(self.peer.addr).map_err(MeshError::not_sent)?;
+        let endpoint = transport::dialer(self.addr, self.peer.addr).map_err(MeshError::not_sent)?;
         let connection = endpoint
             .connect_with(self.config.clone(), self.peer.addr, self.peer.node.as_str())
             .map_err(MeshError::not_sent)?
--- a/crates/dotterel-mesh/src/transport.rs
+++ b/crates/dotterel-mesh/src/transport.rs
@@ -1,6 +1,6 @@
 //! QUIC and TLS parameters.
 
-use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -54,14 +54,15 @@
 /// Returns an endpoint on a fresh port for one outgoing connection.
 ///
 /// A port of its own gives every new connection a new path through whatever keeps track of flows
-/// between the nodes, which may have forgotten the old one.
-pub(crate) fn dialer(peer: SocketAddr) -> std::io::Result<Endpoint> {
-    let local: SocketAddr = if peer.is_ipv4() {
-        (Ipv4Addr::UNSPECIFIED, 0).into()
-    } else {
-        (Ipv6Addr::UNSPECIFIED, 0).into()
+/// between the nodes, which may have forgotten the old one. It has the IP address `own` that the
+/// node listens at, unless the peer's is of another family.
+pub(crate) fn dialer(own: IpAddr, peer: SocketAddr) -> std::io::Result<Endpoint> {
+    let local = match (own.is_ipv4(), peer.is_ipv4()) {
+        (true, true) | (false, false) => own,
+        (_, true) => Ipv4Addr::UNSPECIFIED.into(),
+        (_, false) => Ipv6Addr::UNSPECIFIED.into(),
     };
-    Endpoint::client(local)
+    Endpoint::client((local, 0).into())
 }
 
 /// Returns an endpoint that accepts connections on a bound socket.
