Drain a VM before its lease is given back to nobody

Cause: a keeper that was told to drop its lease released it at once. Where no heir lives (the last node of a data centre stops, or two stop together) nobody renews the task leases, and the VM cuts what runs after 15 s.

Seen first: "The last node of a data centre stops" ran 0 of 2 tasks of 40 s to their end, and planned_stops_cut_nothing failed by [Wait(3702), Submit(1, 27744), Drop(1, 1), ...] with Cut(Lapsed).

Change: after a wish to drop, a keeper starts nothing new and goes on renewing what the VM says runs there; it releases when nothing does, or at once to an heir that is named meanwhile, or when it wants the lease again.

Addresses to send heartbeats to are left to embedders, which have links to look after; the unused list is gone.

--- a/crates/dotterel-coord/src/keeper.rs
+++ b/crates/dotterel-coord/src/keeper.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use dotterel_kernel::{Clock, Millis, NodeId, TaskId, VmId};
-use dotterel_platform::{Grant, Granted, Owner, Upstream};
+use dotterel_platform::{Grant, Granted, Owner, TaskState, Upstream};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -29,7 +29,7 @@
     Hold,
     /// Give it to this node.
     GiveTo(NodeId),
-    /// Give it back to nobody in particular.
+    /// Start nothing new, and give it back to nobody in particular once no task runs.
     Drop,
 }
 
@@ -107,6 +107,8 @@
     }
 
     /// Follows the wish until its sender is gone, then gives the lease back.
+    ///
+    /// The last wish tells how: [`Wish::Drop`] waits for the tasks there, [`Wish::Hold`] does not.
     pub async fn run(mut self, mut wish: watch::Receiver<Wish>) {
         while wanted(&mut wish).await {
             let Some(lease) = self.seek(&mut wish).await else {
@@ -206,25 +208,73 @@
         self.holder.lost(&self.vm);
     }
 
-    /// Stops new work, renews the tasks once more for the heir's sake, then releases.
-    async fn give_back(&mut self, lease: WorkerLease<Held>, wish: &watch::Receiver<Wish>) {
+    /// Stops new work, renews the tasks for the heir's sake, then releases.
+    async fn give_back(&mut self, lease: WorkerLease<Held>, wish: &mut watch::Receiver<Wish>) {
         // The embedder may forget adopted tasks once the lease is lost.
         let batch = self.holder.tasks(&self.vm);
         self.holder.lost(&self.vm);
+        let Some(lease) = self.drain(lease, batch, wish).await else {
+            return;
+        };
         let heir = match &*wish.borrow() {
             Wish::GiveTo(heir) => Some(heir.clone()),
             Wish::Hold | Wish::Drop => None,
         };
-        let lease = match lease.renew(&*self.upstream, &self.clock, batch).await {
-            Renewal::Held(lease, _) | Renewal::Failed(lease, _) => lease,
-            Renewal::Lost(_) => return,
-        };
         let (lease, told) = lease.release(&*self.upstream, heir.as_ref()).await;
         if let Err(error) = told {
             log::warn!(vm:% = self.vm, epoch:% = lease.epoch(), error:%; "lease not released");
         }
     }
 
+    /// Renews once, and goes on while tasks run that nobody else would renew.
+    ///
+    /// Returns none when the lease is over.
+    async fn drain(
+        &self,
+        mut lease: WorkerLease<Held>,
+        mut batch: Batch,
+        wish: &mut watch::Receiver<Wish>,
+    ) -> Option<WorkerLease<Held>> {
+        loop {
+            let mut pause = Millis(RETRY_MS);
+            match lease
+                .renew(&*self.upstream, &self.clock, batch.clone())
+                .await
+            {
+                Renewal::Held(kept, granted) => {
+                    lease = kept;
+                    batch = self.rest(&granted);
+                    pause = self.terms.period();
+                }
+                Renewal::Failed(kept, _) => lease = kept,
+                Renewal::Lost(_) => return None,
+            }
+            if batch.renew.is_empty() || *wish.borrow() != Wish::Drop {
+                return Some(lease);
+            }
+            if self.clock.now() >= lease.until() {
+                return None;
+            }
+            if wish.has_changed().is_ok() {
+                self.pause_or_change(pause, wish).await;
+            } else {
+                tokio::time::sleep(pause.duration()).await;
+            }
+        }
+    }
+
+    /// Returns the tasks that still run on a VM that takes no more from here.
+    fn rest(&self, granted: &Granted) -> Batch {
+        let running = granted
+            .tasks
+            .iter()
+            .filter(|seen| seen.state == TaskState::Running);
+        Batch {
+            renew: running.map(|seen| seen.task).collect(),
+            forget: self.holder.tasks(&self.vm).forget,
+        }
+    }
+
     /// Returns a span below `limit` that differs between nodes, VMs and attempts.
     fn jitter(&mut self, limit: u64) -> Millis {
         self.attempts += 1;
@@ -236,7 +286,7 @@
     async fn pause_or_change(&self, pause: Millis, wish: &mut watch::Receiver<Wish>) {
         tokio::select! {
             () = tokio::time::sleep(pause.duration()) => {}
-            // An error means that the sender is gone, which `holds` notices.
+            // An error means that the sender is gone, which the callers notice.
             _ = wish.changed() => {}
         }
     }
--- a/crates/dotterel-coord/src/membership.rs
+++ b/crates/dotterel-coord/src/membership.rs
@@ -130,17 +130,6 @@
         self.listed.sort_by(|a, b| a.id.cmp(&b.id));
     }
 
-    /// Returns the addresses to send heartbeats to: all listed nodes and all heard ones.
-    #[must_use]
-    pub fn contacts(&self) -> Vec<&str> {
-        let listed = self.listed.iter().filter(|vm| vm.id != self.own.node.0);
-        let heard = self.peers.iter().map(|peer| peer.heartbeat.addr.as_str());
-        let mut contacts: Vec<&str> = listed.map(|vm| vm.addr.as_str()).chain(heard).collect();
-        contacts.sort_unstable();
-        contacts.dedup();
-        contacts
-    }
-
     /// Forgets nodes that are neither listed nor heard for `span`.
     pub fn prune(&mut self, span: Millis, now: Millis) {
         let listed = &self.listed;
--- a/crates/dotterel-coord/tests/features/ownership.feature
+++ b/crates/dotterel-coord/tests/features/ownership.feature
@@ -132,3 +132,26 @@
     Then the worker ran 2 tasks to their end
     And no task was cut
     And nothing is wrong
+
+  Scenario: The last node of a data centre stops
+    When a runs 2 tasks of 40 s
+    And a gives the worker back to nobody
+    And 1 s pass
+    And a runs 1 tasks of 1 s
+    And 60 s pass
+    Then the worker ran 2 tasks to their end
+    And no task was cut
+    And nothing is wrong
+    When b wants the worker
+    Then b owns the worker within 100 ms
+
+  Scenario: An heir comes while the last node drains
+    When a runs 2 tasks of 40 s
+    And a gives the worker back to nobody
+    And 20 s pass
+    And a hands the worker to b
+    Then b owns the worker within 500 ms
+    When 60 s pass
+    Then the worker ran 2 tasks to their end
+    And no task was cut
+    And nothing is wrong
--- a/crates/dotterel-coord/tests/ownership/faults.rs
+++ b/crates/dotterel-coord/tests/ownership/faults.rs
@@ -29,6 +29,7 @@
     Submit(usize, u16),
     Seek(usize, usize),
     Give(usize, usize, usize),
+    Drop(usize, usize),
     Pause(usize),
     Resume(usize),
     Kill(usize),
@@ -49,7 +50,7 @@
         let other = usize::arbitrary(g) % NODES;
         let vm = usize::arbitrary(g) % WORKERS;
         let span = u16::arbitrary(g) % 4_000;
-        match u8::arbitrary(g) % 24 {
+        match u8::arbitrary(g) % 25 {
             0..5 => Self::Wait(span),
             5..11 => Self::Submit(node, span * 8),
             11 => Self::Seek(node, vm),
@@ -65,6 +66,7 @@
             20 => Self::Delay(vm, span),
             21 => Self::LoseAnswer(vm),
             22 => Self::DropCall(vm),
+            23 => Self::Drop(node, vm),
             _ => Self::Retry(node),
         }
     }
@@ -80,7 +82,7 @@
             let step = Step::arbitrary(g);
             let planned = matches!(
                 step,
-                Step::Wait(_) | Step::Submit(..) | Step::Seek(..) | Step::Give(..)
+                Step::Wait(_) | Step::Submit(..) | Step::Seek(..) | Step::Give(..) | Step::Drop(..)
             );
             if planned || matches!(step, Step::LoseAnswer(_) | Step::DropCall(_)) {
                 return Self(step);
@@ -145,6 +147,7 @@
                 let heir = self.nodes[heir].id.clone();
                 self.nodes[node].wish(vm, Wish::GiveTo(heir));
             }
+            Step::Drop(node, vm) => self.nodes[node].wish(vm, Wish::Drop),
             Step::Pause(node) => self.nodes[node].pause(true),
             Step::Resume(node) => self.nodes[node].pause(false),
             Step::Kill(node) => self.kill(node),
--- a/crates/dotterel-coord/tests/ownership/scenarios.rs
+++ b/crates/dotterel-coord/tests/ownership/scenarios.rs
@@ -96,6 +96,11 @@
     world.node(&id).wish(0, Wish::GiveTo(heir.id.clone()));
 }
 
+#[when(expr = "{word} gives the worker back to nobody")]
+fn give_back(world: &mut World, id: String) {
+    world.node(&id).wish(0, Wish::Drop);
+}
+
 #[when(expr = "{word} runs {int} tasks of {int} s")]
 async fn run(world: &mut World, id: String, count: usize, secs: u64) {
     for _ in 0..count {
