--- /dev/null
+++ b/crates/dotterel-load/src/decision.rs
@@ -0,0 +1,135 @@
+//! Time taken by single decisions of the scheduler.
+
+use std::time::Instant;
+
+use dotterel_kernel::{
+    Ask, DataCentre, Epoch, HoldKey, Kind, Millis, Scheduler, Service, Size, Submit, Urgency, Vm,
+    VmId, Waiting,
+};
+use hdrhistogram::Histogram;
+
+const SLOTS: u32 = 8;
+const CLASSES: usize = 360;
+
+/// What decisions took.
+#[derive(Clone, Debug)]
+pub struct Cost {
+    /// Nanoseconds of each submission.
+    pub submits: Histogram<u64>,
+    /// Nanoseconds of each finish with the start of the next queued task.
+    pub handovers: Histogram<u64>,
+    /// Placements per second of processor time.
+    pub rate: f64,
+}
+
+/// Returns a scheduler with `vms` equal VMs under the standard policy.
+#[must_use]
+pub fn scheduler(vms: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new(dotterel_policies::standard());
+    for number in 0..vms {
+        let capacity = Size {
+            milli_cores: 32_000,
+            memory_mb: 65_536,
+            // Every third VM has some, as in a fleet of unlike machines.
+            accelerators: if number % 3 == 0 { 4 } else { 0 },
+            slots: SLOTS,
+            connections: 64,
+        };
+        let id = VmId(format!("vm-{number}").into());
+        let vm = Vm::new(id, DataCentre::from("a"), capacity, Epoch(1));
+        scheduler.fleet_mut().insert(vm);
+    }
+    scheduler
+}
+
+/// Returns the task number `index` of a mix of short, long and accelerated work.
+#[must_use]
+pub fn task(index: usize, now: Millis) -> Waiting {
+    let long = index.is_multiple_of(3);
+    let accelerators = u32::from(index.is_multiple_of(12));
+    Waiting {
+        service: Service(format!("service-{}", index % CLASSES).into()),
+        class: if long { "long".into() } else { "short".into() },
+        ask: Ask {
+            kind: if long { Kind::Batch } else { Kind::Interactive },
+            urgency: if long {
+                Urgency::Overnight
+            } else {
+                Urgency::Urgent
+            },
+            size: Size {
+                milli_cores: if long { 4000 } else { 500 },
+                memory_mb: 512 << (index % 4),
+                accelerators,
+                slots: 1,
+                connections: 1,
+            },
+            expected: if long { Millis(60_000) } else { Millis(50) },
+            long,
+        },
+        arrived: now,
+        deadline: now + Millis::secs(36_000),
+    }
+}
+
+/// Measures decisions with this part of all slots taken and this many tasks queued.
+///
+/// # Panics
+///
+/// Never: the bounds of the histograms are constants that the library accepts.
+#[must_use]
+pub fn measure(vms: u32, fill: f64, queued: usize, rounds: usize) -> Cost {
+    let histogram = || Histogram::new_with_bounds(1, 10_000_000_000, 3).expect("valid bounds");
+    let mut scheduler = scheduler(vms);
+    let mut holds = Vec::new();
+    let mut index = 0;
+    let now = Millis::secs(1);
+    let goal = (f64::from(vms * SLOTS) * fill) as usize;
+    let mut waiting = 0;
+    while (holds.len() < goal || waiting < queued) && index < 4 * goal + queued {
+        match scheduler.submit(task(index, now), now) {
+            Submit::Placed(placement) => holds.push(placement.hold),
+            Submit::Queued(_) => waiting += 1,
+            Submit::Refused(_) => {}
+        }
+        index += 1;
+    }
+    let mut cost = Cost {
+        submits: histogram(),
+        handovers: histogram(),
+        rate: 0.0,
+    };
+    let mut spent = 0;
+    let mut placed = 0_u64;
+    for round in 0..rounds {
+        let now = now + Millis(round as u64 / 10);
+        let next = task(index + round, now);
+        let begun = Instant::now();
+        let answer = scheduler.submit(next, now);
+        spent += note(&mut cost.submits, begun);
+        if let Submit::Placed(placement) = answer {
+            placed += 1;
+            holds.push(placement.hold);
+        }
+        if holds.is_empty() {
+            continue;
+        }
+        let hold: HoldKey = holds.swap_remove(round * 7919 % holds.len());
+        let begun = Instant::now();
+        scheduler.release(hold);
+        let started = scheduler.next(now);
+        spent += note(&mut cost.handovers, begun);
+        if let Some((_, _, placement)) = started {
+            placed += 1;
+            holds.push(placement.hold);
+        }
+    }
+    cost.rate = placed as f64 / (spent as f64 / 1e9);
+    cost
+}
+
+fn note(histogram: &mut Histogram<u64>, begun: Instant) -> u64 {
+    let span = u64::try_from(begun.elapsed().as_nanos()).unwrap_or(u64::MAX);
+    histogram.saturating_record(span.max(1));
+    span
+}
