Admit interactive work to a third of its allowance at the crest

Cause: with admission up to 0.8 of the allowance, urgent work that was admitted still expired at 1400 ms, since other work that had waited for half of its own allowance goes first and the estimate does not count it. Change: interactive work is admitted up to 0.3 of its allowance, other work to 0.8; more urgent demand counts for at most a minute of expected wait.

--- a/crates/dotterel-kernel/src/scheduler/demand.rs
+++ b/crates/dotterel-kernel/src/scheduler/demand.rs
@@ -10,6 +10,8 @@
 
 /// How long an arrival counts towards the demand of its urgency.
 const DEMAND_SPAN: Millis = Millis(1000);
+/// How long more urgent work is expected to crowd out other work at most.
+const CREST_SPAN: Millis = Millis(60_000);
 /// How long a peak of short work is remembered.
 const PEAK_SPAN: Millis = Millis(60_000);
 const URGENCIES: [Urgency; 3] = [Urgency::Urgent, Urgency::Normal, Urgency::Overnight];
@@ -73,12 +75,20 @@
         let rates = &self.rates[usize::from(ask.long)][..level(ask.urgency)];
         let demand: f64 = rates.iter().map(|rate| rate.get(now)).sum();
         let crowding = demand / pool;
+        let clear = ahead / pool;
+        let crowded = if crowding < 1.0 {
+            clear / (1.0 - crowding)
+        } else {
+            f64::INFINITY
+        };
         let wait = match ahead {
-            0.0 => Millis::ZERO,
-            _ if crowding >= 1.0 => Millis::MAX,
-            _ => Millis((ahead / pool / (1.0 - crowding)) as u64),
+            0.0 => 0.0,
+            _ => crowded.min(clear + CREST_SPAN.0 as f64),
         };
-        Outlook { wait, crowding }
+        Outlook {
+            wait: Millis(wait as u64),
+            crowding,
+        }
     }
 }
 
--- a/crates/dotterel-policies/src/admission/in_time.rs
+++ b/crates/dotterel-policies/src/admission/in_time.rs
@@ -1,10 +1,12 @@
 //! Refuses what could not start before its deadline, by learned run times.
 
 use dotterel_kernel::plugin::{Part, Plugin};
-use dotterel_kernel::{Admission, Load, Millis, Reason, Urgency, Waiting};
+use dotterel_kernel::{Admission, Kind, Load, Millis, Reason, Urgency, Waiting};
 
-/// The part of the time left that the expected wait may fill, in tenths.
-const FILL_TENTHS: u64 = 8;
+/// The part of the time left that the expected wait of an interactive task may fill, in tenths.
+const INTERACTIVE_TENTHS: u64 = 3;
+/// The same for other tasks, which nobody waits for.
+const OTHER_TENTHS: u64 = 8;
 /// From this part of the capacity on, more urgent work is the cause of a refusal.
 const CROWDED: f64 = 0.5;
 
@@ -17,7 +19,11 @@
 
     fn judge(&self, waiting: &Waiting, load: &Load, now: Millis) -> Result<(), Reason> {
         let left = waiting.deadline.since(now).0;
-        if load.wait.0 <= left / 10 * FILL_TENTHS {
+        let tenths = match waiting.ask.kind {
+            Kind::Interactive => INTERACTIVE_TENTHS,
+            Kind::Batch | Kind::Gang | Kind::Service => OTHER_TENTHS,
+        };
+        if load.wait.0 <= left / 10 * tenths {
             return Ok(());
         }
         if waiting.ask.urgency != Urgency::Urgent && load.crowding >= CROWDED {
