--- a/crates/dotterel-policies/src/order/due.rs
+++ b/crates/dotterel-policies/src/order/due.rs
@@ -5,7 +5,7 @@
 //! takes at the team's rate.
 
 use dotterel_kernel::plugin::{Part, Plugin};
-use dotterel_kernel::{Kind, Load, Order, Urgency, Waiting};
+use dotterel_kernel::{Load, Order, Urgency, Waiting};
 
 struct Due;
 
@@ -20,13 +20,11 @@
             return arrived.0;
         }
         let allowance = waiting.deadline.since(arrived).0;
-        let patience = if waiting.ask.kind == Kind::Interactive {
-            allowance
-        } else {
-            allowance / 2
-        };
         let behind = load.turn.since(arrived).0;
-        arrived.0.saturating_add(patience).saturating_add(behind)
+        arrived
+            .0
+            .saturating_add(allowance / 2)
+            .saturating_add(behind)
     }
 }
 
