Hold every resource back for short work, not slots alone

Cause: simulations of eight cores fill a VM's cores while slots stay free, and the slots held back are then of no use to short work. The cores left free lie on a few VMs whose slots are too few for the peak, so the reserve has to be counted VM by VM.

--- a/crates/dotterel-kernel/src/fleet.rs
+++ b/crates/dotterel-kernel/src/fleet.rs
@@ -103,16 +103,20 @@
     /// Takes a VM out together with its holds.
     pub fn remove(&mut self, key: VmKey) -> Option<Vm> {
         let vm = self.vms.remove(key)?;
-        self.totals.subtract(&vm);
         self.index.remove(key);
+        let mut long = Size::ZERO;
         let lost = &mut self.lost;
         self.holds.retain(|hold_key, hold| {
             let kept = hold.vm != key;
             if !kept {
+                if hold.long {
+                    long = long.plus(&hold.size);
+                }
                 lost.push((hold_key, *hold));
             }
             kept
         });
+        self.totals.subtract(&vm, &long);
         Some(vm)
     }
 
@@ -203,7 +207,7 @@
         let long_slots = u32::from(long) * size.slots;
         vm.used = vm.used.plus(&size);
         vm.long_slots += long_slots;
-        self.totals.taken(size.slots, long_slots);
+        self.totals.taken(&size, long);
         self.index.update(key, vm);
         Some(self.holds.insert(Hold {
             vm: key,
@@ -220,7 +224,7 @@
             let long_slots = u32::from(hold.long) * hold.size.slots;
             vm.used = vm.used.minus(&hold.size);
             vm.long_slots -= long_slots;
-            self.totals.given(hold.size.slots, long_slots);
+            self.totals.given(&hold.size, hold.long);
             self.index.update(hold.vm, vm);
             self.gains += 1;
         }
--- a/crates/dotterel-kernel/src/fleet/total.rs
+++ b/crates/dotterel-kernel/src/fleet/total.rs
@@ -8,10 +8,10 @@
 pub struct Totals {
     /// Capacity of the VMs that accept work.
     pub capacity: Size,
-    /// Slots held on all VMs.
-    pub running: u32,
-    /// Slots held by long work on all VMs.
-    pub long: u32,
+    /// What is held on all VMs.
+    pub used: Size,
+    /// What long work holds on all VMs.
+    pub long: Size,
     /// Each distinct capacity with its number of VMs.
     shapes: Vec<(Size, u32)>,
 }
@@ -42,20 +42,20 @@
         if vm.accepting {
             self.capacity = self.capacity.plus(&vm.capacity);
         }
-        self.running += vm.used.slots;
-        self.long += vm.long_slots;
+        self.used = self.used.plus(&vm.used);
         match self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             Some(shape) => shape.1 += 1,
             None => self.shapes.push((vm.capacity, 1)),
         }
     }
 
-    pub(super) fn subtract(&mut self, vm: &Vm) {
+    /// Takes a VM out together with what long work holds on it.
+    pub(super) fn subtract(&mut self, vm: &Vm, long: &Size) {
         if vm.accepting {
             self.capacity = self.capacity.minus(&vm.capacity);
         }
-        self.running -= vm.used.slots;
-        self.long -= vm.long_slots;
+        self.used = self.used.minus(&vm.used);
+        self.long = self.long.minus(long);
         if let Some(shape) = self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             shape.1 -= 1;
         }
@@ -70,13 +70,17 @@
         };
     }
 
-    pub(super) fn taken(&mut self, slots: u32, long: u32) {
-        self.running += slots;
-        self.long += long;
+    pub(super) fn taken(&mut self, size: &Size, long: bool) {
+        self.used = self.used.plus(size);
+        if long {
+            self.long = self.long.plus(size);
+        }
     }
 
-    pub(super) fn given(&mut self, slots: u32, long: u32) {
-        self.running -= slots;
-        self.long -= long;
+    pub(super) fn given(&mut self, size: &Size, long: bool) {
+        self.used = self.used.minus(size);
+        if long {
+            self.long = self.long.minus(size);
+        }
     }
 }
--- a/crates/dotterel-kernel/src/rate.rs
+++ b/crates/dotterel-kernel/src/rate.rs
@@ -1,5 +1,6 @@
 //! Decayed measures of a stream of events.
 
+use crate::size::Size;
 use crate::time::Millis;
 
 /// Amount of something per millisecond, decayed exponentially.
@@ -34,31 +35,49 @@
     }
 }
 
-/// The highest recent value of a level, decayed exponentially.
+/// The highest recent sizes, decayed exponentially, each resource by itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Peak {
     span: f64,
-    value: f64,
+    values: [f64; RESOURCES],
     at: Millis,
 }
 
+const RESOURCES: usize = 5;
+
 impl Peak {
     /// Returns a peak that forgets over `span`.
     #[must_use]
     pub const fn over(span: Millis) -> Self {
         Self {
             span: span.0 as f64,
-            value: 0.0,
+            values: [0.0; RESOURCES],
             at: Millis::ZERO,
         }
     }
 
-    /// Notes the present level and returns the peak.
-    pub fn note(&mut self, level: f64, now: Millis) -> f64 {
-        self.value *= decay(now.since(self.at), self.span);
-        self.value = self.value.max(level);
+    /// Notes the present size and returns the peak, rounded up.
+    pub fn note(&mut self, size: &Size, now: Millis) -> Size {
+        let kept = decay(now.since(self.at), self.span);
         self.at = self.at.max(now);
-        self.value
+        let levels = [
+            size.milli_cores,
+            size.memory_mb,
+            size.accelerators,
+            size.slots,
+            size.connections,
+        ];
+        for (value, level) in self.values.iter_mut().zip(levels) {
+            *value = (*value * kept).max(f64::from(level));
+        }
+        let [cores, memory, accelerators, slots, connections] = self.values;
+        Size {
+            milli_cores: cores.ceil() as u32,
+            memory_mb: memory.ceil() as u32,
+            accelerators: accelerators.ceil() as u32,
+            slots: slots.ceil() as u32,
+            connections: connections.ceil() as u32,
+        }
     }
 }
 
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -397,8 +397,9 @@
     fn refresh(&mut self, now: Millis) {
         let totals = self.fleet.totals();
         self.load.queued = count(self.queue.len());
-        self.load.running = totals.running;
+        self.load.running = totals.used.slots;
         self.load.slots = totals.capacity.slots;
+        self.load.capacity = totals.capacity;
         self.load.long = totals.long;
         self.load.short_peak = self.demand.short_peak(totals, &self.queue, now);
     }
--- a/crates/dotterel-kernel/src/scheduler/demand.rs
+++ b/crates/dotterel-kernel/src/scheduler/demand.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Totals;
 use crate::plugin::Ask;
 use crate::rate::{Peak, Rate};
+use crate::size::Size;
 use crate::time::Millis;
 
 use super::queue::{Queue, level};
@@ -46,14 +47,13 @@
         self.rates[usize::from(ask.long)][level(ask.urgency)].add(work, now);
     }
 
-    /// Returns the slots that short work wanted at its recent peak.
-    pub(super) fn short_peak(&mut self, totals: &Totals, queue: &Queue, now: Millis) -> f64 {
-        let waiting: u32 = URGENCIES
-            .iter()
-            .map(|u| queue.backlog(false, *u).tasks)
-            .sum();
-        let level = totals.running - totals.long + waiting;
-        self.peak.note(f64::from(level), now)
+    /// Returns what short work wanted at its recent peak.
+    pub(super) fn short_peak(&mut self, totals: &Totals, queue: &Queue, now: Millis) -> Size {
+        let running = totals.used.minus(&totals.long);
+        let wanted = URGENCIES.iter().fold(running, |sum, urgency| {
+            sum.plus(&queue.backlog(false, *urgency).size)
+        });
+        self.peak.note(&wanted, now)
     }
 
     /// Estimates how long a task would wait behind the work that goes first.
@@ -95,7 +95,10 @@
 /// Returns the part of the fleet that work of this length may use.
 fn pool(ask: &Ask, totals: &Totals) -> f64 {
     const LEAST: f64 = 0.01;
-    let slots = f64::from(totals.capacity.slots.max(1));
-    let other = if ask.long { 0 } else { totals.long };
-    (1.0 - f64::from(other) / slots).max(LEAST)
+    let other = if ask.long {
+        0.0
+    } else {
+        totals.share(&totals.long)
+    };
+    (1.0 - other).max(LEAST)
 }
--- a/crates/dotterel-kernel/src/scheduler/queue.rs
+++ b/crates/dotterel-kernel/src/scheduler/queue.rs
@@ -12,6 +12,7 @@
 use super::class::ClassKey;
 use super::{WaitKey, Waiting};
 use crate::document::Urgency;
+use crate::size::Size;
 use crate::time::Millis;
 
 /// Dead entries that a lane or the deadline heap may keep beside as many live ones.
@@ -63,6 +64,7 @@
 pub(super) struct Backlog {
     pub(super) work: f64,
     pub(super) tasks: u32,
+    pub(super) size: Size,
 }
 
 #[derive(Debug, Default)]
@@ -118,6 +120,7 @@
         let backlog = self.backlog_mut(&item);
         backlog.work += item.work;
         backlog.tasks += 1;
+        backlog.size = backlog.size.plus(&item.task.ask.size);
         let key = self.items.insert(item);
         self.deadlines.push(Reverse((deadline, key)));
         let entry = Entry {
@@ -142,6 +145,7 @@
         let item = self.items.remove(key)?;
         let backlog = self.backlog_mut(&item);
         backlog.tasks -= 1;
+        backlog.size = backlog.size.minus(&item.task.ask.size);
         backlog.work = if backlog.tasks == 0 {
             0.0
         } else {
--- a/crates/dotterel-policies/src/filter/short_reserve.rs
+++ b/crates/dotterel-policies/src/filter/short_reserve.rs
@@ -1,17 +1,12 @@
-//! Holds slots back for short work.
+//! Holds capacity back for short work.
 //!
-//! Long work leaves as many slots free as short work wanted at its recent peak, and never takes
-//! more than a share of one VM while short work is about.
+//! Long work leaves as much of each resource free as short work wanted at its recent peak.
 
 use dotterel_kernel::plugin::{Part, Plugin};
-use dotterel_kernel::{Ask, Candidate, Filter, Load};
+use dotterel_kernel::{Ask, Candidate, Filter, Load, Size};
 
-/// The largest part of all slots that is held back.
-const RESERVE_LIMIT: f64 = 0.5;
-/// The part of a VM's slots that long work may take, in eighths.
-const LONG_EIGHTHS: u32 = 7;
-/// Below this many slots at its peak, short work counts as absent.
-const PRESENT: f64 = 0.5;
+/// At most one part of this many is held back.
+const RESERVE_PART: u32 = 2;
 
 struct ShortReserve;
 
@@ -20,17 +15,24 @@
         "short-reserve"
     }
 
-    fn admits(&self, ask: &Ask, candidate: &Candidate<'_>, load: &Load) -> bool {
-        if !ask.long || load.short_peak < PRESENT {
+    fn admits(&self, ask: &Ask, _candidate: &Candidate<'_>, load: &Load) -> bool {
+        if !ask.long {
             return true;
         }
-        let slots = f64::from(load.slots);
-        let reserve = load.short_peak.min(slots * RESERVE_LIMIT);
-        if f64::from(load.long + ask.size.slots) > slots - reserve {
-            return false;
-        }
-        let most = (candidate.vm.capacity.slots * LONG_EIGHTHS / 8).max(1);
-        candidate.vm.long_slots + ask.size.slots <= most
+        let open = load.capacity.minus(&reserve(load));
+        load.long.plus(&ask.size).fits(&open)
+    }
+}
+
+fn reserve(load: &Load) -> Size {
+    let peak = &load.short_peak;
+    let capacity = &load.capacity;
+    Size {
+        milli_cores: peak.milli_cores.min(capacity.milli_cores / RESERVE_PART),
+        memory_mb: peak.memory_mb.min(capacity.memory_mb / RESERVE_PART),
+        accelerators: peak.accelerators.min(capacity.accelerators / RESERVE_PART),
+        slots: peak.slots.min(capacity.slots / RESERVE_PART),
+        connections: peak.connections.min(capacity.connections / RESERVE_PART),
     }
 }
 
--- a/crates/dotterel-policies/tests/properties.rs
+++ b/crates/dotterel-policies/tests/properties.rs
@@ -215,8 +215,8 @@
             .iter()
             .filter(|(_, vm)| vm.accepting && vm.room().slots > 0);
         let totals = fleet.totals();
-        totals.running == running
-            && totals.long == long
+        totals.used.slots == running
+            && totals.long.slots == long
             && totals.capacity.slots == slots
             && fleet.tight(false, 1).count() == free.count()
     }
