Count the room for short work VM by VM

Change: the fleet keeps count of how many short tasks of typical size fit beside long work on each VM, and long work may start where the sum stays at or above the recent peak.

--- a/crates/dotterel-kernel/src/fleet.rs
+++ b/crates/dotterel-kernel/src/fleet.rs
@@ -34,6 +34,8 @@
     pub used: Size,
     /// How many of its slots run long work.
     pub long_slots: u32,
+    /// What long work holds on it.
+    pub long: Size,
     /// The epoch of the worker lease.
     pub epoch: Epoch,
     /// False while the VM leaves, is set aside or its lease is in doubt.
@@ -50,6 +52,7 @@
             capacity,
             used: Size::ZERO,
             long_slots: 0,
+            long: Size::ZERO,
             epoch,
             accepting: true,
         }
@@ -60,6 +63,16 @@
     pub fn room(&self) -> Size {
         self.capacity.minus(&self.used)
     }
+
+    /// Returns how many tasks of size `unit` fit beside long work, were there no other work.
+    #[must_use]
+    pub fn short_room(&self, unit: &Size) -> u32 {
+        if self.accepting {
+            self.capacity.minus(&self.long).count(unit)
+        } else {
+            0
+        }
+    }
 }
 
 /// A part of a VM's capacity set apart for one task.
@@ -78,7 +91,7 @@
 /// All VMs that a node owns, with their holds.
 ///
 /// The sum of the holds on a VM never exceeds its capacity, but for adopted ones.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     vms: SlotMap<VmKey, Vm>,
     holds: SlotMap<HoldKey, Hold>,
@@ -86,14 +99,34 @@
     totals: Totals,
     /// Holds that went with their VMs and have not been collected yet.
     lost: Vec<(HoldKey, Hold)>,
+    /// What a typical short task takes.
+    unit: Size,
     /// Counts the changes that may let a waiting task start.
     gains: u64,
 }
 
+impl Default for Fleet {
+    fn default() -> Self {
+        let unit = Size {
+            slots: 1,
+            ..Size::ZERO
+        };
+        Self {
+            vms: SlotMap::with_key(),
+            holds: SlotMap::with_key(),
+            index: Index::default(),
+            totals: Totals::default(),
+            lost: Vec::new(),
+            unit,
+            gains: 0,
+        }
+    }
+}
+
 impl Fleet {
     /// Adds a VM.
     pub fn insert(&mut self, vm: Vm) -> VmKey {
-        self.totals.add(&vm);
+        self.totals.add(&vm, &self.unit);
         self.gains += 1;
         let key = self.vms.insert(vm);
         self.index.update(key, &self.vms[key]);
@@ -104,19 +137,15 @@
     pub fn remove(&mut self, key: VmKey) -> Option<Vm> {
         let vm = self.vms.remove(key)?;
         self.index.remove(key);
-        let mut long = Size::ZERO;
         let lost = &mut self.lost;
         self.holds.retain(|hold_key, hold| {
             let kept = hold.vm != key;
             if !kept {
-                if hold.long {
-                    long = long.plus(&hold.size);
-                }
                 lost.push((hold_key, *hold));
             }
             kept
         });
-        self.totals.subtract(&vm, &long);
+        self.totals.subtract(&vm, &self.unit);
         Some(vm)
     }
 
@@ -140,8 +169,9 @@
         if vm.accepting == accepting {
             return;
         }
+        self.totals.subtract(vm, &self.unit);
         vm.accepting = accepting;
-        self.totals.accepting(&vm.capacity, accepting);
+        self.totals.add(vm, &self.unit);
         self.index.update(key, vm);
         self.gains += u64::from(accepting);
     }
@@ -163,6 +193,21 @@
         keys.map(|key| (key, &self.vms[key]))
     }
 
+    /// Sets what a typical short task takes; goes through all VMs.
+    pub fn set_unit(&mut self, unit: Size) {
+        self.unit = unit;
+        self.totals.short_room = 0;
+        for vm in self.vms.values() {
+            self.totals.short_room += vm.short_room(&unit);
+        }
+    }
+
+    /// Returns what a typical short task takes.
+    #[must_use]
+    pub const fn unit(&self) -> &Size {
+        &self.unit
+    }
+
     /// Returns the sums over all VMs.
     #[must_use]
     pub const fn totals(&self) -> &Totals {
@@ -204,10 +249,15 @@
     /// Counts a task that already runs on a VM, even if it exceeds the capacity known here.
     pub fn adopt(&mut self, key: VmKey, size: Size, long: bool, now: Millis) -> Option<HoldKey> {
         let vm = self.vms.get_mut(key)?;
-        let long_slots = u32::from(long) * size.slots;
         vm.used = vm.used.plus(&size);
-        vm.long_slots += long_slots;
-        self.totals.taken(&size, long);
+        self.totals.used = self.totals.used.plus(&size);
+        if long {
+            let room = vm.short_room(&self.unit);
+            vm.long_slots += size.slots;
+            vm.long = vm.long.plus(&size);
+            self.totals.long = self.totals.long.plus(&size);
+            self.totals.short_room -= room - vm.short_room(&self.unit);
+        }
         self.index.update(key, vm);
         Some(self.holds.insert(Hold {
             vm: key,
@@ -221,10 +271,15 @@
     pub fn release(&mut self, key: HoldKey) -> Option<Hold> {
         let hold = self.holds.remove(key)?;
         if let Some(vm) = self.vms.get_mut(hold.vm) {
-            let long_slots = u32::from(hold.long) * hold.size.slots;
             vm.used = vm.used.minus(&hold.size);
-            vm.long_slots -= long_slots;
-            self.totals.given(&hold.size, hold.long);
+            self.totals.used = self.totals.used.minus(&hold.size);
+            if hold.long {
+                let room = vm.short_room(&self.unit);
+                vm.long_slots -= hold.size.slots;
+                vm.long = vm.long.minus(&hold.size);
+                self.totals.long = self.totals.long.minus(&hold.size);
+                self.totals.short_room += vm.short_room(&self.unit) - room;
+            }
             self.index.update(hold.vm, vm);
             self.gains += 1;
         }
--- a/crates/dotterel-kernel/src/fleet/total.rs
+++ b/crates/dotterel-kernel/src/fleet/total.rs
@@ -12,6 +12,8 @@
     pub used: Size,
     /// What long work holds on all VMs.
     pub long: Size,
+    /// How many short tasks of typical size fit beside long work on accepting VMs.
+    pub short_room: u32,
     /// Each distinct capacity with its number of VMs.
     shapes: Vec<(Size, u32)>,
 }
@@ -38,49 +40,29 @@
             .max(part(size.connections, self.capacity.connections))
     }
 
-    pub(super) fn add(&mut self, vm: &Vm) {
+    pub(super) fn add(&mut self, vm: &Vm, unit: &Size) {
         if vm.accepting {
             self.capacity = self.capacity.plus(&vm.capacity);
         }
         self.used = self.used.plus(&vm.used);
+        self.long = self.long.plus(&vm.long);
+        self.short_room += vm.short_room(unit);
         match self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             Some(shape) => shape.1 += 1,
             None => self.shapes.push((vm.capacity, 1)),
         }
     }
 
-    /// Takes a VM out together with what long work holds on it.
-    pub(super) fn subtract(&mut self, vm: &Vm, long: &Size) {
+    pub(super) fn subtract(&mut self, vm: &Vm, unit: &Size) {
         if vm.accepting {
             self.capacity = self.capacity.minus(&vm.capacity);
         }
         self.used = self.used.minus(&vm.used);
-        self.long = self.long.minus(long);
+        self.long = self.long.minus(&vm.long);
+        self.short_room -= vm.short_room(unit);
         if let Some(shape) = self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             shape.1 -= 1;
         }
         self.shapes.retain(|shape| shape.1 > 0);
     }
-
-    pub(super) fn accepting(&mut self, capacity: &Size, accepting: bool) {
-        self.capacity = if accepting {
-            self.capacity.plus(capacity)
-        } else {
-            self.capacity.minus(capacity)
-        };
-    }
-
-    pub(super) fn taken(&mut self, size: &Size, long: bool) {
-        self.used = self.used.plus(size);
-        if long {
-            self.long = self.long.plus(size);
-        }
-    }
-
-    pub(super) fn given(&mut self, size: &Size, long: bool) {
-        self.used = self.used.minus(size);
-        if long {
-            self.long = self.long.minus(size);
-        }
-    }
 }
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -399,9 +399,12 @@
         self.load.queued = count(self.queue.len());
         self.load.running = totals.used.slots;
         self.load.slots = totals.capacity.slots;
-        self.load.capacity = totals.capacity;
-        self.load.long = totals.long;
         self.load.short_peak = self.demand.short_peak(totals, &self.queue, now);
+        if let Some(unit) = demand::unit(&self.load.short_peak, self.fleet.unit()) {
+            self.fleet.set_unit(unit);
+        }
+        self.load.short_unit = *self.fleet.unit();
+        self.load.short_room = self.fleet.totals().short_room;
     }
 }
 
--- a/crates/dotterel-kernel/src/scheduler/demand.rs
+++ b/crates/dotterel-kernel/src/scheduler/demand.rs
@@ -102,3 +102,26 @@
     };
     (1.0 - other).max(LEAST)
 }
+
+/// Returns the size of a typical short task where it differs much from the one in use.
+pub(super) fn unit(peak: &Size, present: &Size) -> Option<Size> {
+    /// One part of this many is not much.
+    const MUCH: u32 = 4;
+    let tasks = peak.slots;
+    if tasks == 0 {
+        return None;
+    }
+    let unit = Size {
+        milli_cores: peak.milli_cores / tasks,
+        memory_mb: peak.memory_mb / tasks,
+        accelerators: peak.accelerators / tasks,
+        slots: 1,
+        connections: peak.connections / tasks,
+    };
+    let differs = |new: u32, old: u32| new.abs_diff(old) > old / MUCH;
+    let changed = differs(unit.milli_cores, present.milli_cores)
+        || differs(unit.memory_mb, present.memory_mb)
+        || differs(unit.accelerators, present.accelerators)
+        || differs(unit.connections, present.connections);
+    changed.then_some(unit)
+}
--- a/crates/dotterel-kernel/src/scheduler/load.rs
+++ b/crates/dotterel-kernel/src/scheduler/load.rs
@@ -12,12 +12,12 @@
     pub running: u32,
     /// Slots on all owned VMs that accept work.
     pub slots: u32,
-    /// The capacity of all owned VMs that accept work.
-    pub capacity: Size,
-    /// What long work holds of it.
-    pub long: Size,
-    /// What short work wanted of it at its recent peak.
+    /// What short work wanted at its recent peak.
     pub short_peak: Size,
+    /// What a typical short task takes.
+    pub short_unit: Size,
+    /// How many such tasks fit beside long work.
+    pub short_room: u32,
     /// Tasks of the task's own class that wait.
     pub class_queued: u32,
     /// Whether an empty VM of some owned shape could hold the task.
--- a/crates/dotterel-kernel/src/size.rs
+++ b/crates/dotterel-kernel/src/size.rs
@@ -39,6 +39,19 @@
             && self.connections <= room.connections
     }
 
+    /// Returns how many times `unit` fits, resource by resource; none of `unit` fits always.
+    #[must_use]
+    pub fn count(&self, unit: &Self) -> u32 {
+        let parts = [
+            self.milli_cores.checked_div(unit.milli_cores),
+            self.memory_mb.checked_div(unit.memory_mb),
+            self.accelerators.checked_div(unit.accelerators),
+            self.slots.checked_div(unit.slots),
+            self.connections.checked_div(unit.connections),
+        ];
+        parts.into_iter().flatten().min().unwrap_or(u32::MAX)
+    }
+
     /// Returns the sum of both, saturating.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
--- a/crates/dotterel-policies/src/filter/short_reserve.rs
+++ b/crates/dotterel-policies/src/filter/short_reserve.rs
@@ -1,11 +1,12 @@
-//! Holds capacity back for short work.
+//! Holds room back for short work.
 //!
-//! Long work leaves as much of each resource free as short work wanted at its recent peak.
+//! Long work leaves room for as many short tasks as there were at their recent peak. The room is
+//! counted VM by VM, since free cores without a free slot are of no use, nor the other way round.
 
 use dotterel_kernel::plugin::{Part, Plugin};
-use dotterel_kernel::{Ask, Candidate, Filter, Load, Size};
+use dotterel_kernel::{Ask, Candidate, Filter, Load};
 
-/// At most one part of this many is held back.
+/// At most one slot of this many is held back.
 const RESERVE_PART: u32 = 2;
 
 struct ShortReserve;
@@ -15,24 +16,15 @@
         "short-reserve"
     }
 
-    fn admits(&self, ask: &Ask, _candidate: &Candidate<'_>, load: &Load) -> bool {
+    fn admits(&self, ask: &Ask, candidate: &Candidate<'_>, load: &Load) -> bool {
         if !ask.long {
             return true;
         }
-        let open = load.capacity.minus(&reserve(load));
-        load.long.plus(&ask.size).fits(&open)
-    }
-}
-
-fn reserve(load: &Load) -> Size {
-    let peak = &load.short_peak;
-    let capacity = &load.capacity;
-    Size {
-        milli_cores: peak.milli_cores.min(capacity.milli_cores / RESERVE_PART),
-        memory_mb: peak.memory_mb.min(capacity.memory_mb / RESERVE_PART),
-        accelerators: peak.accelerators.min(capacity.accelerators / RESERVE_PART),
-        slots: peak.slots.min(capacity.slots / RESERVE_PART),
-        connections: peak.connections.min(capacity.connections / RESERVE_PART),
+        let free = candidate.vm.capacity.minus(&candidate.vm.long);
+        let before = free.count(&load.short_unit);
+        let after = free.minus(&ask.size).count(&load.short_unit);
+        let reserve = load.short_peak.slots.min(load.slots / RESERVE_PART);
+        load.short_room >= reserve + (before - after)
     }
 }
 
--- a/crates/dotterel-policies/tests/properties.rs
+++ b/crates/dotterel-policies/tests/properties.rs
@@ -214,9 +214,12 @@
         let free = fleet
             .iter()
             .filter(|(_, vm)| vm.accepting && vm.room().slots > 0);
+        let rooms = fleet.iter().map(|(_, vm)| vm.short_room(fleet.unit()));
+        let short_room: u32 = rooms.sum();
         let totals = fleet.totals();
         totals.used.slots == running
             && totals.long.slots == long
+            && totals.short_room == short_room
             && totals.capacity.slots == slots
             && fleet.tight(false, 1).count() == free.count()
     }
