--- /dev/null
+++ b/crates/dotterel-load/benches/decision.rs
@@ -0,0 +1,32 @@
+//! Time of one decision of the standard policy, at today's size and the size designed for.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use dotterel_kernel::{Millis, Submit};
+use dotterel_load::decision::{scheduler, task};
+
+const NOW: Millis = Millis::secs(1);
+
+fn place_and_release(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place_and_release");
+    for vms in [48, 480, 3400] {
+        let mut scheduler = scheduler(vms);
+        for index in 0..vms as usize * 4 {
+            black_box(scheduler.submit(task(index, NOW), NOW));
+        }
+        let mut index = 0;
+        group.bench_function(BenchmarkId::from_parameter(vms), |b| {
+            b.iter(|| {
+                index += 1;
+                if let Submit::Placed(placement) = scheduler.submit(task(index, NOW), NOW) {
+                    scheduler.release(placement.hold);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, place_and_release);
+criterion_main!(benches);
