--- a/crates/dotterel-kernel/src/fleet.rs
+++ b/crates/dotterel-kernel/src/fleet.rs
@@ -103,7 +103,6 @@
     unit: Size,
     /// Counts the changes that may let a waiting task start.
     gains: u64,
-    keys: Vec<VmKey>,
 }
 
 impl Default for Fleet {
@@ -120,7 +119,6 @@
             lost: Vec::new(),
             unit,
             gains: 0,
-            keys: Vec::new(),
         }
     }
 }
@@ -132,14 +130,12 @@
         self.gains += 1;
         let key = self.vms.insert(vm);
         self.index.update(key, &self.vms[key]);
-        self.keys.push(key);
         key
     }
 
     /// Takes a VM out together with its holds.
     pub fn remove(&mut self, key: VmKey) -> Option<Vm> {
         let vm = self.vms.remove(key)?;
-        self.keys.retain(|other| *other != key);
         self.index.remove(key);
         let lost = &mut self.lost;
         self.holds.retain(|hold_key, hold| {
@@ -212,14 +208,6 @@
         &self.unit
     }
 
-    /// Returns accepting VMs drawn at random.
-    pub fn sample(&self, seed: u64, count: usize) -> impl Iterator<Item = (VmKey, &Vm)> {
-        let draw = move |index| xxhash_rust::xxh3::xxh3_64_with_seed(b"vm", seed + index as u64);
-        let keys = (0..count).map(move |index| self.keys[draw(index) as usize % self.keys.len()]);
-        keys.filter_map(|key| Some((key, self.vms.get(key)?)))
-            .filter(|(_, vm)| vm.accepting)
-    }
-
     /// Returns the sums over all VMs.
     #[must_use]
     pub const fn totals(&self) -> &Totals {
--- a/crates/dotterel-kernel/src/scheduler/choice.rs
+++ b/crates/dotterel-kernel/src/scheduler/choice.rs
@@ -1,7 +1,7 @@
 //! The choice of a VM for one task.
 
 use crate::fleet::{Fleet, VmKey};
-use crate::plugin::{Ask, Candidate, PolicySet};
+use crate::plugin::{Ask, Candidate, PolicySet, Scan};
 
 use super::Load;
 
@@ -36,11 +36,19 @@
         choice.consider(policy, load, ask, key, &candidate);
         choice.is_open()
     };
-    if fleet.is_empty() {
-        return choice;
+    // VMs with accelerators come last for work that needs none.
+    let slots = ask.size.slots;
+    let sorts = [false, true];
+    let sorts = &sorts[usize::from(ask.size.accelerators > 0)..];
+    for accelerated in sorts {
+        let open = match policy.scan(ask) {
+            Scan::Tight => fleet.tight(*accelerated, slots).all(&mut look),
+            Scan::Wide => fleet.wide(*accelerated, slots).all(&mut look),
+        };
+        if !open {
+            break;
+        }
     }
-    let seed = fleet.gains() * 31 + u64::from(load.queued);
-    fleet.sample(seed, SCORED_LIMIT as usize).all(&mut look);
     choice
 }
 
