Bound the queue by team and serve teams in turn

Cause: with 20 of 360 teams asking for ten times their part, the queue filled with their work, all others were refused, and most VMs stood idle, since the queued teams had used up their quotas. Ruled out: never-runnable work; it was refused at once and held nothing. Change: from half of the queue on, a class may only fill its team's part of it; work behind a team's own turn is not refused for what other teams have queued; turns are forgotten when the queue runs empty, so that idle capacity may be used without being held against a team later.

--- a/crates/dotterel-kernel/src/quota.rs
+++ b/crates/dotterel-kernel/src/quota.rs
@@ -24,8 +24,10 @@
     pub limit: Size,
     /// What they hold now.
     pub used: Size,
-    /// When, at the team's own rate, all work that it has asked for so far would be served.
-    pub turn: Millis,
+    /// When, at the team's own rate, all work that it has queued so far would be served.
+    turn: Millis,
+    /// The busy period that the turn belongs to.
+    period: u64,
 }
 
 /// The allotments of all teams on one node.
@@ -37,8 +39,13 @@
     /// The team of each service, sorted by service.
     services: Vec<(Service, TeamKey)>,
     slots: u64,
+    /// Counts the times that work began to queue.
+    period: u64,
 }
 
+/// The longest that a team's earlier work is held against it.
+const TURN_LIMIT: Millis = Millis::secs(3600);
+
 impl Quotas {
     /// Sets a team's allotment, which may lie below what it holds at present.
     pub fn set(&mut self, team: &Team, limit: Size) -> TeamKey {
@@ -58,6 +65,7 @@
                     limit,
                     used: Size::ZERO,
                     turn: Millis::ZERO,
+                    period: 0,
                 });
                 self.names.insert(index, (team.clone(), key));
                 key
@@ -122,33 +130,48 @@
         f64::from(slots) / self.slots.max(1) as f64
     }
 
-    /// Moves the team's turn back by the time that `work` takes at the team's own rate, and
-    /// returns the turn before.
+    /// Forgets all turns, since nothing waits any more.
+    pub const fn restart(&mut self) {
+        self.period += 1;
+    }
+
+    /// Returns when the work that the team has queued would be served at the team's own rate.
+    #[must_use]
+    pub fn turn(&self, key: TeamKey, now: Millis) -> Millis {
+        let allotment = self.teams.get(key);
+        let current = allotment.filter(|a| a.period == self.period);
+        current.map_or(now, |a| a.turn.max(now))
+    }
+
+    /// Puts the team's turn off by the time that `work` takes at the team's own rate.
     ///
     /// `work` is in milliseconds of all VMs.
-    pub fn charge(&mut self, key: TeamKey, work: f64, now: Millis) -> Millis {
+    pub fn charge(&mut self, key: TeamKey, work: f64, now: Millis) {
         let share = self.share(key);
-        let Some(allotment) = self.teams.get_mut(key) else {
-            return now;
-        };
-        let turn = allotment.turn.max(now);
-        if share > 0.0 {
-            allotment.turn = turn + Millis((work / share) as u64);
+        let turn = self.turn(key, now) + span(work, share);
+        if let Some(allotment) = self.teams.get_mut(key) {
+            allotment.turn = turn.min(now + TURN_LIMIT);
+            allotment.period = self.period;
         }
-        turn
     }
 
     /// Takes a charge back for work that will not run.
     pub fn refund(&mut self, key: TeamKey, work: f64) {
         let share = self.share(key);
-        if let Some(allotment) = self.teams.get_mut(key)
-            && share > 0.0
-        {
-            allotment.turn = allotment.turn - Millis((work / share) as u64);
+        if let Some(allotment) = self.teams.get_mut(key) {
+            allotment.turn = allotment.turn - span(work, share);
         }
     }
 }
 
+fn span(work: f64, share: f64) -> Millis {
+    if share > 0.0 {
+        Millis((work / share) as u64)
+    } else {
+        Millis::ZERO
+    }
+}
+
 /// The whole quota of one team and the pieces lent to nodes.
 #[derive(Clone, Debug)]
 pub struct Lender {
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use slotmap::{SecondaryMap, new_key_type};
 
+use crate::document::Urgency;
 use crate::fate::Reason;
 use crate::fleet::{Fleet, Hold, HoldKey, VmKey};
 use crate::id::{Service, VmId};
@@ -170,6 +171,9 @@
         let class = self.classes.key(&task.service, &task.class);
         self.classes.correct(class, &mut task.ask);
         let team = self.quotas.team(&task.service);
+        if self.queue.len() == 0 {
+            self.quotas.restart();
+        }
         self.observe(&task.ask, class, team, now);
         for admission in &self.policy.admissions {
             if let Err(reason) = admission.judge(&task, &self.load, now) {
@@ -178,7 +182,6 @@
         }
         let work = self.work(&task.ask);
         self.demand.add(&task.ask, work, now);
-        self.load.turn = team.map_or(now, |key| self.quotas.charge(key, work, now));
         // Queued tasks of other classes could not use the present room.
         if self.load.class_queued == 0
             && let Ok(placement) = self.place(&task.ask, class, team, now)
@@ -187,7 +190,15 @@
         }
         let order = self.policy.orders.first();
         let rank = order.map_or(0, |order| order.key(&task, &self.load));
-        let item = Item { task, class, work };
+        if let Some(key) = team {
+            self.quotas.charge(key, work, now);
+        }
+        let item = Item {
+            task,
+            class,
+            team,
+            work,
+        };
         Submit::Queued(self.queue.push(item, rank))
     }
 
@@ -205,7 +216,7 @@
             }
             let item = self.queue.get(head.key)?;
             let ask = item.task.ask;
-            let team = self.quotas.team(&item.task.service);
+            let team = item.team;
             match self.place(&ask, head.class, team, now) {
                 Ok(placement) => {
                     let item = self.queue.remove(head.key)?;
@@ -223,7 +234,7 @@
     /// Takes a task out of the queue, for example because its caller left.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<Waiting> {
         let item = self.queue.remove(key)?;
-        if let Some(team) = self.quotas.team(&item.task.service) {
+        if let Some(team) = item.team {
             self.quotas.refund(team, item.work);
         }
         Some(item.task)
@@ -349,7 +360,7 @@
         let Some(item) = self.queue.get(head.key) else {
             return;
         };
-        let team = self.quotas.team(&item.task.service);
+        let team = item.team;
         if team.is_none_or(|key| self.quotas.admits(key, &item.task.ask.size)) {
             self.clearing
                 .consider(head.class, &item.task, &self.fleet, now);
@@ -390,7 +401,13 @@
         self.load.class_queued = count(self.queue.waiting(class));
         self.load.holdable = self.fleet.is_empty() || totals.could_hold(&ask.size);
         self.load.quota = team.and_then(|key| self.quotas.get(key)).map(|a| a.limit);
+        self.load.turn = team.map_or(now, |key| self.quotas.turn(key, now));
+        self.load.team_share = team.map(|key| self.quotas.share(key));
         self.load.wait = outlook.wait;
+        // A team is served at its own rate at least, whatever others have queued.
+        if team.is_some() && ask.urgency != Urgency::Urgent {
+            self.load.wait = outlook.wait.min(self.load.turn.since(now));
+        }
         self.load.crowding = outlook.crowding;
     }
 
--- a/crates/dotterel-kernel/src/scheduler/load.rs
+++ b/crates/dotterel-kernel/src/scheduler/load.rs
@@ -28,6 +28,9 @@
     pub wait: Millis,
     /// Capacity that more urgent work asks for, as a part of what it shares with the task.
     pub crowding: f64,
-    /// When the team's earlier work would be served at the team's own rate.
+    /// When the work that the team has queued would be served at the team's own rate; now without
+    /// a team.
     pub turn: Millis,
+    /// The team's part of all quotas, from 0 to 1; none without a team.
+    pub team_share: Option<f64>,
 }
--- a/crates/dotterel-kernel/src/scheduler/queue.rs
+++ b/crates/dotterel-kernel/src/scheduler/queue.rs
@@ -12,6 +12,7 @@
 use super::class::ClassKey;
 use super::{WaitKey, Waiting};
 use crate::document::Urgency;
+use crate::quota::TeamKey;
 use crate::size::Size;
 use crate::time::Millis;
 
@@ -23,6 +24,7 @@
 pub(super) struct Item {
     pub(super) task: Waiting,
     pub(super) class: ClassKey,
+    pub(super) team: Option<TeamKey>,
     /// Expected work in milliseconds of the whole fleet.
     pub(super) work: f64,
 }
--- a/crates/dotterel-load/src/replay.rs
+++ b/crates/dotterel-load/src/replay.rs
@@ -12,7 +12,7 @@
 
 use crate::scenario::{RawPolicy, Scenario};
 use crate::stats::{ClassStats, Outcome, Window, crest, window};
-use crate::trace::{Arrival, Trace, weight};
+use crate::trace::{Arrival, Trace, quota_slots};
 
 /// How often the owner looks at its queue without being told of a change.
 const TICK: Millis = Millis(10);
@@ -108,15 +108,12 @@
         return 1;
     };
     let count = (teams.count + teams.barred) as usize;
-    let whole: f64 = (0..count).map(|team| weight(scenario, team)).sum();
     for number in 0..count {
-        let part = weight(scenario, number) / whole * teams.quota;
-        let slots = (part * f64::from(scenario.slots)).ceil() as u32;
         let limit = Size {
             milli_cores: u32::MAX,
             memory_mb: u32::MAX,
             accelerators: u32::MAX,
-            slots,
+            slots: quota_slots(scenario, number),
             connections: u32::MAX,
         };
         let team = Team(format!("team-{number}").into());
--- a/crates/dotterel-load/src/report.rs
+++ b/crates/dotterel-load/src/report.rs
@@ -1,10 +1,10 @@
 //! Tables and CSV of experiments.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 
 use crate::scenario::Scenario;
 use crate::stats::{ClassStats, Outcome};
-use crate::trace::weight;
+use crate::trace::quota_slots;
 
 /// Returns one line for each policy, load and class.
 #[must_use]
@@ -104,30 +104,53 @@
     if scenario.raw.retries > 0 {
         let _ = write!(text, ", arrivals x{:.2}", outcome.amplification);
     }
-    if let Some((worst, mean)) = shortfall(scenario, outcome) {
-        let _ = write!(
-            text,
-            ", quota shares received: least {worst:.3}, mean {mean:.3}"
-        );
+    if let Some(shares) = Shares::of(scenario, outcome) {
+        let _ = write!(text, "\n  parts received by teams: {shares}");
     }
     text
 }
 
-/// Returns the least and the mean of what teams received of the part due to them.
-///
-/// A team is due the smaller of its weight's part of all slots and what it asked for; the caller
-/// makes every team ask for more than its part.
-fn shortfall(scenario: &Scenario, outcome: &Outcome) -> Option<(f64, f64)> {
-    let teams = scenario.raw.teams?;
-    let whole: f64 = (0..teams.count as usize).map(|t| weight(scenario, t)).sum();
-    let span = (scenario.raw.seconds - scenario.raw.warmup_s) as f64 * 1000.0;
-    let received = (0..teams.count as usize).map(|team| {
-        let due = weight(scenario, team) / whole * f64::from(scenario.slots) * span;
-        outcome.teams[team] as f64 / due
-    });
-    let least = received.clone().fold(f64::INFINITY, f64::min);
-    let mean = received.sum::<f64>() / f64::from(teams.count);
-    Some((least, mean))
+/// What teams received of the part of all slots that their quotas give them; the scenario lets
+/// every team ask for more than that.
+struct Shares {
+    floods: f64,
+    others: f64,
+    least: f64,
+    most: f64,
+}
+
+impl Shares {
+    fn of(scenario: &Scenario, outcome: &Outcome) -> Option<Self> {
+        let teams = scenario.raw.teams?;
+        let count = teams.count as usize;
+        let quota = |team| f64::from(quota_slots(scenario, team));
+        let whole: f64 = (0..count).map(quota).sum();
+        let span = (scenario.raw.seconds - scenario.raw.warmup_s) as f64 * 1000.0;
+        let whole = f64::from(scenario.slots) * span / whole;
+        let received = |team| outcome.teams[team] as f64 / (quota(team) * whole);
+        let received: Vec<f64> = (0..count).map(received).collect();
+        let (floods, others) = received.split_at(teams.floods as usize);
+        Some(Self {
+            floods: mean(floods),
+            others: mean(others),
+            least: received.iter().copied().fold(f64::INFINITY, f64::min),
+            most: received.iter().copied().fold(0.0, f64::max),
+        })
+    }
+}
+
+impl fmt::Display for Shares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "flooding {:.3}, others {:.3}, least {:.3}, most {:.3}",
+            self.floods, self.others, self.least, self.most
+        )
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
 fn quantile(stats: &ClassStats, rank: f64) -> u64 {
--- a/crates/dotterel-load/src/trace.rs
+++ b/crates/dotterel-load/src/trace.rs
@@ -64,8 +64,7 @@
 }
 
 /// Returns the weight of a team; teams without a quota weigh nothing.
-#[must_use]
-pub fn weight(scenario: &Scenario, team: usize) -> f64 {
+fn weight(scenario: &Scenario, team: usize) -> f64 {
     match scenario.raw.teams {
         Some(teams) if team >= teams.count as usize => 0.0,
         Some(_) => f64::from(team as u32 % WEIGHTS + 1),
@@ -73,6 +72,19 @@
     }
 }
 
+/// Returns the slots of a team's quota.
+#[must_use]
+pub fn quota_slots(scenario: &Scenario, team: usize) -> u32 {
+    let Some(teams) = scenario.raw.teams else {
+        return scenario.slots;
+    };
+    let whole: f64 = (0..teams.count as usize)
+        .map(|other| weight(scenario, other))
+        .sum();
+    let part = weight(scenario, team) / whole * teams.quota;
+    (part * f64::from(scenario.slots)).ceil() as u32
+}
+
 /// Returns arrivals per millisecond of a class.
 fn rate(scenario: &Scenario, class: &RawClass, load: f64) -> f64 {
     let fixed: f64 = scenario.raw.classes.iter().filter_map(|c| c.share).sum();
--- a/crates/dotterel-policies/src/admission/bounded.rs
+++ b/crates/dotterel-policies/src/admission/bounded.rs
@@ -5,8 +5,10 @@
 
 /// Tasks that wait on one node.
 const QUEUE_LIMIT: u32 = 20_000;
-/// Tasks of one class that wait on one node.
-const CLASS_LIMIT: u32 = 10_000;
+/// From this many on, a team's class may only fill the team's own part of the queue.
+const SHARED_LIMIT: u32 = 10_000;
+/// The part of the queue that a class of any team may fill.
+const CLASS_LEAST: u32 = 32;
 
 struct Bounded;
 
@@ -16,13 +18,22 @@
     }
 
     fn judge(&self, _waiting: &Waiting, load: &Load, _now: Millis) -> Result<(), Reason> {
-        if load.queued >= QUEUE_LIMIT || load.class_queued >= CLASS_LIMIT {
+        if load.queued < SHARED_LIMIT {
+            return Ok(());
+        }
+        if load.queued >= QUEUE_LIMIT || load.class_queued >= part(load) {
             return Err(Reason::QueueFull);
         }
         Ok(())
     }
 }
 
+fn part(load: &Load) -> u32 {
+    let share = load.team_share.unwrap_or(0.5);
+    let part = share * f64::from(QUEUE_LIMIT - SHARED_LIMIT);
+    (part as u32).max(CLASS_LEAST)
+}
+
 inventory::submit! {
     Plugin { name: "bounded", build: || Part::Admission(Box::new(Bounded)) }
 }
