Charge teams for the work that their tasks turned out to be

Cause: turns counted expected run times only; with run times spread over two orders of magnitude a team with heavy tasks got more than its part.

--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -92,6 +92,8 @@
 struct Tag {
     class: ClassKey,
     team: Option<TeamKey>,
+    /// Work that was charged to the team before the start.
+    charged: f64,
 }
 
 /// The queue, the fleet and the policy of one node.
@@ -220,6 +222,9 @@
             match self.place(&ask, head.class, team, now) {
                 Ok(placement) => {
                     let item = self.queue.remove(head.key)?;
+                    if let Some(tag) = self.tags.get_mut(placement.hold) {
+                        tag.charged = item.work;
+                    }
                     return Some((head.key, item.task, placement));
                 }
                 Err(choice) => {
@@ -254,11 +259,26 @@
         let tag = self.tags.get(hold).copied();
         let held = self.release(hold)?;
         if let Some(tag) = tag {
-            self.classes.record(tag.class, now.since(held.since));
+            let span = now.since(held.since);
+            self.classes.record(tag.class, span);
+            self.settle_charge(&tag, &held, span, now);
         }
         Some(held)
     }
 
+    /// Charges the team of a queued task for the difference between expected and real work.
+    fn settle_charge(&mut self, tag: &Tag, held: &Hold, span: Millis, now: Millis) {
+        let Some(team) = tag.team.filter(|_| tag.charged > 0.0) else {
+            return;
+        };
+        let real = span.min(WORK_LIMIT).0 as f64 * self.fleet.totals().share(&held.size);
+        if real > tag.charged {
+            self.quotas.charge(team, real - tag.charged, now);
+        } else {
+            self.quotas.refund(team, tag.charged - real);
+        }
+    }
+
     /// Gives the capacity of a task back that failed or was cut, so that its run time says nothing.
     pub fn release(&mut self, hold: HoldKey) -> Option<Hold> {
         self.settle();
@@ -368,7 +388,12 @@
     }
 
     fn tag(&mut self, hold: HoldKey, held: &Hold, class: ClassKey, team: Option<TeamKey>) {
-        self.tags.insert(hold, Tag { class, team });
+        let tag = Tag {
+            class,
+            team,
+            charged: 0.0,
+        };
+        self.tags.insert(hold, tag);
         if let Some(key) = team {
             self.quotas.take(key, &held.size);
         }
