--- a/crates/dotterel-load/src/packing.rs
+++ b/crates/dotterel-load/src/packing.rs
@@ -86,3 +86,12 @@
         bound: (first + rest.vms(&shape)) as u32,
     }
 }
+
+/// Returns the mean of the VMs in use and of the bound.
+#[must_use]
+pub fn mean(samples: &[Use]) -> Option<(f64, f64)> {
+    let count = samples.len() as f64;
+    let used: u32 = samples.iter().map(|sample| sample.used).sum();
+    let bound: u32 = samples.iter().map(|sample| sample.bound).sum();
+    (!samples.is_empty()).then(|| (f64::from(used) / count, f64::from(bound) / count))
+}
--- a/crates/dotterel-load/src/replay.rs
+++ b/crates/dotterel-load/src/replay.rs
@@ -10,6 +10,7 @@
 };
 use slotmap::SecondaryMap;
 
+use crate::packing::{Use, compare, mean};
 use crate::scenario::{RawPolicy, Scenario};
 use crate::stats::{ClassStats, Outcome, Window, crest, window};
 use crate::trace::{Arrival, Trace, quota_slots};
@@ -47,6 +48,7 @@
     gangs: Vec<usize>,
     classes: Vec<ClassStats>,
     teams: Vec<u64>,
+    packing: Vec<Use>,
     window: Window,
     crest: Option<Window>,
 }
@@ -140,6 +142,7 @@
             gangs: Vec::new(),
             classes: scenario.raw.classes.iter().map(|_| stats()).collect(),
             teams: vec![0; teams],
+            packing: Vec::new(),
             window: window(scenario),
             crest: crest(scenario),
         }
@@ -186,6 +189,7 @@
             Event::Tick => {
                 self.start_waiting(now);
                 self.start_gangs(now);
+                self.count_vms(now);
                 self.schedule(now + TICK, Event::Tick);
             }
         }
@@ -276,6 +280,13 @@
         }
     }
 
+    /// Counts the VMs in use, once a second.
+    fn count_vms(&mut self, now: Millis) {
+        if self.scenario.raw.packing && self.window.contains(now) && now.0.is_multiple_of(1000) {
+            self.packing.push(compare(self.scheduler.fleet()));
+        }
+    }
+
     /// Counts a task that does not run; its caller may come back.
     fn refuse(&mut self, index: usize, reason: Option<Reason>, now: Millis) {
         let arrival = self.arrivals[index];
@@ -332,6 +343,7 @@
             policy: policy.name.clone(),
             load,
             recovery_s: self.recovery(),
+            packing: mean(&self.packing),
             amplification: self.arrivals.len() as f64 / fresh.max(1) as f64,
             classes: self.classes,
             teams: self.teams,
--- a/crates/dotterel-load/src/report.rs
+++ b/crates/dotterel-load/src/report.rs
@@ -104,6 +104,13 @@
     if scenario.raw.retries > 0 {
         let _ = write!(text, ", arrivals x{:.2}", outcome.amplification);
     }
+    if let Some((used, bound)) = outcome.packing {
+        let _ = write!(
+            text,
+            ", VMs in use {used:.1}, bound {bound:.1} ({:.3})",
+            bound / used
+        );
+    }
     if let Some(shares) = Shares::of(scenario, outcome) {
         let _ = write!(text, "\n  parts received by teams: {shares}");
     }
--- a/crates/dotterel-load/src/scenario.rs
+++ b/crates/dotterel-load/src/scenario.rs
@@ -23,6 +23,9 @@
     pub policies: Vec<RawPolicy>,
     /// A class that is also replayed on its own, for reference.
     pub alone: Option<String>,
+    /// Whether VMs in use are counted against the fewest possible.
+    #[serde(default)]
+    pub packing: bool,
     /// How often a refused caller comes back.
     #[serde(default)]
     pub retries: u32,
--- a/crates/dotterel-load/src/stats.rs
+++ b/crates/dotterel-load/src/stats.rs
@@ -69,6 +69,8 @@
     pub teams: Vec<u64>,
     /// Seconds after the crest until urgent waits were ordinary again.
     pub recovery_s: Option<u64>,
+    /// Mean number of VMs in use and the mean of its lower bound.
+    pub packing: Option<(f64, f64)>,
     /// Arrivals with returning callers as a multiple of those without.
     pub amplification: f64,
 }
