Pack by cores and memory, spread services by their own tasks

Cause: the spread score sent every task of any service to the emptiest VM and so opened nearly all VMs; work without accelerators never used the cores left on VMs whose accelerators were taken; the imbalance between cores and memory weighed too much. Running work is not moved, and the bound assumes that tasks can be cut in pieces.

--- a/crates/dotterel-kernel/src/fleet.rs
+++ b/crates/dotterel-kernel/src/fleet.rs
@@ -181,15 +181,15 @@
         self.vms.iter()
     }
 
-    /// Returns the accepting VMs of one sort with at least `slots` free, the tightest first.
-    pub fn tight(&self, accelerated: bool, slots: u32) -> impl Iterator<Item = (VmKey, &Vm)> {
-        let keys = self.index.tight(accelerated, slots);
+    /// Returns the accepting VMs with room, with or without accelerators, the fullest first.
+    pub fn tight(&self, accelerated: bool) -> impl Iterator<Item = (VmKey, &Vm)> {
+        let keys = self.index.tight(accelerated);
         keys.map(|key| (key, &self.vms[key]))
     }
 
-    /// Returns the accepting VMs of one sort with at least `slots` free, the emptiest first.
-    pub fn wide(&self, accelerated: bool, slots: u32) -> impl Iterator<Item = (VmKey, &Vm)> {
-        let keys = self.index.wide(accelerated, slots);
+    /// Returns the accepting VMs with room, with or without accelerators, the emptiest first.
+    pub fn wide(&self, accelerated: bool) -> impl Iterator<Item = (VmKey, &Vm)> {
+        let keys = self.index.wide(accelerated);
         keys.map(|key| (key, &self.vms[key]))
     }
 
--- a/crates/dotterel-kernel/src/plugin.rs
+++ b/crates/dotterel-kernel/src/plugin.rs
@@ -34,6 +34,8 @@
     pub vm: &'a Vm,
     /// What is free on it.
     pub room: Size,
+    /// How many tasks of the same long-running service it runs already.
+    pub peers: u32,
     /// Whether it is kept clear for another task that has waited long.
     pub kept: bool,
 }
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -338,7 +338,8 @@
         }
         self.refresh(now);
         let kept = self.clearing.kept(class);
-        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept);
+        let peers = self.classes.peers(class);
+        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept, peers);
         let placed = choice.best.and_then(|(score, vm)| {
             let hold = self.fleet.hold(vm, ask.size, ask.long, now)?;
             let id = self.fleet.get(vm)?.id.clone();
@@ -394,14 +395,18 @@
             charged: 0.0,
         };
         self.tags.insert(hold, tag);
+        self.classes.join(class, held);
         if let Some(key) = team {
             self.quotas.take(key, &held.size);
         }
     }
 
     fn untag(&mut self, hold: HoldKey, held: &Hold) {
-        let tag = self.tags.remove(hold);
-        if let Some(key) = tag.and_then(|tag| tag.team) {
+        let Some(tag) = self.tags.remove(hold) else {
+            return;
+        };
+        self.classes.leave(tag.class, held);
+        if let Some(key) = tag.team {
             self.quotas.give(key, &held.size);
         }
     }
--- a/crates/dotterel-kernel/src/scheduler/class.rs
+++ b/crates/dotterel-kernel/src/scheduler/class.rs
@@ -4,6 +4,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::document::Kind;
+use crate::fleet::{Hold, VmKey};
 use crate::id::Service;
 use crate::plugin::Ask;
 use crate::runtime::Runtimes;
@@ -24,6 +25,42 @@
     service: Service,
     name: CompactString,
     runtimes: Runtimes,
+    peers: Peers,
+}
+
+/// The VMs that run long tasks of one class.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    /// Sorted by VM.
+    counts: Vec<(VmKey, u32)>,
+}
+
+impl Peers {
+    /// Returns how many tasks of the class a VM runs.
+    pub(super) fn on(&self, vm: VmKey) -> u32 {
+        self.find(vm).map_or(0, |index| self.counts[index].1)
+    }
+
+    fn join(&mut self, vm: VmKey) {
+        match self.find(vm) {
+            Ok(index) => self.counts[index].1 += 1,
+            Err(index) => self.counts.insert(index, (vm, 1)),
+        }
+    }
+
+    fn leave(&mut self, vm: VmKey) {
+        let Ok(index) = self.find(vm) else {
+            return;
+        };
+        self.counts[index].1 -= 1;
+        if self.counts[index].1 == 0 {
+            self.counts.remove(index);
+        }
+    }
+
+    fn find(&self, vm: VmKey) -> Result<usize, usize> {
+        self.counts.binary_search_by_key(&vm, |entry| entry.0)
+    }
 }
 
 /// All classes met so far, with what was learned of each.
@@ -48,6 +85,7 @@
                     service: service.clone(),
                     name: name.into(),
                     runtimes: Runtimes::default(),
+                    peers: Peers::default(),
                 });
                 self.sorted.insert(index, key);
                 key
@@ -63,6 +101,24 @@
         self.arena[key].runtimes.record(span);
     }
 
+    pub(super) fn peers(&self, key: ClassKey) -> &Peers {
+        &self.arena[key].peers
+    }
+
+    /// Counts a hold of the class.
+    pub(super) fn join(&mut self, key: ClassKey, held: &Hold) {
+        if held.long {
+            self.arena[key].peers.join(held.vm);
+        }
+    }
+
+    /// Counts a hold of the class as gone.
+    pub(super) fn leave(&mut self, key: ClassKey, held: &Hold) {
+        if held.long {
+            self.arena[key].peers.leave(held.vm);
+        }
+    }
+
     /// Replaces what was declared by what was learned, once enough tasks have finished.
     pub(super) fn correct(&self, key: ClassKey, ask: &mut Ask) {
         let runtimes = &self.arena[key].runtimes;
--- a/crates/dotterel-load/src/report.rs
+++ b/crates/dotterel-load/src/report.rs
@@ -128,7 +128,7 @@
 
 impl Shares {
     fn of(scenario: &Scenario, outcome: &Outcome) -> Option<Self> {
-        let teams = scenario.raw.teams?;
+        let teams = scenario.raw.teams.filter(|teams| teams.floods > 0)?;
         let count = teams.count as usize;
         let quota = |team| f64::from(quota_slots(scenario, team));
         let whole: f64 = (0..count).map(quota).sum();
--- a/crates/dotterel-policies/src/filter.rs
+++ b/crates/dotterel-policies/src/filter.rs
@@ -1,4 +1,5 @@
 //! Filters: which VMs a task must not go to.
 
+mod accelerator_room;
 mod keep_clear;
 mod short_reserve;
--- a/crates/dotterel-policies/src/lib.rs
+++ b/crates/dotterel-policies/src/lib.rs
@@ -25,6 +25,7 @@
     "in-time",
     "short-reserve",
     "keep-clear",
+    "accelerator-room",
     "spread",
     "pack",
     "due",
--- a/crates/dotterel-policies/src/score/pack.rs
+++ b/crates/dotterel-policies/src/score/pack.rs
@@ -7,7 +7,7 @@
 use dotterel_kernel::{Ask, Candidate, Load, Score};
 
 /// Weight of the imbalance between resources against the tightness of the fit.
-const IMBALANCE_WEIGHT: f64 = 0.5;
+const IMBALANCE_WEIGHT: f64 = 0.2;
 
 struct Pack;
 
--- a/crates/dotterel-policies/tests/properties.rs
+++ b/crates/dotterel-policies/tests/properties.rs
@@ -213,7 +213,7 @@
         let slots: u32 = accepting.map(|(_, vm)| vm.capacity.slots).sum();
         let free = fleet
             .iter()
-            .filter(|(_, vm)| vm.accepting && vm.room().slots > 0);
+            .filter(|(_, vm)| vm.accepting && vm.room().slots.min(vm.room().connections) > 0);
         let rooms = fleet.iter().map(|(_, vm)| vm.short_room(fleet.unit()));
         let short_room: u32 = rooms.sum();
         let totals = fleet.totals();
@@ -221,7 +221,7 @@
             && totals.long.slots == long
             && totals.short_room == short_room
             && totals.capacity.slots == slots
-            && fleet.tight(false, 1).count() == free.count()
+            && fleet.tight(false).count() == free.count()
     }
     check(|steps| run(&steps, holds));
 }
