--- /dev/null
+++ b/crates/dotterel-entry/src/peers/serve.rs
@@ -0,0 +1,50 @@
+//! Serves the calls of other nodes.
+
+use std::sync::Arc;
+
+use dotterel_kernel::NodeId;
+use dotterel_mesh::Handler;
+
+use super::beat::hear;
+use crate::app::App;
+use crate::messages::{Call, Messages, Reply};
+use crate::requests;
+
+/// Serves the calls of other nodes.
+pub struct Server(pub Arc<App>);
+
+impl Handler<Messages> for Server {
+    async fn handle(&self, from: NodeId, call: Call) -> Reply {
+        let app = &self.0;
+        match call {
+            Call::Beat(beat) if beat.heartbeat.node == from => {
+                hear(app, from, beat);
+                Reply::Heard
+            }
+            Call::Revisions => Reply::Revisions(app.feed.revisions()),
+            Call::Beat(_) => Reply::Refused("a heartbeat of another node".into()),
+            Call::Submit(submit) => requests::serve(app, &from, submit).await,
+            Call::Started { request, attempt } => {
+                requests::started(app, request, &attempt);
+                Reply::Heard
+            }
+            Call::Settle {
+                task,
+                incarnation,
+                age,
+            } => requests::recall(app, task, incarnation, age),
+            Call::Documents(have) => Reply::Documents(app.feed.newer_than(&have)),
+            Call::Push(passed) => {
+                app.feed
+                    .offer(&passed.service, passed.revision, &passed.text);
+                Reply::Heard
+            }
+            Call::Change(change) => Reply::Changed(app.claims.serve(change).await),
+            Call::Account { service, since } => {
+                Reply::Account(app.journal.account(service.as_ref(), since))
+            }
+            Call::Record(request) => Reply::Record(app.journal.get(request)),
+            Call::Workers => Reply::Workers(app.listed.listing().vms),
+        }
+    }
+}
--- a/crates/dotterel-load/src/decision.rs
+++ b/crates/dotterel-load/src/decision.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use clap::Args;
 use dotterel_kernel::{
     Ask, DataCentre, Epoch, HoldKey, Kind, Millis, Scheduler, Service, Size, Submit, Urgency, Vm,
     VmId, Waiting,
@@ -11,6 +12,17 @@
 const SLOTS: u32 = 8;
 const CLASSES: usize = 360;
 
+/// What to time.
+#[derive(Args)]
+pub struct Options {
+    /// Numbers of VMs.
+    #[arg(long, value_delimiter = ',', default_value = "48,480,3400")]
+    vms: Vec<u32>,
+    /// Decisions for each number.
+    #[arg(long, default_value_t = 100_000)]
+    rounds: usize,
+}
+
 /// What decisions took.
 #[derive(Clone, Debug)]
 pub struct Cost {
@@ -133,3 +145,35 @@
     histogram.saturating_record(span.max(1));
     span
 }
+
+/// Times decisions at several fills of several fleets and prints a table.
+pub fn run(options: &Options) {
+    println!(
+        "{:>6} {:>6} {:>8} {:>11} {:>11} {:>13} {:>13} {:>13}",
+        "vms",
+        "fill",
+        "queued",
+        "submit p50",
+        "submit p99",
+        "handover p50",
+        "handover p99",
+        "placements/s"
+    );
+    for count in &options.vms {
+        for (fill, queued) in [(0.5, 0), (0.9, 0), (1.0, 10_000)] {
+            let cost = measure(*count, fill, queued, options.rounds);
+            println!(
+                "{count:>6} {fill:>6.2} {queued:>8} {:>8.1} us {:>8.1} us {:>10.1} us {:>10.1} us {:>13.0}",
+                micros(&cost.submits, 0.5),
+                micros(&cost.submits, 0.99),
+                micros(&cost.handovers, 0.5),
+                micros(&cost.handovers, 0.99),
+                cost.rate,
+            );
+        }
+    }
+}
+
+fn micros(histogram: &Histogram<u64>, rank: f64) -> f64 {
+    histogram.value_at_quantile(rank) as f64 / 1000.0
+}
--- a/crates/dotterel-load/src/lib.rs
+++ b/crates/dotterel-load/src/lib.rs
@@ -4,8 +4,10 @@
 //! workers, in virtual time, once for each policy. All arrivals are drawn before the replay, so a
 //! slow system does not slow them down and every wait counts from the intended arrival.
 
+pub mod cell;
+pub mod control;
 pub mod decision;
-
+pub mod experiment;
 pub mod packing;
 pub mod replay;
 pub mod report;
--- a/crates/dotterel-standin/src/gate.rs
+++ b/crates/dotterel-standin/src/gate.rs
@@ -14,6 +14,34 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Gives a model the methods that every model has: handles for callers, and faults.
+macro_rules! faulty {
+    ($model:ident) => {
+        impl $model {
+            /// Returns a handle for a named caller, to whom faults may apply alone.
+            #[must_use]
+            pub fn of(&self, caller: &str) -> Self {
+                Self {
+                    gate: self.gate.of(caller),
+                    ..self.clone()
+                }
+            }
+
+            /// Returns the present faults.
+            #[must_use]
+            pub fn faults(&self) -> $crate::faults::Faults {
+                self.gate.faults()
+            }
+
+            /// Changes the faults.
+            pub fn set_faults(&self, change: impl FnOnce(&mut $crate::faults::Faults)) {
+                self.gate.set(change);
+            }
+        }
+    };
+}
+pub(crate) use faulty;
+
 /// The way from one caller to a model.
 #[derive(Clone, Debug)]
 pub(crate) struct Gate {
@@ -62,6 +90,18 @@
         Ok(answer)
     }
 
+    /// Brings a transaction to the model, applies it and brings the answer back.
+    pub(crate) async fn commit<T, F>(&self, effect: F) -> Result<T, CallError>
+    where
+        T: Send + 'static,
+        F: FnOnce() -> T + Send + 'static,
+    {
+        if take(&mut lock(&self.faults).drop_commits) {
+            return Err(broken());
+        }
+        self.call(effect).await
+    }
+
     /// Brings a call to the model and applies it.
     ///
     /// A delayed call travels in a task of its own, because what was sent arrives even when the
@@ -114,12 +154,16 @@
             return Err(CallError::Unavailable("out of service".into()));
         }
         if take(&mut faults.drop_calls) {
-            return Err(CallError::Unknown("the connection broke".into()));
+            return Err(broken());
         }
         Ok(())
     }
 }
 
+fn broken() -> CallError {
+    CallError::Unknown("the connection broke".into())
+}
+
 fn take(count: &mut u32) -> bool {
     let some = *count > 0;
     *count = count.saturating_sub(1);
