--- a/crates/dotterel-kernel/src/scheduler/queue.rs
+++ b/crates/dotterel-kernel/src/scheduler/queue.rs
@@ -12,6 +12,8 @@
 use super::class::ClassKey;
 use super::{WaitKey, Waiting};
 use crate::document::Urgency;
+use crate::quota::TeamKey;
+use crate::size::Size;
 use crate::time::Millis;
 
 /// Dead entries that a lane or the deadline heap may keep beside as many live ones.
@@ -22,6 +24,7 @@
 pub(super) struct Item {
     pub(super) task: Waiting,
     pub(super) class: ClassKey,
+    pub(super) team: Option<TeamKey>,
     /// Expected work in milliseconds of the whole fleet.
     pub(super) work: f64,
 }
@@ -63,6 +66,7 @@
 pub(super) struct Backlog {
     pub(super) work: f64,
     pub(super) tasks: u32,
+    pub(super) size: Size,
 }
 
 #[derive(Debug, Default)]
@@ -118,6 +122,7 @@
         let backlog = self.backlog_mut(&item);
         backlog.work += item.work;
         backlog.tasks += 1;
+        backlog.size = backlog.size.plus(&item.task.ask.size);
         let key = self.items.insert(item);
         self.deadlines.push(Reverse((deadline, key)));
         let entry = Entry {
@@ -142,6 +147,7 @@
         let item = self.items.remove(key)?;
         let backlog = self.backlog_mut(&item);
         backlog.tasks -= 1;
+        backlog.size = backlog.size.minus(&item.task.ask.size);
         backlog.work = if backlog.tasks == 0 {
             0.0
         } else {
