--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use slotmap::{SecondaryMap, new_key_type};
 
+use crate::document::Urgency;
 use crate::fate::Reason;
 use crate::fleet::{Fleet, Hold, HoldKey, VmKey};
 use crate::id::{Service, VmId};
@@ -91,6 +92,8 @@
 struct Tag {
     class: ClassKey,
     team: Option<TeamKey>,
+    /// Work that was charged to the team before the start.
+    charged: f64,
 }
 
 /// The queue, the fleet and the policy of one node.
@@ -170,6 +173,9 @@
         let class = self.classes.key(&task.service, &task.class);
         self.classes.correct(class, &mut task.ask);
         let team = self.quotas.team(&task.service);
+        if self.queue.len() == 0 {
+            self.quotas.restart();
+        }
         self.observe(&task.ask, class, team, now);
         for admission in &self.policy.admissions {
             if let Err(reason) = admission.judge(&task, &self.load, now) {
@@ -178,7 +184,6 @@
         }
         let work = self.work(&task.ask);
         self.demand.add(&task.ask, work, now);
-        self.load.turn = team.map_or(now, |key| self.quotas.charge(key, work, now));
         // Queued tasks of other classes could not use the present room.
         if self.load.class_queued == 0
             && let Ok(placement) = self.place(&task.ask, class, team, now)
@@ -187,7 +192,15 @@
         }
         let order = self.policy.orders.first();
         let rank = order.map_or(0, |order| order.key(&task, &self.load));
-        let item = Item { task, class, work };
+        if let Some(key) = team {
+            self.quotas.charge(key, work, now);
+        }
+        let item = Item {
+            task,
+            class,
+            team,
+            work,
+        };
         Submit::Queued(self.queue.push(item, rank))
     }
 
@@ -205,10 +218,13 @@
             }
             let item = self.queue.get(head.key)?;
             let ask = item.task.ask;
-            let team = self.quotas.team(&item.task.service);
+            let team = item.team;
             match self.place(&ask, head.class, team, now) {
                 Ok(placement) => {
                     let item = self.queue.remove(head.key)?;
+                    if let Some(tag) = self.tags.get_mut(placement.hold) {
+                        tag.charged = item.work;
+                    }
                     return Some((head.key, item.task, placement));
                 }
                 Err(choice) => {
@@ -223,7 +239,7 @@
     /// Takes a task out of the queue, for example because its caller left.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<Waiting> {
         let item = self.queue.remove(key)?;
-        if let Some(team) = self.quotas.team(&item.task.service) {
+        if let Some(team) = item.team {
             self.quotas.refund(team, item.work);
         }
         Some(item.task)
@@ -243,11 +259,26 @@
         let tag = self.tags.get(hold).copied();
         let held = self.release(hold)?;
         if let Some(tag) = tag {
-            self.classes.record(tag.class, now.since(held.since));
+            let span = now.since(held.since);
+            self.classes.record(tag.class, span);
+            self.settle_charge(&tag, &held, span, now);
         }
         Some(held)
     }
 
+    /// Charges the team of a queued task for the difference between expected and real work.
+    fn settle_charge(&mut self, tag: &Tag, held: &Hold, span: Millis, now: Millis) {
+        let Some(team) = tag.team.filter(|_| tag.charged > 0.0) else {
+            return;
+        };
+        let real = span.min(WORK_LIMIT).0 as f64 * self.fleet.totals().share(&held.size);
+        if real > tag.charged {
+            self.quotas.charge(team, real - tag.charged, now);
+        } else {
+            self.quotas.refund(team, tag.charged - real);
+        }
+    }
+
     /// Gives the capacity of a task back that failed or was cut, so that its run time says nothing.
     pub fn release(&mut self, hold: HoldKey) -> Option<Hold> {
         self.settle();
@@ -307,7 +338,8 @@
         }
         self.refresh(now);
         let kept = self.clearing.kept(class);
-        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept);
+        let peers = self.classes.peers(class);
+        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept, peers);
         let placed = choice.best.and_then(|(score, vm)| {
             let hold = self.fleet.hold(vm, ask.size, ask.long, now)?;
             let id = self.fleet.get(vm)?.id.clone();
@@ -349,7 +381,7 @@
         let Some(item) = self.queue.get(head.key) else {
             return;
         };
-        let team = self.quotas.team(&item.task.service);
+        let team = item.team;
         if team.is_none_or(|key| self.quotas.admits(key, &item.task.ask.size)) {
             self.clearing
                 .consider(head.class, &item.task, &self.fleet, now);
@@ -357,15 +389,24 @@
     }
 
     fn tag(&mut self, hold: HoldKey, held: &Hold, class: ClassKey, team: Option<TeamKey>) {
-        self.tags.insert(hold, Tag { class, team });
+        let tag = Tag {
+            class,
+            team,
+            charged: 0.0,
+        };
+        self.tags.insert(hold, tag);
+        self.classes.join(class, held);
         if let Some(key) = team {
             self.quotas.take(key, &held.size);
         }
     }
 
     fn untag(&mut self, hold: HoldKey, held: &Hold) {
-        let tag = self.tags.remove(hold);
-        if let Some(key) = tag.and_then(|tag| tag.team) {
+        let Some(tag) = self.tags.remove(hold) else {
+            return;
+        };
+        self.classes.leave(tag.class, held);
+        if let Some(key) = tag.team {
             self.quotas.give(key, &held.size);
         }
     }
@@ -390,17 +431,27 @@
         self.load.class_queued = count(self.queue.waiting(class));
         self.load.holdable = self.fleet.is_empty() || totals.could_hold(&ask.size);
         self.load.quota = team.and_then(|key| self.quotas.get(key)).map(|a| a.limit);
+        self.load.turn = team.map_or(now, |key| self.quotas.turn(key, now));
+        self.load.team_share = team.map(|key| self.quotas.share(key));
         self.load.wait = outlook.wait;
+        // A team is served at its own rate at least, whatever others have queued.
+        if team.is_some() && ask.urgency != Urgency::Urgent {
+            self.load.wait = outlook.wait.min(self.load.turn.since(now));
+        }
         self.load.crowding = outlook.crowding;
     }
 
     fn refresh(&mut self, now: Millis) {
         let totals = self.fleet.totals();
         self.load.queued = count(self.queue.len());
-        self.load.running = totals.running;
+        self.load.running = totals.used.slots;
         self.load.slots = totals.capacity.slots;
-        self.load.long = totals.long;
         self.load.short_peak = self.demand.short_peak(totals, &self.queue, now);
+        if let Some(unit) = demand::unit(&self.load.short_peak, self.fleet.unit()) {
+            self.fleet.set_unit(unit);
+        }
+        self.load.short_unit = *self.fleet.unit();
+        self.load.short_room = self.fleet.totals().short_room;
     }
 }
 
