Sum up shipped segments, and note lives that ended in order

Cause: the account of an ended life read all of its segments, 3600 an hour, and every planned stop left a gap that was none. Change: a node writes the sum of its segments now and then; a reader takes the sum and the segments after it. finish ships the rest and notes the end, so such a life has no gap at its end.

--- a/crates/dotterel-coord/src/journal.rs
+++ b/crates/dotterel-coord/src/journal.rs
@@ -10,8 +10,11 @@
 //! pushed out before they were shipped are named as a [`Gap`] in the next segment. What a dead
 //! node had not shipped is a gap as well, from the end of its last segment on; requests that were
 //! open there have the fate `unknown`, never `not-run`.
+//!
+//! Now and then the node writes the sum of its segments, which abbreviates reading a long life.
 
 mod account;
+mod life;
 mod memory;
 mod reader;
 mod segment;
@@ -30,6 +33,7 @@
 pub use segment::Segment;
 
 use crate::lease::bounded;
+use life::Life;
 use memory::Memory;
 
 /// Limits and rhythm of a journal.
@@ -43,6 +47,8 @@
     pub burst: usize,
     /// The most records in one segment.
     pub segment: usize,
+    /// The number of segments after which their sum is written.
+    pub sum: u64,
     /// The number of closed records kept in memory.
     pub recent: usize,
     /// The number of hours counted by class.
@@ -58,6 +64,7 @@
             call: Millis::secs(2),
             burst: 512,
             segment: 2048,
+            sum: 600,
             recent: 8192,
             hours: 48,
             gaps: 16,
@@ -89,6 +96,8 @@
     store: Arc<dyn ObjectStore>,
     config: Config,
     memory: Mutex<Memory>,
+    /// The sum of what is shipped.
+    life: Mutex<Life>,
     full: Notify,
     shipping: tokio::sync::Mutex<()>,
 }
@@ -112,6 +121,7 @@
                 store,
                 config,
                 memory: Mutex::new(memory),
+                life: Mutex::default(),
                 full: Notify::new(),
                 shipping: tokio::sync::Mutex::new(()),
             }),
@@ -210,6 +220,12 @@
         match bounded(self.inner.config.call, put).await {
             Ok(()) => {
                 self.memory().shipped(&draft);
+                self.life().include(&segment);
+                // Before all is shipped, a record may stand only in a segment of unknown outcome,
+                // which the sum would hide.
+                if draft.whole && self.life().is_due(self.inner.config.sum) {
+                    self.write_sum().await;
+                }
                 Shipped::Segment(draft.records.len())
             }
             Err(fault) => {
@@ -220,6 +236,33 @@
         }
     }
 
+    /// Ships all that is left and notes that the life has ended in order.
+    ///
+    /// Nothing may be opened, updated or closed afterwards. Returns false when the store did not
+    /// confirm; calling it again is allowed.
+    pub async fn finish(&self) -> bool {
+        while self.unshipped() > 0 {
+            if self.ship().await == Shipped::Failed {
+                return false;
+            }
+        }
+        self.life().ended = true;
+        self.write_sum().await
+    }
+
+    /// Writes the sum of what is shipped; it is only an abbreviation and may fail.
+    async fn write_sum(&self) -> bool {
+        let name = life::name(&self.inner.node, self.inner.incarnation);
+        let hours = tally::hours_before(self.inner.clock.now(), self.inner.config.hours);
+        let value = {
+            let mut life = self.life();
+            life.forget(hours);
+            life.encode()
+        };
+        let put = self.inner.store.put(&name, value);
+        bounded(self.inner.config.call, put).await.is_ok()
+    }
+
     /// Returns the number of records whose latest state is not shipped.
     #[must_use]
     pub fn unshipped(&self) -> usize {
@@ -241,6 +284,11 @@
         }
     }
 
+    fn life(&self) -> MutexGuard<'_, Life> {
+        let lock = &self.inner.life;
+        lock.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn memory(&self) -> MutexGuard<'_, Memory> {
         let lock = &self.inner.memory;
         lock.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/dotterel-coord/src/journal/memory.rs
+++ b/crates/dotterel-coord/src/journal/memory.rs
@@ -43,6 +43,8 @@
     pub(super) until: Millis,
     pub(super) dropped: Vec<Dropped>,
     pub(super) records: Vec<Record>,
+    /// Whether the segment holds all that had changed.
+    pub(super) whole: bool,
     changes: Vec<u64>,
 }
 
@@ -165,6 +167,7 @@
             until: now,
             dropped: self.dropped.clone(),
             records: Vec::new(),
+            whole: true,
             changes: Vec::new(),
         };
         let waiting = self.slots.iter().filter(|slot| !slot.shipped);
@@ -175,6 +178,7 @@
         // A partial segment does not cover the span up to now.
         if draft.records.len() < self.unshipped {
             draft.until = self.covered;
+            draft.whole = false;
         }
         Some(draft)
     }
--- a/crates/dotterel-coord/src/journal/reader.rs
+++ b/crates/dotterel-coord/src/journal/reader.rs
@@ -8,10 +8,11 @@
 };
 use dotterel_platform::{CallError, ObjectStore};
 
+use super::life::{self, Life};
 use super::segment::{
-    ROOT, Segment, last_life, last_name, life_of, life_prefix, node_of, node_prefix,
+    self, ROOT, Segment, last_life, last_name, life_of, life_prefix, node_of, node_prefix,
 };
-use super::tally::Tally;
+use super::tally::hour_of;
 
 /// The most names asked for in one listing.
 const PAGE: usize = 1000;
@@ -33,14 +34,6 @@
     store: Arc<dyn ObjectStore>,
 }
 
-/// One life's journal as shipped.
-#[derive(Default)]
-struct Life {
-    records: Vec<Record>,
-    gaps: Vec<Gap>,
-    until: Millis,
-}
-
 impl Reader {
     /// Returns a reader of the journals in a store.
     #[must_use]
@@ -63,17 +56,23 @@
         service: Option<&Service>,
         since: Millis,
     ) -> Result<Account, CallError> {
-        let life = self.life(node, incarnation).await?;
-        let mut tally = Tally::default();
-        for record in life.records {
-            tally.count(None, &lost(record));
+        let mut life = self.life(node, incarnation).await?;
+        for record in life.take_open() {
+            life.tally.count(Some(&record), &lost(record.clone()));
+        }
+        let first = hour_of(since);
+        if first < life.counted {
+            let cause = "older than the journal counts";
+            life.gaps.insert(0, gap(node, incarnation, first, cause));
+        }
+        if !life.ended {
+            life.gaps.push(tail_gap(node, incarnation, life.until));
         }
-        let tail = tail_gap(node, incarnation, life.until);
         Ok(Account {
             as_of: life.until,
             nodes: vec![node.clone()],
-            gaps: life.gaps.into_iter().chain([tail]).collect(),
-            lines: tally.lines(service, since),
+            gaps: life.gaps,
+            lines: life.tally.lines(service, since),
         })
     }
 
@@ -90,7 +89,7 @@
     ) -> Result<Found, CallError> {
         let mut latest = None;
         let mut until = Millis::ZERO;
-        for name in self.names(node, incarnation).await? {
+        for name in self.names(node, incarnation, None).await? {
             let Some(segment) = self.segment(&name).await? else {
                 continue;
             };
@@ -147,25 +146,37 @@
     }
 
     async fn life(&self, node: &NodeId, incarnation: Incarnation) -> Result<Life, CallError> {
-        let mut life = Life::default();
-        for name in self.names(node, incarnation).await? {
+        let sum = self.store.get(&life::name(node, incarnation)).await?;
+        let mut life = sum.as_deref().and_then(Life::decode).unwrap_or_default();
+        let counted = life.next.checked_sub(1);
+        let after = counted.map(|seq| segment::name(node, incarnation, seq));
+        let mut latest: Vec<Record> = Vec::new();
+        for name in self.names(node, incarnation, after).await? {
             let Some(segment) = self.segment(&name).await? else {
                 continue;
             };
-            life.add(segment);
+            life.until = life.until.max(segment.until);
+            life.gaps = segment.gaps;
+            merge_records(&mut latest, segment.records);
+        }
+        for record in &latest {
+            life.advance(record);
         }
         Ok(life)
     }
 
+    /// Lists the segments of a life that come after the named one.
     async fn names(
         &self,
         node: &NodeId,
         incarnation: Incarnation,
+        after: Option<CompactString>,
     ) -> Result<Vec<CompactString>, CallError> {
         let prefix = life_prefix(node, incarnation);
         let mut names: Vec<CompactString> = Vec::new();
         loop {
-            let after = names.last().cloned().unwrap_or_default();
+            let last = names.last().or(after.as_ref());
+            let after = last.cloned().unwrap_or_default();
             let page = self.store.list(&prefix, &after, PAGE).await?;
             let full = page.len() == PAGE;
             names.extend(page);
@@ -185,19 +196,12 @@
     }
 }
 
-impl Life {
-    /// Adds a later segment, whose records replace earlier ones.
-    fn add(&mut self, segment: Segment) {
-        self.until = self.until.max(segment.until);
-        self.gaps = segment.gaps;
-        for record in segment.records {
-            match self
-                .records
-                .binary_search_by_key(&record.request, |known| known.request)
-            {
-                Ok(index) => self.records[index] = record,
-                Err(index) => self.records.insert(index, record),
-            }
+/// Puts later states of records in place of earlier ones, sorted by request.
+fn merge_records(latest: &mut Vec<Record>, records: Vec<Record>) {
+    for record in records {
+        match latest.binary_search_by_key(&record.request, |known| known.request) {
+            Ok(index) => latest[index] = record,
+            Err(index) => latest.insert(index, record),
         }
     }
 }
@@ -211,10 +215,15 @@
 }
 
 fn tail_gap(node: &NodeId, incarnation: Incarnation, since: Millis) -> Gap {
+    let cause = "the node ended without shipping what came after";
+    gap(node, incarnation, since, cause)
+}
+
+fn gap(node: &NodeId, incarnation: Incarnation, since: Millis, cause: &str) -> Gap {
     Gap {
         node: node.clone(),
         incarnation,
         since,
-        cause: "the node ended without shipping what came after".into(),
+        cause: cause.into(),
     }
 }
--- a/crates/dotterel-coord/src/journal/segment.rs
+++ b/crates/dotterel-coord/src/journal/segment.rs
@@ -31,8 +31,7 @@
     /// Returns the name of the object.
     #[must_use]
     pub fn name(&self) -> CompactString {
-        let prefix = life_prefix(&self.node, self.incarnation);
-        format_compact!("{prefix}{:012}", self.seq)
+        name(&self.node, self.incarnation, self.seq)
     }
 
     /// Encodes the segment.
@@ -54,6 +53,12 @@
     }
 }
 
+/// Returns the name of a segment.
+pub(super) fn name(node: &NodeId, incarnation: Incarnation, seq: u64) -> CompactString {
+    let prefix = life_prefix(node, incarnation);
+    format_compact!("{prefix}{seq:012}")
+}
+
 /// Returns what the names of one life's segments start with.
 pub(super) fn life_prefix(node: &NodeId, incarnation: Incarnation) -> CompactString {
     format_compact!("{ROOT}{node}/{:020}/", incarnation.0)
--- a/crates/dotterel-coord/src/journal/tally.rs
+++ b/crates/dotterel-coord/src/journal/tally.rs
@@ -2,12 +2,13 @@
 
 use compact_str::CompactString;
 use dotterel_kernel::{Fate, Flag, Hour, Millis, Reason, Record, Service, Summary};
+use serde::{Deserialize, Serialize};
 
 /// The length of a counted hour.
 const HOUR: Millis = Millis::secs(3600);
 
 /// The counts of one class in one hour.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Cell {
     start: Millis,
     arrived: u64,
@@ -20,7 +21,7 @@
 }
 
 /// The counts of one class, hour by hour.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Line {
     service: Service,
     class: CompactString,
@@ -28,7 +29,7 @@
 }
 
 /// The counts of all classes, sorted by service and class.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct Tally {
     lines: Vec<Line>,
 }
--- a/crates/dotterel-coord/tests/journal.rs
+++ b/crates/dotterel-coord/tests/journal.rs
@@ -5,6 +5,7 @@
 use dotterel_coord::journal::{Config, Found, Shipped, merge};
 use dotterel_coord::{Journal, Reader};
 use dotterel_kernel::{Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
+use dotterel_platform::ObjectStore;
 use dotterel_standin::FakeStore;
 
 const LIFE: Incarnation = Incarnation(3);
@@ -203,3 +204,55 @@
         .collect();
     assert_eq!(nodes, ["entry-1", "entry-10", "entry-2"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn life_that_ended_in_order_has_no_gap() {
+    let bench = Bench::new();
+    let journal = bench.journal("a", Config::default());
+    for _ in 0..3 {
+        journal.close(bench.opened(&journal), Fate::Ran);
+    }
+    bench.store.set_faults(|faults| faults.lose_answers = 1);
+    assert!(!journal.finish().await);
+    assert!(journal.finish().await);
+
+    let account = bench
+        .reader()
+        .account(&"a".into(), LIFE, None, START)
+        .await
+        .expect("the store answers");
+
+    assert_eq!((account.lines[0].arrived, account.lines[0].ran), (3, 3));
+    assert!(account.gaps.is_empty(), "{:?}", account.gaps);
+}
+
+#[tokio::test(start_paused = true)]
+async fn account_reads_the_sum_and_not_what_it_counts() {
+    let bench = Bench::new();
+    let config = Config {
+        sum: 4,
+        ..Config::default()
+    };
+    let journal = bench.journal("a", config);
+    let open = bench.opened(&journal);
+    for _ in 0..6 {
+        journal.close(bench.opened(&journal), Fate::Ran);
+        assert!(matches!(journal.ship().await, Shipped::Segment(_)));
+    }
+    journal.close(open, Fate::NotRun(Reason::Shed));
+    assert_eq!(journal.ship().await, Shipped::Segment(1));
+    // Segment 0 is counted in the sum; without it the account stays whole.
+    let lost = "journal/a/00000000000000000003/000000000000";
+    let put = bench.store.put(lost, bytes::Bytes::new()).await;
+    assert!(put.is_ok());
+
+    let account = bench
+        .reader()
+        .account(&"a".into(), LIFE, None, START)
+        .await
+        .expect("the store answers");
+
+    let line = &account.lines[0];
+    assert_eq!((line.arrived, line.ran, line.unknown), (7, 6, 0));
+    assert_eq!(line.not_run, vec![(Reason::Shed, 1)]);
+}
