Read only the data centres of the list whose VMs have changed

Cause: every node read the platform's whole list each second, 40 bytes a VM. Ruled out: a longer period, because a leaving VM must be seen within 3 s; reading by one node for all, because that node would still be over its budget. Change: the reader sends a hash for each data centre and gets only those that differ; the list is shared instead of copied by its readers inside the node. A platform without conditional reads answers with the whole list, as before. Conclusion: the list costs what its changes cost.

--- a/crates/dotterel-coord/src/membership/follow.rs
+++ b/crates/dotterel-coord/src/membership/follow.rs
@@ -7,6 +7,8 @@
 
 /// Reads the list again and again, `period` after each answer, and tells every outcome.
 ///
+/// After the first answer only data centres whose VMs have changed are read.
+///
 /// A read that takes longer than `limit` counts as failed. A reader that must act within three
 /// seconds of a change needs `period` and `limit` to sum up to less.
 pub async fn follow(
@@ -15,8 +17,18 @@
     limit: Millis,
     mut tell: impl FnMut(Result<Listing, CallError>),
 ) {
+    let mut held = Listing::default();
+    let mut tags = Vec::new();
     loop {
-        tell(bounded(limit, list.list()).await);
+        let read = bounded(limit, list.changes(&tags)).await;
+        tell(read.map(|changes| {
+            let changed = !changes.parts.is_empty();
+            held.apply(changes);
+            if changed {
+                tags = held.tags();
+            }
+            held.clone()
+        }));
         tokio::time::sleep(period.duration()).await;
     }
 }
--- a/crates/dotterel-entry/src/ownership.rs
+++ b/crates/dotterel-entry/src/ownership.rs
@@ -4,9 +4,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dotterel_coord::{Keeper, Leaving, Wish};
+use dotterel_coord::{Keeper, Leaving, Wish, follow};
 use dotterel_kernel::{Millis, VmId};
-use dotterel_platform::{ListedVm, Listing, Owner, Role, Upstream, VmList};
+use dotterel_platform::{CallError, ListedVm, Listing, Owner, Role, Upstream, VmList};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -26,13 +26,13 @@
 /// The platform's list as it was read last.
 #[derive(Default)]
 pub struct Listed {
-    state: Mutex<(Listing, Leaving)>,
+    state: Mutex<(Arc<Listing>, Leaving)>,
 }
 
 impl Listed {
     /// Returns the list.
     #[must_use]
-    pub fn listing(&self) -> Listing {
+    pub fn listing(&self) -> Arc<Listing> {
         self.state().0.clone()
     }
 
@@ -48,41 +48,36 @@
             return;
         }
         state.1.hear_list(&listing);
-        state.0 = listing;
+        state.0 = Arc::new(listing);
     }
 
-    fn state(&self) -> MutexGuard<'_, (Listing, Leaving)> {
+    fn state(&self) -> MutexGuard<'_, (Arc<Listing>, Leaving)> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Reads the platform's list again and again until the future is dropped.
 pub async fn follow_list(app: Arc<App>, list: Arc<dyn VmList>) {
-    loop {
-        let read = tokio::time::timeout(LIST_TIMEOUT.duration(), list.list()).await;
-        match read {
-            Ok(Ok(listing)) => {
-                app.platform.set(true);
-                app.peers.hear_list(&listing);
-                app.listed.hear(listing);
-            }
-            Ok(Err(fault)) => {
-                log::warn!(fault:% = fault; "list of VMs not read");
-                app.platform.set(false);
-                ask_peers(&app).await;
-            }
-            Err(_) => {
-                log::warn!("list of VMs not read in time");
-                app.platform.set(false);
-                ask_peers(&app).await;
-            }
+    let tell = |read| hear_list(&app, read);
+    follow(&*list, LIST_PERIOD, LIST_TIMEOUT, tell).await;
+}
+
+fn hear_list(app: &Arc<App>, read: Result<Listing, CallError>) {
+    app.platform.set(read.is_ok());
+    match read {
+        Ok(listing) => {
+            app.peers.hear_list(&listing);
+            app.listed.hear(listing);
+        }
+        Err(fault) => {
+            log::warn!(fault:% = fault; "list of VMs not read");
+            tokio::spawn(ask_peers(app.clone()));
         }
-        tokio::time::sleep(LIST_PERIOD.duration()).await;
     }
 }
 
 /// Takes the list of a peer, for a node that started while the platform was down.
-async fn ask_peers(app: &App) {
+async fn ask_peers(app: Arc<App>) {
     if !app.listed.listing().vms.is_empty() {
         return;
     }
--- a/crates/dotterel-entry/src/peers/serve.rs
+++ b/crates/dotterel-entry/src/peers/serve.rs
@@ -44,7 +44,7 @@
                 Reply::Account(app.journal.account(service.as_ref(), since))
             }
             Call::Record(request) => Reply::Record(app.journal.get(request)),
-            Call::Workers => Reply::Workers(app.listed.listing().vms),
+            Call::Workers => Reply::Workers(app.listed.listing().vms.clone()),
         }
     }
 }
--- a/crates/dotterel-platform/src/api.rs
+++ b/crates/dotterel-platform/src/api.rs
@@ -25,6 +25,8 @@
 pub const STORE_LIST: &str = "/v1/store/list";
 /// [`VmList::list`](crate::VmList::list).
 pub const VM_LIST: &str = "/v1/vms/list";
+/// [`VmList::changes`](crate::VmList::changes).
+pub const VM_CHANGES: &str = "/v1/vms/changes";
 /// [`Upstream::acquire`](crate::Upstream::acquire).
 pub const ACQUIRE: &str = "/v1/lease/acquire";
 /// [`Upstream::renew`](crate::Upstream::renew).
--- a/crates/dotterel-platform/src/client/platform.rs
+++ b/crates/dotterel-platform/src/client/platform.rs
@@ -13,7 +13,7 @@
 use crate::api;
 use crate::error::CallError;
 use crate::store::{Commit, ObjectStore, Row, Table, Write};
-use crate::vm_list::{Listing, VmList};
+use crate::vm_list::{Changes, Listing, Tag, VmList};
 
 /// A [`Table`] over HTTP.
 #[derive(Clone, Debug)]
@@ -111,4 +111,8 @@
     async fn list(&self) -> Result<Listing, CallError> {
         self.0.call(api::VM_LIST, &()).await
     }
+
+    async fn changes(&self, held: &[Tag]) -> Result<Changes, CallError> {
+        self.0.call(api::VM_CHANGES, &held).await
+    }
 }
--- a/crates/dotterel-platform/src/lib.rs
+++ b/crates/dotterel-platform/src/lib.rs
@@ -19,4 +19,4 @@
     Acquire, Answer, Grant, Granted, LeaseAnswer, Observed, Owner, Pressure, Refusal, Renew,
     Renewed, Running, Start, Started, StopAnswer, TaskState, Upstream,
 };
-pub use vm_list::{ListedVm, Listing, Role, VmList, VmState};
+pub use vm_list::{Changes, ListedVm, Listing, Part, Role, Tag, VmList, VmState};
--- a/crates/dotterel-platform/src/vm_list.rs
+++ b/crates/dotterel-platform/src/vm_list.rs
@@ -1,11 +1,14 @@
 //! The platform's lagging list of VMs.
 
+mod changes;
+
 use async_trait::async_trait;
 use compact_str::CompactString;
 use dotterel_kernel::{DataCentre, Millis, Region};
 use serde::{Deserialize, Serialize};
 
 use crate::error::CallError;
+pub use changes::{Changes, Part, Tag};
 
 /// What a VM is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -62,4 +65,15 @@
     ///
     /// Reading has no effect, so every error may be retried.
     async fn list(&self) -> Result<Listing, CallError>;
+
+    /// Reads the data centres of which the reader does not hold the present VMs.
+    ///
+    /// On a platform without conditional reads this costs as much as the whole list.
+    ///
+    /// # Errors
+    ///
+    /// As for [`VmList::list`].
+    async fn changes(&self, held: &[Tag]) -> Result<Changes, CallError> {
+        Ok(self.list().await?.changes(held))
+    }
 }
--- a/crates/dotterel-standin/src/server/platform.rs
+++ b/crates/dotterel-standin/src/server/platform.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_platform::{ObjectStore, Table, VmList, Write, api};
+use dotterel_platform::{ObjectStore, Table, Tag, VmList, Write, api};
 
 use super::{Api, Call, Reply};
 use crate::store::FakeStore;
@@ -27,8 +27,7 @@
         let reply = match call.path.as_str() {
             path if path.starts_with("/v1/table/") => self.table_call(&call).await,
             path if path.starts_with("/v1/store/") => self.store_call(&call).await,
-            api::VM_LIST => Ok(Reply::of(self.vms.of(&call.caller).list().await)
-                .truncated(self.vms.faults().truncate)),
+            path if path.starts_with("/v1/vms/") => self.list_call(&call).await,
             _ => Ok(Reply::not_found()),
         };
         reply.unwrap_or_else(|fault| Reply::refused(fault.to_string()))
@@ -56,6 +55,19 @@
         Ok(reply.truncated(table.faults().truncate))
     }
 
+    async fn list_call(&self, call: &Call) -> Result<Reply, postcard::Error> {
+        let vms = self.vms.of(&call.caller);
+        let reply = match call.path.as_str() {
+            api::VM_LIST => Reply::of(vms.list().await),
+            api::VM_CHANGES => {
+                let held: Vec<Tag> = api::decode(&call.body)?;
+                Reply::of(vms.changes(&held).await)
+            }
+            _ => Reply::not_found(),
+        };
+        Ok(reply.truncated(vms.faults().truncate))
+    }
+
     async fn store_call(&self, call: &Call) -> Result<Reply, postcard::Error> {
         let store = self.store.of(&call.caller);
         let reply = match call.path.as_str() {
--- a/crates/dotterel-standin/src/vm_list.rs
+++ b/crates/dotterel-standin/src/vm_list.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use dotterel_kernel::{Clock, Millis};
-use dotterel_platform::{CallError, ListedVm, Listing, VmList, VmState};
+use dotterel_platform::{CallError, Changes, ListedVm, Listing, Tag, VmList, VmState};
 
 use crate::gate::{Gate, faulty, lock};
 
@@ -98,4 +98,11 @@
             .call(move || lock(&state).listing(clock.now()))
             .await
     }
+
+    async fn changes(&self, held: &[Tag]) -> Result<Changes, CallError> {
+        let (state, clock, held) = (self.state.clone(), *self.gate.clock(), held.to_vec());
+        self.gate
+            .call(move || lock(&state).listing(clock.now()).changes(&held))
+            .await
+    }
 }
--- a/crates/dotterel-standin/tests/http.rs
+++ b/crates/dotterel-standin/tests/http.rs
@@ -7,8 +7,8 @@
 use dotterel_kernel::{Clock, Epoch, Incarnation, Millis, Size, TaskId};
 use dotterel_platform::{
     Acquire, CallError, Commit, HttpStore, HttpTable, HttpUpstream, HttpVmList, LeaseAnswer,
-    Limits, ObjectStore, Owner, Refusal, Start, Started, Table, TaskState, Traffic, Upstream,
-    Version, VmList, Write,
+    Limits, Listing, ObjectStore, Owner, Refusal, Start, Started, Table, TaskState, Traffic,
+    Upstream, Version, VmList, Write,
 };
 use dotterel_standin::{Cluster, EVERYONE, witness};
 
@@ -102,13 +102,19 @@
     let names = store.list("", "", 9).await;
     let object = store.get("o").await;
     let listing = vms.list().await;
+    let changes = vms.changes(&[]).await;
 
     assert!(matches!(commit, Ok(Commit::Applied(_))));
     assert_eq!(rows, row.map(|row| row.into_iter().collect()));
     assert_eq!(stored, Ok(()));
     assert_eq!(names, Ok(vec!["o".into()]));
     assert_eq!(object, Ok(Some(Bytes::from_static(b"x"))));
-    assert!(matches!(listing, Ok(listing) if listing.vms[0].id == "dc1-w001"));
+    assert!(matches!(&listing, Ok(listing) if listing.vms[0].id == "dc1-w001"));
+    let mut held = Listing::default();
+    held.apply(changes.expect("no fault is set"));
+    assert_eq!(held.vms, listing.expect("no fault is set").vms);
+    let same = vms.changes(&held.tags()).await;
+    assert!(same.is_ok_and(|changes| changes.parts.is_empty()));
 }
 
 #[tokio::test]
