--- a/crates/dotterel-kernel/src/fleet/total.rs
+++ b/crates/dotterel-kernel/src/fleet/total.rs
@@ -8,10 +8,12 @@
 pub struct Totals {
     /// Capacity of the VMs that accept work.
     pub capacity: Size,
-    /// Slots held on all VMs.
-    pub running: u32,
-    /// Slots held by long work on all VMs.
-    pub long: u32,
+    /// What is held on all VMs.
+    pub used: Size,
+    /// What long work holds on all VMs.
+    pub long: Size,
+    /// How many short tasks of typical size fit beside long work on accepting VMs.
+    pub short_room: u32,
     /// Each distinct capacity with its number of VMs.
     shapes: Vec<(Size, u32)>,
 }
@@ -38,45 +40,29 @@
             .max(part(size.connections, self.capacity.connections))
     }
 
-    pub(super) fn add(&mut self, vm: &Vm) {
+    pub(super) fn add(&mut self, vm: &Vm, unit: &Size) {
         if vm.accepting {
             self.capacity = self.capacity.plus(&vm.capacity);
         }
-        self.running += vm.used.slots;
-        self.long += vm.long_slots;
+        self.used = self.used.plus(&vm.used);
+        self.long = self.long.plus(&vm.long);
+        self.short_room += vm.short_room(unit);
         match self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             Some(shape) => shape.1 += 1,
             None => self.shapes.push((vm.capacity, 1)),
         }
     }
 
-    pub(super) fn subtract(&mut self, vm: &Vm) {
+    pub(super) fn subtract(&mut self, vm: &Vm, unit: &Size) {
         if vm.accepting {
             self.capacity = self.capacity.minus(&vm.capacity);
         }
-        self.running -= vm.used.slots;
-        self.long -= vm.long_slots;
+        self.used = self.used.minus(&vm.used);
+        self.long = self.long.minus(&vm.long);
+        self.short_room -= vm.short_room(unit);
         if let Some(shape) = self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
             shape.1 -= 1;
         }
         self.shapes.retain(|shape| shape.1 > 0);
     }
-
-    pub(super) fn accepting(&mut self, capacity: &Size, accepting: bool) {
-        self.capacity = if accepting {
-            self.capacity.plus(capacity)
-        } else {
-            self.capacity.minus(capacity)
-        };
-    }
-
-    pub(super) fn taken(&mut self, slots: u32, long: u32) {
-        self.running += slots;
-        self.long += long;
-    }
-
-    pub(super) fn given(&mut self, slots: u32, long: u32) {
-        self.running -= slots;
-        self.long -= long;
-    }
 }
--- a/crates/dotterel-kernel/src/scheduler/load.rs
+++ b/crates/dotterel-kernel/src/scheduler/load.rs
@@ -12,10 +12,12 @@
     pub running: u32,
     /// Slots on all owned VMs that accept work.
     pub slots: u32,
-    /// Slots held by long work.
-    pub long: u32,
-    /// Slots that short work wanted at its recent peak.
-    pub short_peak: f64,
+    /// What short work wanted at its recent peak.
+    pub short_peak: Size,
+    /// What a typical short task takes.
+    pub short_unit: Size,
+    /// How many such tasks fit beside long work.
+    pub short_room: u32,
     /// Tasks of the task's own class that wait.
     pub class_queued: u32,
     /// Whether an empty VM of some owned shape could hold the task.
@@ -26,6 +28,9 @@
     pub wait: Millis,
     /// Capacity that more urgent work asks for, as a part of what it shares with the task.
     pub crowding: f64,
-    /// When the team's earlier work would be served at the team's own rate.
+    /// When the work that the team has queued would be served at the team's own rate; now without
+    /// a team.
     pub turn: Millis,
+    /// The team's part of all quotas, from 0 to 1; none without a team.
+    pub team_share: Option<f64>,
 }
--- a/crates/dotterel-load/src/main.rs
+++ b/crates/dotterel-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use clap::{Parser, Subcommand};
-use dotterel_load::{cell, control};
+use dotterel_load::{cell, control, decision, experiment};
 
 /// Measures policies and running entry nodes.
 #[derive(Parser)]
@@ -17,6 +17,10 @@
     Cell(cell::Options),
     /// Samples what running entry nodes spend on control, idle or under a steady load.
     Control(control::Options),
+    /// Replays an experiment under each of its policies, in virtual time.
+    Experiment(experiment::Options),
+    /// Times single decisions of the standard policy.
+    Decisions(decision::Options),
 }
 
 #[tokio::main]
@@ -24,5 +28,10 @@
     match Args::parse().command {
         Command::Cell(options) => cell::run(&options).await,
         Command::Control(options) => control::run(&options).await,
+        Command::Experiment(options) => experiment::run(&options),
+        Command::Decisions(options) => {
+            decision::run(&options);
+            Ok(())
+        }
     }
 }
