--- a/crates/dotterel-kernel/src/lib.rs
+++ b/crates/dotterel-kernel/src/lib.rs
@@ -51,3 +51,8 @@
 pub use scheduler::{Load, Placement, Scheduler, Submit, WaitKey, Waiting};
 pub use size::Size;
 pub use time::{Clock, Millis};
+
+/// Compiles the examples of the README.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
