--- a/crates/dotterel-coord/tests/journal.rs
+++ b/crates/dotterel-coord/tests/journal.rs
@@ -4,7 +4,7 @@
 
 use dotterel_coord::journal::{Config, Found, Shipped, merge};
 use dotterel_coord::{Journal, Reader};
-use dotterel_kernel::{Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
+use dotterel_kernel::{Account, Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
 use dotterel_platform::ObjectStore;
 use dotterel_standin::FakeStore;
 
@@ -32,6 +32,12 @@
         Reader::new(Arc::new(self.store.clone()))
     }
 
+    /// The account of the first node's life, as others read it.
+    async fn remains(&self) -> Account {
+        let account = self.reader().account(&"a".into(), LIFE, None, START).await;
+        account.expect("the store answers")
+    }
+
     fn record(&self, node: &str) -> Record {
         let now = self.clock.now();
         Record {
@@ -70,11 +76,7 @@
     let unshipped = bench.opened(&journal);
     drop(journal);
 
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     let line = &account.lines[0];
     assert_eq!((line.arrived, line.ran, line.unknown), (2, 1, 1));
@@ -113,11 +115,7 @@
         .set_faults(|faults| faults.down_until = Millis::ZERO);
 
     assert!(matches!(journal.ship().await, Shipped::Segment(_)));
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     assert_eq!(journal.account(None, START).lines[0].arrived, 20);
     let dropped = 20 - account.lines[0].arrived;
@@ -141,11 +139,7 @@
     assert_eq!(journal.ship().await, Shipped::Failed);
     journal.close(request, Fate::Ran);
     assert_eq!(journal.ship().await, Shipped::Segment(1));
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     assert_eq!((account.lines[0].arrived, account.lines[0].ran), (1, 1));
 }
@@ -216,11 +210,7 @@
     assert!(!journal.finish().await);
     assert!(journal.finish().await);
 
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     assert_eq!((account.lines[0].arrived, account.lines[0].ran), (3, 3));
     assert!(account.gaps.is_empty(), "{:?}", account.gaps);
@@ -246,11 +236,7 @@
     let put = bench.store.put(lost, bytes::Bytes::new()).await;
     assert!(put.is_ok());
 
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     let line = &account.lines[0];
     assert_eq!((line.arrived, line.ran, line.unknown), (7, 6, 0));
