--- a/crates/dotterel-entry/tests/promises/callers.rs
+++ b/crates/dotterel-entry/tests/promises/callers.rs
@@ -64,6 +64,28 @@
     pub(crate) patience: Option<Duration>,
 }
 
+/// The class of unrepeatable requests.
+pub(crate) const ORDER: &str = "roof-order";
+
+/// Returns a request without a key whose caller waits.
+pub(crate) fn ask(class: &str, run_ms: u64) -> Ask {
+    Ask {
+        class: class.into(),
+        run_ms,
+        key: None,
+        patience: None,
+    }
+}
+
+impl Ask {
+    /// Gives the request an idempotency key.
+    #[must_use]
+    pub(crate) fn key(mut self, key: &str) -> Self {
+        self.key = Some(key.into());
+        self
+    }
+}
+
 /// All calls of a scenario.
 #[derive(Clone, Default)]
 pub(crate) struct Callers {
--- a/crates/dotterel-entry/tests/promises/cell.rs
+++ b/crates/dotterel-entry/tests/promises/cell.rs
@@ -15,13 +15,17 @@
 use http::{Method, StatusCode};
 use tokio::task::JoinHandle;
 
-use crate::callers::{Ask, Callers, PATIENCE, Told, send};
+use crate::callers::{Ask, Callers, ORDER, PATIENCE, Told, ask, send};
 use crate::node::{Entry, Life};
 use crate::watch::Watch;
 
 const REGION: &str = "region-1";
 const DOCUMENT_PATH: &str = "/v1/documents/quotes";
 
+/// How long work may still start on a worker after the platform's list said that it leaves, and
+/// how long a document may take to be in force everywhere.
+pub(crate) const SOON: Duration = Duration::from_secs(3);
+
 /// How long the balancer takes to see that a node is about to stop.
 const BALANCER_LAG: Duration = Duration::from_millis(100);
 
@@ -187,6 +191,43 @@
         }));
     }
 
+    /// Sends orders to each node that the balancer knows.
+    pub(crate) fn orders(&self, count: u32, run_ms: u64) {
+        let nodes = self.balancer.lock().expect("no user panics").clone();
+        for (node, addr) in nodes {
+            for number in 0..count {
+                let ask = ask(ORDER, run_ms).key(&format!("{node}-{number}"));
+                self.callers.send(&node, addr, &ask);
+            }
+        }
+    }
+
+    /// Sends every order so far again, to one node.
+    pub(crate) fn repeat_orders(&mut self, node: &str) {
+        let addr = self.entry(node).http;
+        let calls = self.callers.calls();
+        let mut keys: Vec<String> = calls.into_iter().filter_map(|call| call.key).collect();
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            self.callers.send(node, addr, &ask(ORDER, 300).key(&key));
+        }
+    }
+
+    /// Lets a worker say that it leaves.
+    pub(crate) fn leave(&mut self, worker: &str) {
+        let worker = self.worker(worker);
+        worker.set_leaving(true);
+        self.leaving.push((worker.vm(), self.clock.now()));
+    }
+
+    /// Lets the list, which lags, say that a worker leaves.
+    pub(crate) fn list_leaving(&mut self, worker: &str, lag: Millis) {
+        self.cluster.vms().set_state(worker, VmState::Leaving);
+        let since = self.clock.now() + lag + Millis::from(SOON);
+        self.leaving.push((worker.into(), since));
+    }
+
     /// Waits for stops, loads and calls.
     pub(crate) async fn finish(&mut self) {
         for task in std::mem::take(&mut self.background) {
--- a/crates/dotterel-entry/tests/promises/main.rs
+++ b/crates/dotterel-entry/tests/promises/main.rs
@@ -7,6 +7,7 @@
 mod cell;
 mod judge;
 mod node;
+mod random;
 mod relay;
 mod steps;
 mod watch;
@@ -21,7 +22,8 @@
 /// The most cells at one time in this process.
 const CELLS: usize = 3;
 
-static PLACES: Semaphore = Semaphore::const_new(CELLS);
+/// Limits the cells at one time.
+pub(crate) static PLACES: Semaphore = Semaphore::const_new(CELLS);
 
 /// Runs the scenarios of a tag, one after another.
 async fn hold(tag: &'static str) {
--- a/crates/dotterel-entry/tests/promises/steps.rs
+++ b/crates/dotterel-entry/tests/promises/steps.rs
@@ -5,20 +5,13 @@
 
 use cucumber::{World, given, then, when};
 use dotterel_kernel::Millis;
-use dotterel_platform::VmState;
 use dotterel_standin::witness;
 use tokio::task::JoinHandle;
 
-use crate::callers::{Ask, Call, PATIENCE, Told};
-use crate::cell::{Cell, until};
+use crate::callers::{Call, ORDER, PATIENCE, Told, ask};
+use crate::cell::{Cell, SOON, until};
 use crate::judge;
 
-/// How long work may still start on a worker after the platform's list said that it leaves, and
-/// how long a document may take to be in force everywhere.
-const SOON: Duration = Duration::from_secs(3);
-
-const ORDER: &str = "roof-order";
-
 /// One scenario.
 #[derive(Default, World)]
 pub(crate) struct Promise {
@@ -62,15 +55,6 @@
     }
 }
 
-fn ask(class: &str, run_ms: u64) -> Ask {
-    Ask {
-        class: class.into(),
-        run_ms,
-        key: None,
-        patience: None,
-    }
-}
-
 #[given(expr = "a cell of {int} data centre(s) with {int} node(s) and {int} worker(s) each")]
 async fn cell(world: &mut Promise, data_centres: u8, nodes: u32, workers: u32) {
     let cell = Cell::start(data_centres, nodes, workers).await;
@@ -115,39 +99,19 @@
 #[when(expr = "order {string} of {int} ms is sent to node {word}")]
 async fn send_order(world: &mut Promise, order: String, run: u64, node: String) {
     let addr = world.cell().entry(&node).http;
-    let mut ask = ask(ORDER, run);
-    ask.key = Some(order);
+    let ask = ask(ORDER, run).key(&order);
     world.cell().callers.send(&node, addr, &ask);
 }
 
 #[when(expr = "{int} orders of {int} ms are sent to each node")]
 async fn orders(world: &mut Promise, count: u32, run: u64) {
-    let nodes = world
-        .cell()
-        .balancer
-        .lock()
-        .expect("no user panics")
-        .clone();
-    for (node, addr) in nodes {
-        for number in 0..count {
-            let mut ask = ask(ORDER, run);
-            ask.key = Some(format!("{node}-{number}"));
-            world.cell().callers.send(&node, addr, &ask);
-        }
-    }
+    world.cell().orders(count, run);
 }
 
 /// Sends every order so far again, to another node.
 #[when(expr = "all orders are repeated at node {word}")]
 async fn repeat(world: &mut Promise, node: String) {
-    let addr = world.cell().entry(&node).http;
-    let mut keys: Vec<String> = world.calls().into_iter().filter_map(|c| c.key).collect();
-    keys.dedup();
-    for key in keys {
-        let mut ask = ask(ORDER, 300);
-        ask.key = Some(key);
-        world.cell().callers.send(&node, addr, &ask);
-    }
+    world.cell().repeat_orders(&node);
 }
 
 #[when(expr = "order {string} runs")]
@@ -281,18 +245,12 @@
 
 #[when(expr = "worker {word} says that it leaves")]
 async fn leaves(world: &mut Promise, worker: String) {
-    let worker = world.cell().worker(&worker);
-    worker.set_leaving(true);
-    let now = world.cell().clock.now();
-    world.cell().leaving.push((worker.vm(), now));
+    world.cell().leave(&worker);
 }
 
 #[when(expr = "the list says after {int} ms that worker {word} leaves")]
 async fn listed_leaving(world: &mut Promise, lag: u64, worker: String) {
-    let cell = world.cell();
-    cell.cluster.vms().set_state(&worker, VmState::Leaving);
-    let since = cell.clock.now() + Millis(lag) + Millis::from(SOON);
-    cell.leaving.push((worker.as_str().into(), since));
+    world.cell().list_leaving(&worker, Millis(lag));
 }
 
 #[when(expr = "{int} ms pass")]
