--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -11,7 +11,7 @@
     AttemptRecord, Cancelled, Commands, Config, GangOwner, JobHost, JobSpec, LaunchOutcome, Phase,
     Progress, Standing, Submitted, TaskStart,
 };
-use dotterel_kernel::{Clock, Incarnation, JobId, Kind, Millis, Reason, Size, TaskId};
+use dotterel_kernel::{Clock, Incarnation, JobId, Kind, Millis, Reason, Size, TaskId, Urgency};
 use dotterel_platform::{
     Owner, Pressure, Refusal, Start, Started, StopAnswer, TaskState, Upstream,
 };
@@ -35,6 +35,7 @@
     backoff: Millis(1_000),
     survey: Millis(1_000),
     margin: Millis(1_000),
+    retention: Millis::secs(3_600),
     batch: 64,
 };
 
@@ -255,6 +256,7 @@
         service: "quotes".into(),
         class: "roof".into(),
         kind,
+        urgency: Urgency::Normal,
         tasks,
         size: slots(1),
         repeatable: true,
--- a/crates/dotterel-platform/src/lib.rs
+++ b/crates/dotterel-platform/src/lib.rs
@@ -12,11 +12,11 @@
 pub mod upstream;
 pub mod vm_list;
 
-pub use client::{HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits};
+pub use client::{HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits, Traffic};
 pub use error::CallError;
 pub use store::{Commit, ObjectStore, Row, Table, Version, Write};
 pub use upstream::{
     Acquire, Answer, Grant, Granted, LeaseAnswer, Observed, Owner, Pressure, Refusal, Renew,
     Renewed, Running, Start, Started, StopAnswer, TaskState, Upstream,
 };
-pub use vm_list::{ListedVm, Listing, Role, VmList, VmState};
+pub use vm_list::{Changes, ListedVm, Listing, Part, Role, Tag, VmList, VmState};
