--- a/crates/dotterel-entry/tests/promises/cell.rs
+++ b/crates/dotterel-entry/tests/promises/cell.rs
@@ -37,7 +37,7 @@
     connections: 16,
 };
 
-const DOCUMENT: &str = include_str!("quotes.toml");
+pub(crate) const DOCUMENT: &str = include_str!("quotes.toml");
 
 /// The nodes that the balancer sends callers to.
 pub(crate) type Balancer = Arc<Mutex<Vec<(String, SocketAddr)>>>;
--- a/crates/dotterel-entry/tests/promises/judge.rs
+++ b/crates/dotterel-entry/tests/promises/judge.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use dotterel_kernel::{Fate, Millis, Record, RequestId, VmId};
+use dotterel_kernel::{Document, Fate, Millis, Record, RequestId, VmId};
 use dotterel_standin::FakeWorker;
 use dotterel_standin::witness::{self, Run, RunEnd};
 
 use http::StatusCode;
 
 use crate::callers::{Call, Told, get};
-use crate::cell::Cell;
+use crate::cell::{Cell, DOCUMENT};
 
 /// Longer than a start that was sent before the end of the faults can still be under way.
 const LATE_STARTS: Duration = Duration::from_millis(600);
@@ -27,6 +27,7 @@
     faults.extend(seen.map(|fault| format!("{fault:?}")));
     faults.extend(calls.iter().filter_map(|call| answer(cell, call, &runs)));
     faults.extend(repeated(&calls, &runs));
+    faults.extend(runs.iter().filter_map(undersized));
     faults.extend(cell.leaving.iter().flat_map(|l| after_leaving(&workers, l)));
     faults.extend(records(cell, &calls, &runs).await);
     faults.extend(texts(cell).await);
@@ -73,6 +74,14 @@
     named(run, call) && matches!(run.end, Some((_, RunEnd::Finished(_))))
 }
 
+/// Finds starts that took less of a worker than their class declares.
+fn undersized(run: &Run) -> Option<String> {
+    let document = Document::parse(DOCUMENT).expect("the document is valid");
+    let class = document.class(&run.info.class);
+    let declared = class.is_some_and(|class| class.size.fits(&run.info.size));
+    (!declared).then(|| format!("started with another size than declared: {run:?}"))
+}
+
 /// Finds unrepeatable work that ran more than once, whatever its requests are called.
 fn repeated(calls: &[Call], runs: &[Run]) -> Vec<String> {
     let keyed = calls.iter().filter(|call| call.key.is_some());
--- a/crates/dotterel-entry/tests/promises/main.rs
+++ b/crates/dotterel-entry/tests/promises/main.rs
@@ -20,7 +20,7 @@
 const FEATURE: &str = "tests/features/promises.feature";
 
 /// The most cells at one time in this process.
-const CELLS: usize = 3;
+const CELLS: usize = 5;
 
 /// Limits the cells at one time.
 pub(crate) static PLACES: Semaphore = Semaphore::const_new(CELLS);
--- a/crates/dotterel-entry/tests/promises/random.rs
+++ b/crates/dotterel-entry/tests/promises/random.rs
@@ -168,14 +168,23 @@
     TestResult::error(format!("{schedule:#?}: {faults:#?}"))
 }
 
+fn check(seed: u64) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(FAULTS, seed))
+        .tests(1)
+        .max_tests(1)
+        .quickcheck(holds as fn(Schedule) -> TestResult);
+}
+
 #[test]
 fn promises_hold_under_random_faults() {
-    for seed in SEEDS {
-        println!("seed {seed}");
-        QuickCheck::new()
-            .rng(Gen::from_size_and_seed(FAULTS, seed))
-            .tests(1)
-            .max_tests(1)
-            .quickcheck(holds as fn(Schedule) -> TestResult);
-    }
+    let checks = SEEDS.map(|seed| (seed, std::thread::spawn(move || check(seed))));
+    let failed = checks.into_iter().filter_map(|(seed, check)| {
+        let held = check.join();
+        held.is_err().then_some(seed)
+    });
+
+    let failed: Vec<u64> = failed.collect();
+
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
