Keep work that nothing can start from holding others up

Cause: found by work_that_no_vm_can_take_blocks_nobody, which failed first (no count placed, index out of bounds): 500 queued tasks that only a leaving VM could hold counted as backlog, and urgent work was refused for it. Mutations, each caught by the test named: no keep-clear filter: a_task_that_needs_a_whole_vm_starts_before_its_deadline; no in-time admission: what_cannot_start_in_time_is_refused_at_once; no short-reserve filter: long_work_leaves_the_slots_that_short_work_used; learned quantile not used: a_class_that_runs_long_counts_as_long_whatever_it_declares; next stops at the first blocked head: work_that_no_vm_can_take_blocks_nobody.

--- a/crates/dotterel-kernel/src/fleet/total.rs
+++ b/crates/dotterel-kernel/src/fleet/total.rs
@@ -14,15 +14,29 @@
     pub long: Size,
     /// How many short tasks of typical size fit beside long work on accepting VMs.
     pub short_room: u32,
-    /// Each distinct capacity with its number of VMs.
-    shapes: Vec<(Size, u32)>,
+    /// Each distinct capacity of a VM.
+    shapes: Vec<Shape>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Shape {
+    capacity: Size,
+    vms: u32,
+    accepting: u32,
 }
 
 impl Totals {
     /// Returns true when an empty VM of some present shape could hold `size`.
     #[must_use]
     pub fn could_hold(&self, size: &Size) -> bool {
-        self.shapes.iter().any(|(shape, _)| size.fits(shape))
+        self.shapes.iter().any(|shape| size.fits(&shape.capacity))
+    }
+
+    /// Returns true when an accepting VM could hold `size` once it is empty.
+    #[must_use]
+    pub fn could_start(&self, size: &Size) -> bool {
+        let mut open = self.shapes.iter().filter(|shape| shape.accepting > 0);
+        open.any(|shape| size.fits(&shape.capacity))
     }
 
     /// Returns the largest part of any resource that `size` takes of the accepting VMs.
@@ -47,10 +61,9 @@
         self.used = self.used.plus(&vm.used);
         self.long = self.long.plus(&vm.long);
         self.short_room += vm.short_room(unit);
-        match self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
-            Some(shape) => shape.1 += 1,
-            None => self.shapes.push((vm.capacity, 1)),
-        }
+        let shape = self.shape(&vm.capacity);
+        shape.vms += 1;
+        shape.accepting += u32::from(vm.accepting);
     }
 
     pub(super) fn subtract(&mut self, vm: &Vm, unit: &Size) {
@@ -60,9 +73,22 @@
         self.used = self.used.minus(&vm.used);
         self.long = self.long.minus(&vm.long);
         self.short_room -= vm.short_room(unit);
-        if let Some(shape) = self.shapes.iter_mut().find(|s| s.0 == vm.capacity) {
-            shape.1 -= 1;
+        let shape = self.shape(&vm.capacity);
+        shape.vms -= 1;
+        shape.accepting -= u32::from(vm.accepting);
+        self.shapes.retain(|shape| shape.vms > 0);
+    }
+
+    fn shape(&mut self, capacity: &Size) -> &mut Shape {
+        let found = self.shapes.iter().position(|s| s.capacity == *capacity);
+        let index = found.unwrap_or(self.shapes.len());
+        if index == self.shapes.len() {
+            self.shapes.push(Shape {
+                capacity: *capacity,
+                vms: 0,
+                accepting: 0,
+            });
         }
-        self.shapes.retain(|shape| shape.1 > 0);
+        &mut self.shapes[index]
     }
 }
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! appears and [`Scheduler::expire`] those whose start deadline has passed. What
 //! [`Scheduler::finish`] is told of run times replaces what documents declare.
 
+mod book;
 mod choice;
 mod class;
 mod clearing;
@@ -17,7 +18,6 @@
 use compact_str::CompactString;
 use slotmap::{SecondaryMap, new_key_type};
 
-use crate::document::Urgency;
 use crate::fate::Reason;
 use crate::fleet::{Fleet, Hold, HoldKey, VmKey};
 use crate::id::{Service, VmId};
@@ -26,18 +26,13 @@
 use crate::runtime::Runtimes;
 use crate::time::Millis;
 
-use choice::{Choice, choose};
 use class::{ClassKey, Classes};
 use clearing::Clearing;
 use demand::Demand;
-use queue::{Block, Head, Item, Queue};
+use queue::{Item, Queue};
 
 /// VMs that one call of [`Scheduler::next`] looks at before it leaves the rest to the next call.
 const LOOKED_LIMIT: u32 = 16_384;
-/// How long a blocked class waits for its next try when no capacity came free.
-const RETRY: Millis = Millis(50);
-/// The longest run time that counts for the demand of a class.
-const WORK_LIMIT: Millis = Millis::secs(3600);
 
 new_key_type! {
     /// Names one waiting task in a [`Scheduler`].
@@ -195,11 +190,14 @@
         if let Some(key) = team {
             self.quotas.charge(key, work, now);
         }
+        let competes = self.fleet.totals().could_start(&task.ask.size)
+            && team.is_none_or(|key| self.quotas.admits(key, &task.ask.size));
         let item = Item {
             task,
             class,
             team,
             work,
+            competes,
         };
         Submit::Queued(self.queue.push(item, rank))
     }
@@ -207,6 +205,7 @@
     /// Takes the next queued task that can start, with its placement.
     pub fn next(&mut self, now: Millis) -> Option<(WaitKey, Waiting, Placement)> {
         self.settle();
+        self.refresh(now);
         let mut looked = 0;
         let mut index = 0;
         while let Some(head) = self.queue.head(index)
@@ -266,19 +265,6 @@
         Some(held)
     }
 
-    /// Charges the team of a queued task for the difference between expected and real work.
-    fn settle_charge(&mut self, tag: &Tag, held: &Hold, span: Millis, now: Millis) {
-        let Some(team) = tag.team.filter(|_| tag.charged > 0.0) else {
-            return;
-        };
-        let real = span.min(WORK_LIMIT).0 as f64 * self.fleet.totals().share(&held.size);
-        if real > tag.charged {
-            self.quotas.charge(team, real - tag.charged, now);
-        } else {
-            self.quotas.refund(team, tag.charged - real);
-        }
-    }
-
     /// Gives the capacity of a task back that failed or was cut, so that its run time says nothing.
     pub fn release(&mut self, hold: HoldKey) -> Option<Hold> {
         self.settle();
@@ -325,134 +311,6 @@
         }
         Some(gang)
     }
-
-    fn place(
-        &mut self,
-        ask: &Ask,
-        class: ClassKey,
-        team: Option<TeamKey>,
-        now: Millis,
-    ) -> Result<Placement, Choice> {
-        if team.is_some_and(|key| !self.quotas.admits(key, &ask.size)) {
-            return Err(Choice::default());
-        }
-        self.refresh(now);
-        let kept = self.clearing.kept(class);
-        let peers = self.classes.peers(class);
-        let choice = choose(&self.fleet, &self.policy, &self.load, ask, kept, peers);
-        let placed = choice.best.and_then(|(score, vm)| {
-            let hold = self.fleet.hold(vm, ask.size, ask.long, now)?;
-            let id = self.fleet.get(vm)?.id.clone();
-            Some((score, vm, hold, id))
-        });
-        let Some((score, vm, hold, id)) = placed else {
-            return Err(choice);
-        };
-        let held = Hold {
-            vm,
-            size: ask.size,
-            long: ask.long,
-            since: now,
-        };
-        self.tag(hold, &held, class, team);
-        self.clearing.placed(class);
-        Ok(Placement {
-            vm,
-            id,
-            hold,
-            score,
-            considered: choice.considered,
-            ruled_out: choice.ruled_out,
-        })
-    }
-
-    fn is_blocked(&self, head: Head, now: Millis) -> bool {
-        let block = self.queue.block(head.class);
-        block.is_some_and(|b| b.gains == self.fleet.gains() && now < b.until)
-    }
-
-    /// Notes that a head could not start; one that has waited long gets a VM kept clear.
-    fn pass_over(&mut self, head: Head, now: Millis) {
-        let block = Block {
-            gains: self.fleet.gains(),
-            until: now + RETRY,
-        };
-        self.queue.set_block(head.class, Some(block));
-        let Some(item) = self.queue.get(head.key) else {
-            return;
-        };
-        let team = item.team;
-        if team.is_none_or(|key| self.quotas.admits(key, &item.task.ask.size)) {
-            self.clearing
-                .consider(head.class, &item.task, &self.fleet, now);
-        }
-    }
-
-    fn tag(&mut self, hold: HoldKey, held: &Hold, class: ClassKey, team: Option<TeamKey>) {
-        let tag = Tag {
-            class,
-            team,
-            charged: 0.0,
-        };
-        self.tags.insert(hold, tag);
-        self.classes.join(class, held);
-        if let Some(key) = team {
-            self.quotas.take(key, &held.size);
-        }
-    }
-
-    fn untag(&mut self, hold: HoldKey, held: &Hold) {
-        let Some(tag) = self.tags.remove(hold) else {
-            return;
-        };
-        self.classes.leave(tag.class, held);
-        if let Some(key) = tag.team {
-            self.quotas.give(key, &held.size);
-        }
-    }
-
-    /// Forgets the holds that went with their VMs.
-    fn settle(&mut self) {
-        while let Some((hold, held)) = self.fleet.take_lost() {
-            self.untag(hold, &held);
-        }
-    }
-
-    /// Returns the expected work of a task in milliseconds of the whole fleet.
-    fn work(&self, ask: &Ask) -> f64 {
-        ask.expected.min(WORK_LIMIT).0 as f64 * self.fleet.totals().share(&ask.size)
-    }
-
-    /// Draws up the load as it looks to one task.
-    fn observe(&mut self, ask: &Ask, class: ClassKey, team: Option<TeamKey>, now: Millis) {
-        self.refresh(now);
-        let totals = self.fleet.totals();
-        let outlook = self.demand.outlook(ask, totals, &self.queue, now);
-        self.load.class_queued = count(self.queue.waiting(class));
-        self.load.holdable = self.fleet.is_empty() || totals.could_hold(&ask.size);
-        self.load.quota = team.and_then(|key| self.quotas.get(key)).map(|a| a.limit);
-        self.load.turn = team.map_or(now, |key| self.quotas.turn(key, now));
-        self.load.team_share = team.map(|key| self.quotas.share(key));
-        self.load.wait = outlook.wait;
-        // A team is served at its own rate at least, whatever others have queued.
-        if team.is_some() && ask.urgency != Urgency::Urgent {
-            self.load.wait = outlook.wait.min(self.load.turn.since(now));
-        }
-        self.load.crowding = outlook.crowding;
-    }
-
-    fn refresh(&mut self, now: Millis) {
-        let totals = self.fleet.totals();
-        self.load.queued = count(self.queue.len());
-        self.load.running = totals.used.slots;
-        self.load.slots = totals.capacity.slots;
-        self.load.short_peak = self.demand.short_peak(totals, &self.queue, now);
-        if let Some(unit) = demand::unit(&self.load.short_peak, self.fleet.unit()) {
-            self.fleet.set_unit(unit);
-        }
-        self.load.short_unit = *self.fleet.unit();
-        self.load.short_room = self.fleet.totals().short_room;
-    }
 }
 
 fn count(length: usize) -> u32 {
--- a/crates/dotterel-kernel/src/scheduler/queue.rs
+++ b/crates/dotterel-kernel/src/scheduler/queue.rs
@@ -27,6 +27,9 @@
     pub(super) team: Option<TeamKey>,
     /// Expected work in milliseconds of the whole fleet.
     pub(super) work: f64,
+    /// Whether others have to wait for it; work that nothing could start at present holds nobody
+    /// up.
+    pub(super) competes: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +72,24 @@
     pub(super) size: Size,
 }
 
+impl Backlog {
+    fn add(&mut self, item: &Item) {
+        self.tasks += 1;
+        self.work += item.work;
+        self.size = self.size.plus(&item.task.ask.size);
+    }
+
+    fn subtract(&mut self, item: &Item) {
+        self.tasks -= 1;
+        self.work -= item.work;
+        self.size = self.size.minus(&item.task.ask.size);
+        if self.tasks == 0 {
+            // Rounding errors do not outlast the backlog.
+            self.work = 0.0;
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     items: SlotMap<WaitKey, Item>,
@@ -119,10 +140,9 @@
         self.arrivals += 1;
         let class = item.class;
         let deadline = item.task.deadline;
-        let backlog = self.backlog_mut(&item);
-        backlog.work += item.work;
-        backlog.tasks += 1;
-        backlog.size = backlog.size.plus(&item.task.ask.size);
+        if item.competes {
+            self.backlog_mut(&item).add(&item);
+        }
         let key = self.items.insert(item);
         self.deadlines.push(Reverse((deadline, key)));
         let entry = Entry {
@@ -145,14 +165,9 @@
 
     pub(super) fn remove(&mut self, key: WaitKey) -> Option<Item> {
         let item = self.items.remove(key)?;
-        let backlog = self.backlog_mut(&item);
-        backlog.tasks -= 1;
-        backlog.size = backlog.size.minus(&item.task.ask.size);
-        backlog.work = if backlog.tasks == 0 {
-            0.0
-        } else {
-            backlog.work - item.work
-        };
+        if item.competes {
+            self.backlog_mut(&item).subtract(&item);
+        }
         self.drop_entry(item.class, key);
         self.trim_deadlines();
         Some(item)
