--- a/crates/dotterel-load/src/main.rs
+++ b/crates/dotterel-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use clap::{Parser, Subcommand};
-use dotterel_load::{cell, control, decision, experiment};
+use dotterel_load::{cell, control, decision, experiment, http_load};
 
 /// Measures policies and running entry nodes.
 #[derive(Parser)]
@@ -19,6 +19,8 @@
     Control(control::Options),
     /// Replays an experiment under each of its policies, in virtual time.
     Experiment(experiment::Options),
+    /// Loads running entry nodes and counts the fates that they tell.
+    Run(http_load::Options),
     /// Times single decisions of the standard policy.
     Decisions(decision::Options),
 }
@@ -29,6 +31,7 @@
         Command::Cell(options) => cell::run(&options).await,
         Command::Control(options) => control::run(&options).await,
         Command::Experiment(options) => experiment::run(&options),
+        Command::Run(options) => http_load::run(&options).await,
         Command::Decisions(options) => {
             decision::run(&options);
             Ok(())
