--- a/crates/dotterel-load/src/lib.rs
+++ b/crates/dotterel-load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod decision;
 pub mod experiment;
+pub mod footprint;
 pub mod http_load;
 pub mod packing;
 pub mod replay;
--- a/crates/dotterel-load/src/main.rs
+++ b/crates/dotterel-load/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use clap::{Parser, Subcommand};
-use dotterel_load::{cell, control, decision, experiment, http_load};
+use dotterel_load::{cell, control, decision, experiment, footprint, http_load};
 
 /// Measures policies and running entry nodes.
 #[derive(Parser)]
@@ -21,6 +21,8 @@
     Experiment(experiment::Options),
     /// Loads running entry nodes and counts the fates that they tell.
     Run(http_load::Options),
+    /// Measures the memory of a scheduler's state.
+    Footprint,
     /// Times single decisions of the standard policy.
     Decisions(decision::Options),
 }
@@ -32,6 +34,7 @@
         Command::Control(options) => control::run(&options).await,
         Command::Experiment(options) => experiment::run(&options),
         Command::Run(options) => http_load::run(&options).await,
+        Command::Footprint => footprint::run(),
         Command::Decisions(options) => {
             decision::run(&options);
             Ok(())
