--- a/crates/dotterel-coord/tests/journal.rs
+++ b/crates/dotterel-coord/tests/journal.rs
@@ -4,7 +4,8 @@
 
 use dotterel_coord::journal::{Config, Found, Shipped, merge};
 use dotterel_coord::{Journal, Reader};
-use dotterel_kernel::{Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
+use dotterel_kernel::{Account, Clock, Fate, Incarnation, Millis, Reason, Record, RequestId};
+use dotterel_platform::ObjectStore;
 use dotterel_standin::FakeStore;
 
 const LIFE: Incarnation = Incarnation(3);
@@ -31,6 +32,12 @@
         Reader::new(Arc::new(self.store.clone()))
     }
 
+    /// The account of the first node's life, as others read it.
+    async fn remains(&self) -> Account {
+        let account = self.reader().account(&"a".into(), LIFE, None, START).await;
+        account.expect("the store answers")
+    }
+
     fn record(&self, node: &str) -> Record {
         let now = self.clock.now();
         Record {
@@ -69,11 +76,7 @@
     let unshipped = bench.opened(&journal);
     drop(journal);
 
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     let line = &account.lines[0];
     assert_eq!((line.arrived, line.ran, line.unknown), (2, 1, 1));
@@ -112,11 +115,7 @@
         .set_faults(|faults| faults.down_until = Millis::ZERO);
 
     assert!(matches!(journal.ship().await, Shipped::Segment(_)));
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     assert_eq!(journal.account(None, START).lines[0].arrived, 20);
     let dropped = 20 - account.lines[0].arrived;
@@ -140,11 +139,7 @@
     assert_eq!(journal.ship().await, Shipped::Failed);
     journal.close(request, Fate::Ran);
     assert_eq!(journal.ship().await, Shipped::Segment(1));
-    let account = bench
-        .reader()
-        .account(&"a".into(), LIFE, None, START)
-        .await
-        .expect("the store answers");
+    let account = bench.remains().await;
 
     assert_eq!((account.lines[0].arrived, account.lines[0].ran), (1, 1));
 }
@@ -203,3 +198,47 @@
         .collect();
     assert_eq!(nodes, ["entry-1", "entry-10", "entry-2"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn life_that_ended_in_order_has_no_gap() {
+    let bench = Bench::new();
+    let journal = bench.journal("a", Config::default());
+    for _ in 0..3 {
+        journal.close(bench.opened(&journal), Fate::Ran);
+    }
+    bench.store.set_faults(|faults| faults.lose_answers = 1);
+    assert!(!journal.finish().await);
+    assert!(journal.finish().await);
+
+    let account = bench.remains().await;
+
+    assert_eq!((account.lines[0].arrived, account.lines[0].ran), (3, 3));
+    assert!(account.gaps.is_empty(), "{:?}", account.gaps);
+}
+
+#[tokio::test(start_paused = true)]
+async fn account_reads_the_sum_and_not_what_it_counts() {
+    let bench = Bench::new();
+    let config = Config {
+        sum: 4,
+        ..Config::default()
+    };
+    let journal = bench.journal("a", config);
+    let open = bench.opened(&journal);
+    for _ in 0..6 {
+        journal.close(bench.opened(&journal), Fate::Ran);
+        assert!(matches!(journal.ship().await, Shipped::Segment(_)));
+    }
+    journal.close(open, Fate::NotRun(Reason::Shed));
+    assert_eq!(journal.ship().await, Shipped::Segment(1));
+    // Segment 0 is counted in the sum; without it the account stays whole.
+    let lost = "journal/a/00000000000000000003/000000000000";
+    let put = bench.store.put(lost, bytes::Bytes::new()).await;
+    assert!(put.is_ok());
+
+    let account = bench.remains().await;
+
+    let line = &account.lines[0];
+    assert_eq!((line.arrived, line.ran, line.unknown), (7, 6, 0));
+    assert_eq!(line.not_run, vec![(Reason::Shed, 1)]);
+}
