Tell of ended tasks without their bodies in renewals

Every renewal names the tasks that have ended and are not forgotten yet. The stand-in sent their whole answers along, so each body crossed the link twice while control traffic has a budget of its own. The new test saw a body of 12 bytes where 0 are allowed; now an answer's body comes with its run or state alone. The trait says so, and what a forgotten task is answered with.

--- a/crates/dotterel-coord/src/keeper.rs
+++ b/crates/dotterel-coord/src/keeper.rs
@@ -40,8 +40,8 @@
     pub renew: Vec<TaskId>,
     /// Ended tasks whose outcome is recorded elsewhere.
     ///
-    /// Only the node that dispatched a task may forget it, because a VM cannot tell a forgotten
-    /// task from one that never came.
+    /// Only the node that dispatched a task may forget it, because the state of a forgotten task
+    /// reads like that of one that never came.
     pub forget: Vec<TaskId>,
 }
 
--- a/crates/dotterel-platform/src/upstream.rs
+++ b/crates/dotterel-platform/src/upstream.rs
@@ -94,6 +94,9 @@
     /// The new length of those task leases.
     pub task_ttl: Millis,
     /// Ended tasks whose outcome is recorded elsewhere, which the VM may forget.
+    ///
+    /// It forgets how they ended, not that they ran: their state reads as unseen, a start of one
+    /// is refused as seen, and a stop is answered as cut.
     pub forget: Vec<TaskId>,
 }
 
@@ -102,7 +105,7 @@
 pub struct Observed {
     /// The task.
     pub task: TaskId,
-    /// Its state.
+    /// Its state; an answer comes without its body, which [`Upstream::state`] brings.
     pub state: TaskState,
     /// What it uses, measured with a lag.
     pub usage: Size,
--- a/crates/dotterel-standin/src/worker/state.rs
+++ b/crates/dotterel-standin/src/worker/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use bytes::Bytes;
 use dotterel_kernel::{Epoch, Incarnation, Millis, NodeId, Size, TaskId, VmId};
 use dotterel_platform::{
     Acquire, Answer, Grant, Granted, LeaseAnswer, Observed, Owner, Pressure, Refusal, Renew,
@@ -211,7 +212,7 @@
         });
         let ended = self.unforgotten.iter().map(|task| Observed {
             task: *task,
-            state: self.state(*task),
+            state: without_body(self.state(*task)),
             usage: Size::ZERO,
         });
         running.chain(ended).collect()
@@ -344,3 +345,14 @@
         self.note(Event::Restarted);
     }
 }
+
+/// Leaves out the body of an answer, which would travel with every renewal.
+fn without_body(state: TaskState) -> TaskState {
+    match state {
+        TaskState::Finished(answer) => TaskState::Finished(Answer {
+            body: Bytes::new(),
+            ..answer
+        }),
+        other => other,
+    }
+}
--- a/crates/dotterel-standin/tests/worker.rs
+++ b/crates/dotterel-standin/tests/worker.rs
@@ -352,3 +352,24 @@
     let unrepeatable: Vec<_> = request.into_iter().collect();
     assert_eq!(witness::repeated(&workers, &unrepeatable).len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_renewal_tells_of_an_end_without_the_body() {
+    let worker = worker();
+    let epoch = grant(&worker, "a").await.epoch;
+    let start = start(epoch);
+    let ran = worker.run(&start, body(1)).await;
+    assert!(matches!(ran, Ok(Started::Finished(_))), "{ran:?}");
+
+    let renewed = worker.renew(&renewal(epoch, &[], &[])).await;
+
+    let Ok(Renewed::Done(granted)) = renewed else {
+        panic!("{renewed:?}");
+    };
+    let TaskState::Finished(told) = &granted.tasks[0].state else {
+        panic!("{granted:?}");
+    };
+    assert_eq!((told.status, told.body.len()), (200, 0));
+    let state = worker.state(start.task).await.expect("no fault is set");
+    assert!(matches!(state, TaskState::Finished(whole) if whole.body == body(1)));
+}
