Renew tasks that were left to an heir which never came

Cause: when a node hands a VM over and its heir stops in the same moment, nobody holds the lease, and if no other node is left the task leases lapse.

Ruled out: holding the lease for the drain, which would keep a third node that comes late from the VM for as long as the tasks run.

Change: a keeper that left running tasks to an heir looks back once the heir's time is over. If nobody holds the lease it takes it, renews what runs and releases it, every third of a task lease, until somebody holds it or nothing runs.

The schedules no longer kill a node twice, which had made the test itself run requests twice.

--- a/crates/dotterel-coord/src/keeper.rs
+++ b/crates/dotterel-coord/src/keeper.rs
@@ -213,28 +213,72 @@
         // The embedder may forget adopted tasks once the lease is lost.
         let batch = self.holder.tasks(&self.vm);
         self.holder.lost(&self.vm);
-        let Some(lease) = self.drain(lease, batch, wish).await else {
+        let Some((lease, batch)) = self.drain(lease, batch, wish).await else {
             return;
         };
         let heir = match &*wish.borrow() {
             Wish::GiveTo(heir) => Some(heir.clone()),
             Wish::Hold | Wish::Drop => None,
         };
-        let (lease, told) = lease.release(&*self.upstream, heir.as_ref()).await;
+        self.release(lease, heir.as_ref()).await;
+        if heir.is_some() && !batch.renew.is_empty() {
+            self.back_heir(wish).await;
+        }
+    }
+
+    async fn release(&self, lease: WorkerLease<Held>, heir: Option<&NodeId>) {
+        let (lease, told) = lease.release(&*self.upstream, heir).await;
         if let Err(error) = told {
             log::warn!(vm:% = self.vm, epoch:% = lease.epoch(), error:%; "lease not released");
         }
     }
 
+    /// Renews what runs on a VM whose lease nobody took over, without holding the lease for long.
+    ///
+    /// The heir may have stopped at the same time, and there may be no other node.
+    async fn back_heir(&mut self, wish: &mut watch::Receiver<Wish>) {
+        let mut pause = self.terms.ttl() + Millis(HANDOVER_MS);
+        loop {
+            self.rest(pause, wish).await;
+            if holds(wish) {
+                return;
+            }
+            let lease = WorkerLease::new(self.owner.clone(), self.terms);
+            match lease.acquire(&*self.upstream, &self.clock).await {
+                Sought::Held(lease, grant) => {
+                    if !self.renew_running(lease, &grant).await {
+                        return;
+                    }
+                    pause = Millis(self.terms.task_ttl().0 / 3);
+                }
+                Sought::Busy { .. } => return,
+                Sought::Failed(..) => pause = Millis(SEEK_MS) + self.jitter(RETRY_MS),
+            }
+        }
+    }
+
+    /// Renews the tasks of a grant and releases it; returns false when nothing runs.
+    async fn renew_running(&self, lease: WorkerLease<Held>, grant: &Grant) -> bool {
+        let batch = Batch {
+            renew: grant.running.iter().map(|run| run.task).collect(),
+            forget: Vec::new(),
+        };
+        match lease.renew(&*self.upstream, &self.clock, batch).await {
+            Renewal::Held(lease, _) | Renewal::Failed(lease, _) => self.release(lease, None).await,
+            Renewal::Lost(_) => {}
+        }
+        !grant.running.is_empty()
+    }
+
     /// Renews once, and goes on while tasks run that nobody else would renew.
     ///
-    /// Returns none when the lease is over.
+    /// Returns the tasks that still run with the lease, or none when the lease is over.
     async fn drain(
         &self,
         mut lease: WorkerLease<Held>,
         mut batch: Batch,
         wish: &mut watch::Receiver<Wish>,
-    ) -> Option<WorkerLease<Held>> {
+    ) -> Option<(WorkerLease<Held>, Batch)> {
         loop {
             let mut pause = Millis(RETRY_MS);
             match lease
@@ -243,28 +287,24 @@
             {
                 Renewal::Held(kept, granted) => {
                     lease = kept;
-                    batch = self.rest(&granted);
+                    batch = self.remaining(&granted);
                     pause = self.terms.period();
                 }
                 Renewal::Failed(kept, _) => lease = kept,
                 Renewal::Lost(_) => return None,
             }
             if batch.renew.is_empty() || *wish.borrow() != Wish::Drop {
-                return Some(lease);
+                return Some((lease, batch));
             }
             if self.clock.now() >= lease.until() {
                 return None;
             }
-            if wish.has_changed().is_ok() {
-                self.pause_or_change(pause, wish).await;
-            } else {
-                tokio::time::sleep(pause.duration()).await;
-            }
+            self.rest(pause, wish).await;
         }
     }
 
     /// Returns the tasks that still run on a VM that takes no more from here.
-    fn rest(&self, granted: &Granted) -> Batch {
+    fn remaining(&self, granted: &Granted) -> Batch {
         let running = granted
             .tasks
             .iter()
@@ -283,6 +323,14 @@
         Millis(draw % limit.max(1))
     }
 
+    /// Waits for a change of wish; a sender that is gone leaves its last wish.
+    async fn rest(&self, pause: Millis, wish: &mut watch::Receiver<Wish>) {
+        tokio::select! {
+            () = tokio::time::sleep(pause.duration()) => {}
+            Ok(()) = wish.changed() => {}
+        }
+    }
+
     async fn pause_or_change(&self, pause: Millis, wish: &mut watch::Receiver<Wish>) {
         tokio::select! {
             () = tokio::time::sleep(pause.duration()) => {}
--- a/crates/dotterel-coord/tests/features/ownership.feature
+++ b/crates/dotterel-coord/tests/features/ownership.feature
@@ -155,3 +155,12 @@
     Then the worker ran 2 tasks to their end
     And no task was cut
     And nothing is wrong
+
+  Scenario: The last two nodes stop together
+    When a runs 2 tasks of 40 s
+    And a hands the worker to b
+    And b gives the worker back to nobody
+    And 60 s pass
+    Then the worker ran 2 tasks to their end
+    And no task was cut
+    And nothing is wrong
--- a/crates/dotterel-coord/tests/ownership/faults.rs
+++ b/crates/dotterel-coord/tests/ownership/faults.rs
@@ -165,9 +165,10 @@
         tokio::task::yield_now().await;
     }
 
-    /// Kills a node, unless it is the last one; another runs its requests again.
+    /// Kills a node, unless it is dead or the last one; another runs its requests again.
     fn kill(&mut self, node: usize) {
-        if self.alive.iter().filter(|alive| **alive).count() == 1 {
+        let live = self.alive.iter().filter(|alive| **alive).count();
+        if live == 1 || !self.alive[node] {
             return;
         }
         self.alive[node] = false;
