--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -66,9 +66,10 @@
     }
 
     /// Returns the progress to be recorded.
-    pub(super) fn progress(&self) -> Progress {
+    pub(super) fn progress(&self, now: Millis) -> Progress {
         Progress {
             phase: self.phase,
+            at: now,
             tasks: self.tasks.iter().map(TaskRecord::from).collect(),
         }
     }
@@ -163,7 +164,7 @@
             return plan;
         }
         for index in &need.indices {
-            self.tasks[*index as usize].rest(now + config.backoff);
+            self.tasks[*index as usize].rest(next_try(now, config.backoff));
         }
         let plan = plan?;
         for (index, vm, hold) in &plan.spots {
@@ -305,6 +306,13 @@
     }
 }
 
+/// Returns when work without room is placed again: at the same moments for all jobs, so that their
+/// urgency decides.
+fn next_try(now: Millis, pause: Millis) -> Millis {
+    let pause = pause.0.max(1);
+    Millis((now.0 / pause + 1) * pause)
+}
+
 impl From<&Task> for TaskRecord {
     fn from(task: &Task) -> Self {
         let phase = match (&task.stage, task.attempt()) {
