Let a stopping node wait for its keepers last

Keepers now stay on after a handover until the heir has taken the lease. The node waited for them before it closed its listener, and would have gone on taking requests for seconds without owning a VM. Leases are handed over while requests in flight are answered, and keepers are waited for after that, within the same grace.

--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -180,10 +180,6 @@
         log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
         self.app.stopping.set(true);
         peers::announce(&self.app, true);
-        let handed = timeout(grace.duration(), self.keepers).await;
-        if handed.is_err() {
-            log::warn!("not all leases were handed over in time");
-        }
         tokio::time::sleep(LINGER.duration()).await;
         let left = until - self.app.clock.now();
         self.server.stop_graceful(left.duration());
@@ -195,6 +191,12 @@
         }
         // Ends by itself once the last connection is closed, or when the grace is over.
         let _ = timeout(left.duration(), self.serving).await;
+        // Leases are handed over meanwhile; keepers stay on until their heirs have taken them.
+        let left = until - self.app.clock.now();
+        let handed = timeout(left.duration(), self.keepers).await;
+        if handed.is_err() {
+            log::warn!("not all leases were handed over in time");
+        }
         let _ = timeout(SHIP_LIMIT.duration(), ship_all(&self.app)).await;
         for task in &self.tasks {
             task.abort();
