Allow fewer streams on the connections between nodes

Cause: each allowed incoming stream takes place in two maps of every connection, whether it is open or not; both ends of both connections of a pair allowed 8192, about 1.4 MB a peer. Ruled out: one socket for all links, which would bring a silent path's address back after the connection is replaced. Change: the accepting end allows 1024 calls under way, the dialling end none, because peers call on connections of their own.

--- a/crates/dotterel-mesh/src/transport.rs
+++ b/crates/dotterel-mesh/src/transport.rs
@@ -13,7 +13,9 @@
 
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT_MS: u32 = 3_000;
-const STREAM_LIMIT: u32 = 8_192;
+
+/// Calls of one peer under way at once; each allowed one costs memory on every connection.
+const STREAM_LIMIT: u32 = 1_024;
 const PROTOCOL_NAME: &[u8] = b"dotterelrelay/1";
 
 /// Returns the settings of outgoing connections.
@@ -27,7 +29,8 @@
     tls.alpn_protocols = vec![PROTOCOL_NAME.to_vec()];
     let quic = QuicClientConfig::try_from(tls).map_err(key_fault)?;
     let mut config = ClientConfig::new(Arc::new(quic));
-    config.transport_config(transport());
+    // Peers call on connections of their own.
+    config.transport_config(transport(0));
     Ok(config)
 }
 
@@ -47,7 +50,7 @@
     tls.alpn_protocols = vec![PROTOCOL_NAME.to_vec()];
     let quic = QuicServerConfig::try_from(tls).map_err(key_fault)?;
     let mut config = ServerConfig::with_crypto(Arc::new(quic));
-    config.transport_config(transport());
+    config.transport_config(transport(STREAM_LIMIT));
     Ok(config)
 }
 
@@ -74,12 +77,13 @@
     Endpoint::new(EndpointConfig::default(), Some(config), socket, runtime)
 }
 
-fn transport() -> Arc<TransportConfig> {
+/// Returns the settings of connections on which the peer may have so many calls under way.
+fn transport(calls: u32) -> Arc<TransportConfig> {
     let mut config = TransportConfig::default();
     config
         .keep_alive_interval(Some(KEEP_ALIVE))
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
-        .max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT))
+        .max_concurrent_bidi_streams(VarInt::from_u32(calls))
         .max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(config)
 }
