Keep the rows of claims short while they have few pages

Cause: every write of a shard carries its whole row, and a row held up to 128 entries before they were moved to a page, so that a claim and its outcome cost kilobytes each. Ruled out: a lower limit for all rows, because each page is a row to read for a new writer and the number of pages is bounded; more shards, because that costs writes. Change: a row may hold a quarter of an entry for each page that it lists, at least 16 and at most the configured number.

--- a/crates/dotterel-coord/src/claims/committer.rs
+++ b/crates/dotterel-coord/src/claims/committer.rs
@@ -207,7 +207,7 @@
     }
 
     fn seal(&self, judged: &mut Judged) -> Option<(PageRef, Vec<Entry>)> {
-        let full = judged.row.len() > self.setup.config.entries;
+        let full = judged.row.len() > judged.row.room(self.setup.config.entries);
         full.then(|| judged.row.seal())
     }
 
--- a/crates/dotterel-coord/src/claims/config.rs
+++ b/crates/dotterel-coord/src/claims/config.rs
@@ -19,7 +19,8 @@
     pub patience: Millis,
     /// The most changes that wait for a shard's commits on this node.
     pub queue: usize,
-    /// The most entries in a shard's row before they are moved to a page.
+    /// The most entries in a shard's row before they are moved to a page; fewer while it has few
+    /// pages.
     pub entries: usize,
     /// The most pages of a shard.
     pub pages: usize,
--- a/crates/dotterel-coord/src/claims/row.rs
+++ b/crates/dotterel-coord/src/claims/row.rs
@@ -7,6 +7,12 @@
 use super::entry::{ClaimKey, Entry, WriteId};
 use super::page::PageRef;
 
+/// How many pages a row must list to hold one more entry.
+const PAGES_PER_ENTRY: usize = 4;
+
+/// The entries that a row may always hold, unless fewer are configured.
+const LEAST_ENTRIES: usize = 16;
+
 /// The latest entries of a shard, sorted by key, and the list of its pages.
 ///
 /// An entry in the row stands above one of the same key in a page, and a newer page above an older
@@ -48,6 +54,16 @@
         self.entries.len()
     }
 
+    /// Returns how many entries the row may hold before they are moved to a page.
+    ///
+    /// Every write carries the whole row, so a row with few pages holds few entries; with more
+    /// pages it holds more, up to `most`, so that the list of pages stays short as well.
+    pub(super) fn room(&self, most: usize) -> usize {
+        (self.pages.len() / PAGES_PER_ENTRY)
+            .max(LEAST_ENTRIES)
+            .min(most)
+    }
+
     /// Returns the entry of a key in the row itself.
     pub(super) fn find(&self, key: &ClaimKey) -> Option<&Entry> {
         let index = position(&self.entries, key).ok()?;
