Probe a link between nodes only when no heartbeats pass

Cause: the keep-alive of links, 1 s, was shorter than the time between heartbeats to other data centres, 1.2 s, so that both ends of both connections of a pair probed each other before each heartbeat. Ruled out: no keep-alive at all, because an idle link must be known to be silent within the idle timeout of 3 s, which stays. Change: the keep-alive is 1.4 s.

--- a/crates/dotterel-mesh/src/transport.rs
+++ b/crates/dotterel-mesh/src/transport.rs
@@ -11,7 +11,8 @@
 
 use crate::identity::{Identity, IdentityError};
 
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Longer than the time between two heartbeats, so that only connections without any are probed.
+const KEEP_ALIVE: Duration = Duration::from_millis(1_400);
 const IDLE_TIMEOUT_MS: u32 = 3_000;
 
 /// Calls of one peer under way at once; each allowed one costs memory on every connection.
