--- a/crates/dotterel-entry/tests/promises/cell.rs
+++ b/crates/dotterel-entry/tests/promises/cell.rs
@@ -25,12 +25,28 @@
 /// How long the balancer takes to see that a node is about to stop.
 const BALANCER_LAG: Duration = Duration::from_millis(100);
 
-const WORKER: Size = Size {
-    milli_cores: 4_000,
-    memory_mb: 8_192,
-    accelerators: 0,
-    slots: 4,
-    connections: 16,
+/// What a cell's workers and leases are like.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    /// What each worker can hold.
+    pub(crate) worker: Size,
+    /// The nodes' table of lease terms.
+    pub(crate) lease: &'static str,
+}
+
+/// Small workers, and leases short enough for scenarios.
+const SMALL: Plan = Plan {
+    worker: Size {
+        milli_cores: 4_000,
+        memory_mb: 8_192,
+        accelerators: 0,
+        slots: 4,
+        connections: 16,
+    },
+    lease: "ttl_ms = 900\n\
+            task_ttl_ms = 2700\n\
+            margin_ms = 50\n\
+            call_ms = 225\n",
 };
 
 const DOCUMENT: &str = include_str!("quotes.toml");
@@ -49,6 +65,7 @@
     pub(crate) leaving: Vec<(VmId, Millis)>,
     pub(crate) balancer: Balancer,
     authority: Authority,
+    lease: &'static str,
     background: Vec<JoinHandle<()>>,
     edits: u32,
 }
@@ -57,12 +74,17 @@
     /// Starts a cell whose data centres are named `a`, `b` and so on, their nodes `a1`, `a2`, and
     /// waits until all workers are owned and the document is in force.
     pub(crate) async fn start(data_centres: u8, nodes: u32, workers: u32) -> Self {
+        Self::planned(data_centres, nodes, workers, SMALL).await
+    }
+
+    /// Starts a cell as [`Cell::start`] does, with workers and leases of this kind.
+    pub(crate) async fn planned(data_centres: u8, nodes: u32, workers: u32, plan: Plan) -> Self {
         let clock = Clock::system();
         let names = (b'a'..b'a' + data_centres).map(|letter| char::from(letter).to_string());
         let names: Vec<String> = names.collect();
         let mut builder = Cluster::builder(clock);
         for name in &names {
-            builder = builder.workers(name, REGION, workers, WORKER);
+            builder = builder.workers(name, REGION, workers, plan.worker);
         }
         let cluster = builder.start().await.expect("loopback has free ports");
         let mut cell = Self {
@@ -74,6 +96,7 @@
             leaving: Vec::new(),
             balancer: Balancer::default(),
             authority: Authority::generate().expect("an authority is made"),
+            lease: plan.lease,
             background: Vec::new(),
             edits: 0,
         };
@@ -123,16 +146,14 @@
              key = '''{}'''\n\
              authorities = '''{}'''\n\
              [lease]\n\
-             ttl_ms = 900\n\
-             task_ttl_ms = 2700\n\
-             margin_ms = 50\n\
-             call_ms = 225\n\
+             {}\
              [shutdown]\n\
              grace_ms = 15000\n",
             self.cluster.platform_addr(),
             keys.certificate,
             keys.key,
             self.authority.pem(),
+            self.lease,
         );
         let peers = self.entries.iter().filter(|entry| entry.name != name);
         let peers = peers.map(|peer| {
