Bound the queue by team, not by class

Cause: a team with many classes filled the whole queue, since each class was allowed the team's part of it. a_team_with_many_classes_leaves_queue_room_to_others failed first: another team's task was refused with queue-full.

--- a/crates/dotterel-kernel/src/quota.rs
+++ b/crates/dotterel-kernel/src/quota.rs
@@ -24,6 +24,8 @@
     pub limit: Size,
     /// What they hold now.
     pub used: Size,
+    /// How many of its tasks wait here.
+    pub queued: u32,
     /// When, at the team's own rate, all work that it has queued so far would be served.
     turn: Millis,
     /// The busy period that the turn belongs to.
@@ -64,6 +66,7 @@
                     team: team.clone(),
                     limit,
                     used: Size::ZERO,
+                    queued: 0,
                     turn: Millis::ZERO,
                     period: 0,
                 });
@@ -123,6 +126,20 @@
         }
     }
 
+    /// Counts a task that begins to wait.
+    pub fn enqueue(&mut self, key: TeamKey) {
+        if let Some(allotment) = self.teams.get_mut(key) {
+            allotment.queued += 1;
+        }
+    }
+
+    /// Counts a task that waits no longer.
+    pub fn dequeue(&mut self, key: TeamKey) {
+        if let Some(allotment) = self.teams.get_mut(key) {
+            allotment.queued -= 1;
+        }
+    }
+
     /// Returns the team's part of all slots allotted here, from 0 to 1.
     #[must_use]
     pub fn share(&self, key: TeamKey) -> f64 {
--- a/crates/dotterel-kernel/src/scheduler.rs
+++ b/crates/dotterel-kernel/src/scheduler.rs
@@ -189,6 +189,7 @@
         let rank = order.map_or(0, |order| order.key(&task, &self.load));
         if let Some(key) = team {
             self.quotas.charge(key, work, now);
+            self.quotas.enqueue(key);
         }
         let competes = self.fleet.totals().could_start(&task.ask.size)
             && team.is_none_or(|key| self.quotas.admits(key, &task.ask.size));
@@ -220,7 +221,7 @@
             let team = item.team;
             match self.place(&ask, head.class, team, now) {
                 Ok(placement) => {
-                    let item = self.queue.remove(head.key)?;
+                    let item = self.dequeue(head.key)?;
                     if let Some(tag) = self.tags.get_mut(placement.hold) {
                         tag.charged = item.work;
                     }
@@ -237,7 +238,7 @@
 
     /// Takes a task out of the queue, for example because its caller left.
     pub fn withdraw(&mut self, key: WaitKey) -> Option<Waiting> {
-        let item = self.queue.remove(key)?;
+        let item = self.dequeue(key)?;
         if let Some(team) = item.team {
             self.quotas.refund(team, item.work);
         }
--- a/crates/dotterel-kernel/src/scheduler/book.rs
+++ b/crates/dotterel-kernel/src/scheduler/book.rs
@@ -8,8 +8,8 @@
 
 use super::choice::{Choice, choose};
 use super::class::ClassKey;
-use super::queue::{Block, Head};
-use super::{Placement, Scheduler, Tag, count, demand};
+use super::queue::{Block, Head, Item};
+use super::{Placement, Scheduler, Tag, WaitKey, count, demand};
 
 /// How long a blocked class waits for its next try when no capacity came free.
 const RETRY: Millis = Millis(50);
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Takes a task out of the queue and out of its team's count.
+    pub(super) fn dequeue(&mut self, key: WaitKey) -> Option<Item> {
+        let item = self.queue.remove(key)?;
+        if let Some(team) = item.team {
+            self.quotas.dequeue(team);
+        }
+        Some(item)
+    }
+
     pub(super) fn tag(
         &mut self,
         hold: HoldKey,
@@ -138,6 +147,8 @@
         self.load.quota = team.and_then(|key| self.quotas.get(key)).map(|a| a.limit);
         self.load.turn = team.map_or(now, |key| self.quotas.turn(key, now));
         self.load.team_share = team.map(|key| self.quotas.share(key));
+        let allotment = team.and_then(|key| self.quotas.get(key));
+        self.load.team_queued = allotment.map_or(self.load.class_queued, |a| a.queued);
         self.load.wait = outlook.wait;
         // A team is served at its own rate at least, whatever others have queued.
         if team.is_some() && ask.urgency != Urgency::Urgent {
--- a/crates/dotterel-kernel/src/scheduler/load.rs
+++ b/crates/dotterel-kernel/src/scheduler/load.rs
@@ -33,4 +33,6 @@
     pub turn: Millis,
     /// The team's part of all quotas, from 0 to 1; none without a team.
     pub team_share: Option<f64>,
+    /// Tasks of the team that wait; those of the class without a team.
+    pub team_queued: u32,
 }
--- a/crates/dotterel-policies/src/admission/bounded.rs
+++ b/crates/dotterel-policies/src/admission/bounded.rs
@@ -1,14 +1,14 @@
-//! Bounds the queue, and the part of it that one class may fill.
+//! Bounds the queue, and the part of it that one team may fill.
 
 use dotterel_kernel::plugin::{Part, Plugin};
 use dotterel_kernel::{Admission, Load, Millis, Reason, Waiting};
 
 /// Tasks that wait on one node.
 const QUEUE_LIMIT: u32 = 20_000;
-/// From this many on, a team's class may only fill the team's own part of the queue.
+/// From this many on, a team may only fill its own part of the queue.
 const SHARED_LIMIT: u32 = 10_000;
-/// The part of the queue that a class of any team may fill.
-const CLASS_LEAST: u32 = 32;
+/// The part of the queue that any team may fill.
+const TEAM_LEAST: u32 = 32;
 
 struct Bounded;
 
@@ -21,7 +21,7 @@
         if load.queued < SHARED_LIMIT {
             return Ok(());
         }
-        if load.queued >= QUEUE_LIMIT || load.class_queued >= part(load) {
+        if load.queued >= QUEUE_LIMIT || load.team_queued >= part(load) {
             return Err(Reason::QueueFull);
         }
         Ok(())
@@ -31,7 +31,7 @@
 fn part(load: &Load) -> u32 {
     let share = load.team_share.unwrap_or(0.5);
     let part = share * f64::from(QUEUE_LIMIT - SHARED_LIMIT);
-    (part as u32).max(CLASS_LEAST)
+    (part as u32).max(TEAM_LEAST)
 }
 
 inventory::submit! {
--- a/crates/dotterel-policies/tests/behaviour.rs
+++ b/crates/dotterel-policies/tests/behaviour.rs
@@ -249,3 +249,33 @@
     assert!(answers.iter().filter(refused).count() >= 100 - 3 * SLOTS as usize);
     assert_eq!(answers.last(), Some(&Submit::Refused(Reason::Deadline)));
 }
+
+#[test]
+fn a_team_with_many_classes_leaves_queue_room_to_others() {
+    // Arrange: two teams with equal quotas, both used up; one queues work of 64 classes.
+    let mut scheduler = scheduler(1);
+    let now = Millis::secs(1);
+    let limit = Size {
+        slots: 1,
+        ..capacity()
+    };
+    for name in ["greedy", "modest"] {
+        let team = scheduler.quotas_mut().set(&Team::from(name), limit);
+        scheduler.quotas_mut().assign(&Service::from(name), team);
+    }
+    let work = |service: &str, class: &str| {
+        let mut task = batch(class, 1, now);
+        task.service = Service::from(service);
+        task
+    };
+    assert!(place(&mut scheduler, work("modest", "render"), now).is_some());
+    for index in 0..25_000 {
+        scheduler.submit(work("greedy", &format!("class-{}", index % 64)), now);
+    }
+
+    // Act
+    let answer = scheduler.submit(work("modest", "render"), now);
+
+    // Assert
+    assert!(matches!(answer, Submit::Queued(_)));
+}
