Serve durable jobs: routes, holds at the owners of VMs, launches over the mesh

A hold names the service, the class and where the job was submitted, so that its owner can apply quotas and the class's reach. Capacity of a started task is given back when two renewals in a row no longer list it, because one answer may have left before the start arrived.

--- a/crates/dotterel-coord/src/jobs/host.rs
+++ b/crates/dotterel-coord/src/jobs/host.rs
@@ -5,24 +5,31 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_kernel::{JobId, Millis, NodeId, Reason, Size, TaskId, VmId};
+use dotterel_kernel::{DataCentre, JobId, Millis, NodeId, Reason, Service, Size, TaskId, VmId};
 use dotterel_platform::Pressure;
+use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
 use super::record::AttemptRecord;
 use super::spec::JobSpec;
 
 /// Identifies a hold, chosen by the one that asks for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct HoldId(pub Uuid);
 
 /// A request to set capacity apart.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldAsk {
     /// The hold; asking again under the same identifier returns the same hold.
     pub id: HoldId,
     /// The job.
     pub job: JobId,
+    /// The job's service.
+    pub service: Service,
+    /// The job's class within the service.
+    pub class: CompactString,
+    /// Where the job was submitted.
+    pub origin: DataCentre,
     /// The most tasks to find room for.
     pub count: u32,
     /// What each task takes.
@@ -36,14 +43,14 @@
 }
 
 /// Capacity set apart by one owner of VMs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     /// The VM for each task, at most as many as asked for, at least one.
     pub vms: Vec<VmId>,
 }
 
 /// Why an owner of VMs holds nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NoHold {
     /// It has no room at present.
     Full,
@@ -78,7 +85,7 @@
 }
 
 /// A start of one task of a job.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskStart {
     /// The job.
     pub job: JobId,
@@ -103,7 +110,7 @@
 }
 
 /// The outcome of a start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LaunchOutcome {
     /// The VM runs the task.
     Running,
--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -138,6 +138,9 @@
         Some(Need {
             id,
             job: self.id,
+            service: self.spec.service.clone(),
+            class: self.spec.class.clone(),
+            origin: self.spec.origin.clone(),
             indices,
             size: self.spec.size,
             avoid: self.vms(),
--- a/crates/dotterel-coord/src/jobs/place.rs
+++ b/crates/dotterel-coord/src/jobs/place.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use dotterel_kernel::{JobId, Millis, NodeId, Size, VmId};
+use compact_str::CompactString;
+use dotterel_kernel::{DataCentre, JobId, Millis, NodeId, Service, Size, VmId};
 use uuid::Uuid;
 
 use super::host::{GangOwner, Held, HoldAsk, HoldId};
@@ -12,6 +13,9 @@
 pub(super) struct Need {
     pub(super) id: Uuid,
     pub(super) job: JobId,
+    pub(super) service: Service,
+    pub(super) class: CompactString,
+    pub(super) origin: DataCentre,
     /// The numbers of the tasks.
     pub(super) indices: Vec<u32>,
     pub(super) size: Size,
@@ -101,6 +105,9 @@
     HoldAsk {
         id: HoldId(Uuid::now_v7()),
         job: need.job,
+        service: need.service.clone(),
+        class: need.class.clone(),
+        origin: need.origin.clone(),
         count: u32::try_from(left).unwrap_or(u32::MAX),
         size: need.size,
         avoid,
--- a/crates/dotterel-coord/src/jobs/spec.rs
+++ b/crates/dotterel-coord/src/jobs/spec.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_kernel::{Class, Kind, Millis, Service, Size, Urgency};
+use dotterel_kernel::{Class, DataCentre, Kind, Millis, Service, Size, Urgency};
 use serde::{Deserialize, Serialize};
 
 /// The largest body of a job, in bytes.
@@ -20,6 +20,8 @@
     pub service: Service,
     /// Its class within the service.
     pub class: CompactString,
+    /// Where it was submitted.
+    pub origin: DataCentre,
     /// How its tasks run.
     pub kind: Kind,
     /// How much its start matters against that of other jobs.
@@ -70,12 +72,14 @@
     pub fn new(
         service: Service,
         class: &Class,
+        origin: DataCentre,
         task_ttl: Millis,
         body: Bytes,
     ) -> Result<Self, SpecError> {
         let spec = Self {
             service,
             class: class.name.clone(),
+            origin,
             kind: class.kind,
             urgency: class.urgency,
             tasks: class.tasks,
--- a/crates/dotterel-coord/tests/jobs/cluster.rs
+++ b/crates/dotterel-coord/tests/jobs/cluster.rs
@@ -254,6 +254,7 @@
     JobSpec {
         service: "quotes".into(),
         class: "roof".into(),
+        origin: "dc-1".into(),
         kind,
         urgency: Urgency::Normal,
         tasks,
--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -5,15 +5,18 @@
 
 use dotterel_coord::claims::Claims;
 use dotterel_coord::feed::Feed;
+use dotterel_coord::jobs::Jobs;
 use dotterel_coord::journal::{Journal, Reader};
 use dotterel_coord::retry::Budget;
-use dotterel_kernel::{Clock, Incarnation, NodeId};
+use dotterel_kernel::{Clock, DataCentre, Incarnation, NodeId, Region};
 use dotterel_mesh::Mesh;
 use tokio::sync::Semaphore;
 
+use crate::adapters::Adapters;
+use crate::jobs::Holds;
 use crate::messages::Messages;
 use crate::metrics::Metrics;
-use crate::ownership::{Connect, Listed};
+use crate::ownership::Listed;
 use crate::peers::Peers;
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
@@ -41,12 +44,16 @@
     pub mesh: Mesh<Messages>,
     /// What is known of other nodes.
     pub peers: Arc<Peers>,
-    /// Makes the adapter of a listed VM.
-    pub connect: Connect,
+    /// The adapters of listed VMs.
+    pub adapters: Adapters,
     /// The platform's list as it was read last.
     pub listed: Listed,
     /// Tasks that other nodes forwarded to this one.
     pub recall: Recall,
+    /// The durable jobs.
+    pub jobs: Jobs,
+    /// Capacity set apart for tasks of jobs.
+    pub holds: Holds,
     /// Digests of recent bodies, for the flag on duplicates.
     pub bodies: Bodies,
     /// The budget for retries.
@@ -68,6 +75,18 @@
         &self.settings.node
     }
 
+    /// Returns the region of a data centre, as far as it is known.
+    #[must_use]
+    pub fn region_of(&self, data_centre: &DataCentre) -> Option<Region> {
+        if *data_centre == self.settings.data_centre {
+            return Some(self.settings.region.clone());
+        }
+        let listing = self.listed.listing();
+        let mut vms = listing.vms.into_iter();
+        vms.find(|vm| vm.data_centre == *data_centre)
+            .map(|vm| vm.region)
+    }
+
     /// Returns true when the node takes requests.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/crates/dotterel-entry/src/front.rs
+++ b/crates/dotterel-entry/src/front.rs
@@ -3,6 +3,7 @@
 mod account;
 mod answer;
 mod documents;
+mod jobs;
 mod record;
 mod requests;
 mod status;
@@ -40,6 +41,12 @@
             Router::with_path("services/{service}/requests/{class}")
                 .post(requests::Post(app.clone())),
         )
+        .push(Router::with_path("services/{service}/jobs/{class}").post(jobs::Post(app.clone())))
+        .push(
+            Router::with_path("jobs/{id}")
+                .get(jobs::Get(app.clone()))
+                .delete(jobs::Delete(app.clone())),
+        )
         .push(Router::with_path("requests/{id}").get(record::Get(app.clone())))
         .push(
             Router::with_path("documents/{service}")
--- /dev/null
+++ b/crates/dotterel-entry/src/front/jobs.rs
@@ -0,0 +1,216 @@
+//! `POST /v1/services/{service}/jobs/{class}`, `GET` and `DELETE /v1/jobs/{id}`.
+
+use std::sync::Arc;
+
+use compact_str::format_compact;
+use dotterel_coord::claims::{self, Ask, Claim, ClaimKey, ClaimOutcome, RecordedOutcome, State};
+use dotterel_coord::jobs::{Cancelled, JobSpec, Submitted};
+use dotterel_kernel::{CallerKey, Class, JobId, Kind, Millis, RequestId, Service};
+use salvo::http::StatusCode;
+use salvo::prelude::{Request, Response, handler};
+use serde::{Deserialize, Serialize};
+
+use super::answer::{Refusal, header, json};
+use super::{KEY_HEADER, requests};
+use crate::app::App;
+
+/// How long a call waits for the table.
+const TABLE_WAIT: Millis = Millis::secs(5);
+
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// The answer to an accepted job.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct AcceptedJob {
+    job: JobId,
+}
+
+/// Accepts a job once it is durable.
+pub(super) struct Post(pub(super) Arc<App>);
+
+#[handler]
+impl Post {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        match post(&self.0, req).await {
+            Ok(job) => json(res, StatusCode::ACCEPTED, &AcceptedJob { job }),
+            Err(refusal) => {
+                header(res, "retry-after", RETRY_AFTER_SECONDS);
+                refusal.write(res);
+            }
+        }
+    }
+}
+
+async fn post(app: &Arc<App>, req: &mut Request) -> Result<JobId, Refusal> {
+    let service = Service(req.param::<String>("service").unwrap_or_default().into());
+    let name = req.param::<String>("class").unwrap_or_default();
+    let class = requests::class(app, &service, &name)?;
+    if class.kind == Kind::Interactive {
+        let reason = format_compact!("class {name} runs as requests, not as jobs");
+        return Err(Refusal::new(StatusCode::BAD_REQUEST, "class", reason)
+            .allowed("classes of kind batch, gang or service"));
+    }
+    let key = requests::key(req)?;
+    if key.is_none() && !class.repeatable {
+        return Err(requests::key_needed(&name));
+    }
+    let body = requests::body(app, req).await?;
+    let origin = app.settings.data_centre.clone();
+    let task_ttl = app.settings.terms.task_ttl();
+    let spec = JobSpec::new(service, &class, origin, task_ttl, body).map_err(|fault| {
+        Refusal::new(StatusCode::BAD_REQUEST, "job", format_compact!("{fault}"))
+    })?;
+    match key {
+        None => submit(app, &spec).await,
+        Some(key) => once(app, &class, key, &spec).await,
+    }
+}
+
+/// Submits a job under a key, so that a repeated call gets the same job.
+async fn once(app: &App, class: &Class, key: CallerKey, spec: &JobSpec) -> Result<JobId, Refusal> {
+    let now = app.clock.now();
+    let ask = Ask {
+        key: ClaimKey {
+            service: spec.service.clone(),
+            key,
+        },
+        digest: claims::digest(&spec.body),
+        request: RequestId::mint(),
+        window: class.key_window,
+        deadline: now + TABLE_WAIT,
+    };
+    match app.claims.claim(ask).await {
+        ClaimOutcome::Won(claim) => submit_claimed(app, claim, spec).await,
+        ClaimOutcome::Unavailable => Err(not_accepted()),
+        ClaimOutcome::Mismatch(_) => Err(Refusal::new(
+            StatusCode::CONFLICT,
+            KEY_HEADER,
+            "used before with another body",
+        )),
+        ClaimOutcome::Repeat(entry) => match entry.state {
+            State::Claimed => Err(Refusal::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                KEY_HEADER,
+                "a call with this key has no recorded outcome yet",
+            )),
+            State::Done(outcome) => recorded(app, &outcome).await,
+        },
+    }
+}
+
+async fn submit_claimed(app: &App, claim: Claim, spec: &JobSpec) -> Result<JobId, Refusal> {
+    let deadline = app.clock.now() + TABLE_WAIT;
+    match app.jobs.submit(spec, deadline).await {
+        Submitted::Accepted(job) => {
+            let body = serde_json::to_vec(&AcceptedJob { job }).unwrap_or_default();
+            let status = StatusCode::ACCEPTED.as_u16();
+            let outcome = RecordedOutcome::whole(status, "application/json".into(), body.into());
+            let deadline = app.clock.now() + TABLE_WAIT;
+            app.claims.settle(&claim, outcome, deadline).await;
+            Ok(job)
+        }
+        // The key stays claimed, because the job may have been accepted.
+        Submitted::Unknown(job) => Err(unknown(job)),
+        Submitted::Refused(fault) => {
+            app.claims.release(claim, deadline).await;
+            let text = format_compact!("{fault}");
+            Err(Refusal::new(StatusCode::BAD_REQUEST, "job", text))
+        }
+        Submitted::Unavailable => {
+            app.claims.release(claim, deadline).await;
+            Err(not_accepted())
+        }
+    }
+}
+
+async fn submit(app: &App, spec: &JobSpec) -> Result<JobId, Refusal> {
+    let deadline = app.clock.now() + TABLE_WAIT;
+    match app.jobs.submit(spec, deadline).await {
+        Submitted::Accepted(job) => Ok(job),
+        Submitted::Unknown(job) => Err(unknown(job)),
+        Submitted::Unavailable => Err(not_accepted()),
+        Submitted::Refused(fault) => {
+            let text = format_compact!("{fault}");
+            Err(Refusal::new(StatusCode::BAD_REQUEST, "job", text))
+        }
+    }
+}
+
+/// Returns the job that an earlier call with the same key was told.
+async fn recorded(app: &App, outcome: &RecordedOutcome) -> Result<JobId, Refusal> {
+    let body = app.claims.body(outcome).await.ok().flatten();
+    let told = body.and_then(|body| serde_json::from_slice::<AcceptedJob>(&body).ok());
+    told.map(|told| told.job).ok_or_else(|| {
+        Refusal::new(
+            StatusCode::CONFLICT,
+            KEY_HEADER,
+            "used before for something other than a job",
+        )
+    })
+}
+
+fn not_accepted() -> Refusal {
+    Refusal::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "job",
+        "not accepted: the platform's table did not answer",
+    )
+}
+
+fn unknown(job: JobId) -> Refusal {
+    Refusal::new(
+        StatusCode::GATEWAY_TIMEOUT,
+        "job",
+        format_compact!("may have been accepted; ask /v1/jobs/{job}"),
+    )
+}
+
+/// Tells how far a job has come.
+pub(super) struct Get(pub(super) Arc<App>);
+
+#[handler]
+impl Get {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let found = match id(req) {
+            Ok(job) => self.0.jobs.progress(job).await,
+            Err(refusal) => return refusal.write(res),
+        };
+        match found {
+            Ok(Some(progress)) => json(res, StatusCode::OK, &progress),
+            Ok(None) => Refusal::new(StatusCode::NOT_FOUND, "id", "no such job").write(res),
+            Err(fault) => {
+                let text = format_compact!("the platform's table did not answer: {fault}");
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "id", text).write(res);
+            }
+        }
+    }
+}
+
+/// Cancels a job.
+pub(super) struct Delete(pub(super) Arc<App>);
+
+#[handler]
+impl Delete {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let job = match id(req) {
+            Ok(job) => job,
+            Err(refusal) => return refusal.write(res),
+        };
+        let deadline = self.0.clock.now() + TABLE_WAIT;
+        match self.0.jobs.cancel(&[job], deadline).await {
+            Cancelled::Durable => json(res, StatusCode::ACCEPTED, &AcceptedJob { job }),
+            Cancelled::Unavailable => {
+                let text = "the platform's table did not answer; cancel again";
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "id", text).write(res);
+            }
+        }
+    }
+}
+
+fn id(req: &Request) -> Result<JobId, Refusal> {
+    let text = req.param::<String>("id").unwrap_or_default();
+    text.parse().map_err(|_| {
+        Refusal::new(StatusCode::BAD_REQUEST, "id", "not a job's identifier")
+            .allowed("a UUID, as in the answer to the submission")
+    })
+}
--- a/crates/dotterel-entry/src/front/requests.rs
+++ b/crates/dotterel-entry/src/front/requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use dotterel_coord::claims::{Body, Entry, RecordedOutcome};
 use dotterel_kernel::{CallerKey, Class, Fate, Kind, Millis, Reason, RequestId, Service};
 use salvo::http::{ParseError, StatusCode};
@@ -18,6 +18,7 @@
 use crate::requests::{self, Outcome};
 
 const KEY_LIMIT: usize = 128;
+const KEY_RANGE: &str = "1 to 128 visible ASCII characters";
 const RETRY_AFTER_SECONDS: &str = "1";
 
 /// Takes a caller's request.
@@ -77,9 +78,7 @@
     let class = find(app, &service, &name)?;
     let key = key(req)?;
     if key.is_none() && !class.repeatable {
-        let reason = format_compact!("class {name} is not repeatable and needs a key");
-        return Err(Refusal::new(StatusCode::BAD_REQUEST, KEY_HEADER, reason)
-            .allowed("1 to 128 visible ASCII characters"));
+        return Err(key_needed(&name));
     }
     let wait = wait(req, &class)?;
     let body = body(app, req).await?;
@@ -96,28 +95,37 @@
 }
 
 fn find(app: &App, service: &Service, name: &str) -> Result<Class, Refusal> {
-    let Some(accepted) = app.feed.in_force(service) else {
-        let reason = format_compact!("no document is in force for service {service}");
-        return Err(Refusal::new(StatusCode::NOT_FOUND, "service", reason));
-    };
-    let names = || {
-        let classes = accepted.document.classes.iter();
-        let names: Vec<&str> = classes.map(|class| class.name.as_str()).collect();
-        CompactString::from(names.join(", "))
-    };
-    let Some(class) = accepted.document.class(name) else {
-        let reason = format_compact!("service {service} has no class {name}");
-        return Err(Refusal::new(StatusCode::NOT_FOUND, "class", reason).allowed(names()));
-    };
+    let class = class(app, service, name)?;
     if matches!(class.kind, Kind::Gang | Kind::Service) {
         let reason = format_compact!("class {name} runs as jobs, not as requests");
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "class", reason)
             .allowed("classes of kind interactive or batch"));
     }
-    Ok(class.clone())
+    Ok(class)
+}
+
+/// Returns a class as the document in force describes it.
+pub(super) fn class(app: &App, service: &Service, name: &str) -> Result<Class, Refusal> {
+    let Some(accepted) = app.feed.in_force(service) else {
+        let reason = format_compact!("no document is in force for service {service}");
+        return Err(Refusal::new(StatusCode::NOT_FOUND, "service", reason));
+    };
+    let classes = &accepted.document.classes;
+    accepted.document.class(name).cloned().ok_or_else(|| {
+        let names: Vec<&str> = classes.iter().map(|class| class.name.as_str()).collect();
+        let reason = format_compact!("service {service} has no class {name}");
+        Refusal::new(StatusCode::NOT_FOUND, "class", reason).allowed(names.join(", "))
+    })
+}
+
+/// Refuses work that must not run twice and carries no key.
+pub(super) fn key_needed(class: &str) -> Refusal {
+    let reason = format_compact!("class {class} is not repeatable and needs a key");
+    Refusal::new(StatusCode::BAD_REQUEST, KEY_HEADER, reason).allowed(KEY_RANGE)
 }
 
-fn key(req: &Request) -> Result<Option<CallerKey>, Refusal> {
+/// Returns the caller's idempotency key.
+pub(super) fn key(req: &Request) -> Result<Option<CallerKey>, Refusal> {
     let Some(value) = req.headers().get(KEY_HEADER) else {
         return Ok(None);
     };
@@ -126,7 +134,7 @@
     if text.is_empty() || text.len() > KEY_LIMIT || !visible {
         return Err(
             Refusal::new(StatusCode::BAD_REQUEST, KEY_HEADER, "not a usable key")
-                .allowed("1 to 128 visible ASCII characters"),
+                .allowed(KEY_RANGE),
         );
     }
     Ok(Some(CallerKey(text.into())))
@@ -148,7 +156,8 @@
     }
 }
 
-async fn body(app: &App, req: &mut Request) -> Result<Bytes, Refusal> {
+/// Reads the whole body.
+pub(super) async fn body(app: &App, req: &mut Request) -> Result<Bytes, Refusal> {
     let limit = app.settings.http.body;
     match req.payload_with_max_size(limit).await {
         Ok(body) => Ok(body.clone()),
--- /dev/null
+++ b/crates/dotterel-entry/src/jobs/host.rs
@@ -0,0 +1,244 @@
+//! What the engine of jobs needs of its node.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_trait::async_trait;
+use compact_str::format_compact;
+use dotterel_coord::jobs::{
+    AttemptRecord, GangOwner, HoldId, JobHost, JobSpec, LaunchOutcome, Standing, TaskStart,
+};
+use dotterel_kernel::{Kind, Millis, NodeId, Reason, Size, TaskId, VmId};
+use dotterel_platform::{CallError, Pressure, StopAnswer, TaskState, Upstream};
+use tokio::time::timeout;
+
+use super::owner;
+use super::remote::Remote;
+use crate::app::App;
+use crate::messages::{Call, Reply};
+
+const ASK_TIMEOUT: Millis = Millis(500);
+const LAUNCH_TIMEOUT: Millis = Millis::secs(15);
+
+/// The most holds and attempts whose places are remembered.
+const ROUTE_LIMIT: usize = 65_536;
+
+/// The node as the engine sees it.
+pub(super) struct Host {
+    app: Arc<App>,
+    routes: Arc<Routes>,
+}
+
+/// Which node has a hold, and which VM has an attempt; the oldest first.
+#[derive(Debug, Default)]
+pub(super) struct Routes {
+    holds: Mutex<Vec<(HoldId, NodeId)>>,
+    attempts: Mutex<Vec<(TaskId, VmId)>>,
+}
+
+impl Routes {
+    pub(super) fn add(&self, hold: HoldId, node: NodeId) {
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        remember(&mut holds, (hold, node));
+    }
+
+    fn node(&self, hold: HoldId) -> Option<NodeId> {
+        let holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut found = holds.iter().rev();
+        found
+            .find(|entry| entry.0 == hold)
+            .map(|entry| entry.1.clone())
+    }
+
+    fn note(&self, attempts: &[AttemptRecord]) {
+        let mut known = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        for attempt in attempts {
+            if let Err(index) = known.binary_search_by_key(&attempt.task, |entry| entry.0) {
+                known.insert(index, (attempt.task, attempt.vm.clone()));
+            }
+        }
+    }
+
+    fn take(&self, tasks: &[TaskId]) -> Vec<(VmId, TaskId)> {
+        let mut known = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut taken = Vec::new();
+        for task in tasks {
+            if let Ok(index) = known.binary_search_by_key(task, |entry| entry.0) {
+                let (task, vm) = known.remove(index);
+                taken.push((vm, task));
+            }
+        }
+        taken
+    }
+}
+
+fn remember<T>(entries: &mut Vec<T>, entry: T) {
+    if entries.len() >= ROUTE_LIMIT {
+        entries.drain(..ROUTE_LIMIT / 2);
+    }
+    entries.push(entry);
+}
+
+impl Host {
+    pub(super) fn new(app: Arc<App>) -> Self {
+        Self {
+            app,
+            routes: Arc::default(),
+        }
+    }
+
+    fn upstream(&self, vm: &VmId) -> Option<Arc<dyn Upstream>> {
+        let listed = self.app.listed.find(vm)?;
+        Some(self.app.adapters.of(&listed))
+    }
+
+    /// Returns what to tell of a VM that does not answer.
+    ///
+    /// The platform is trusted that a VM which has been missing from its list for long is gone.
+    fn silent(&self, vm: &VmId) -> Standing {
+        Standing::Silent {
+            renewed: self.app.listed.gone(vm),
+        }
+    }
+
+    fn broadcast(&self, call: &Call) {
+        for node in self.app.peers.live(self.app.clock.now()) {
+            let (app, call) = (self.app.clone(), call.clone());
+            tokio::spawn(async move {
+                let told = app.mesh.call(&node, &call, ASK_TIMEOUT).await;
+                if let Err(fault) = told {
+                    log::debug!(peer = node.as_str(), fault:% = fault; "not told");
+                }
+            });
+        }
+    }
+}
+
+#[async_trait]
+impl JobHost for Host {
+    fn wants(&self, shard: u32) -> bool {
+        let key = format_compact!("jobs/{shard}");
+        let now = self.app.clock.now();
+        !self.app.stopping.get() && self.app.peers.first(&key, now).is_none()
+    }
+
+    fn runnable(&self, spec: &JobSpec) -> Result<(), Reason> {
+        if let Some(accepted) = self.app.feed.in_force(&spec.service)
+            && let Some(quota) = accepted.document.quota
+            && !together(spec).fits(&quota)
+        {
+            return Err(Reason::Quota);
+        }
+        let largest = self.app.peers.largest(self.app.workers.largest());
+        match largest {
+            Some(largest) if !spec.size.fits(&largest) => Err(Reason::TooLarge),
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    fn owners(&self) -> Vec<Arc<dyn GangOwner>> {
+        let settings = &self.app.settings;
+        let own = (
+            settings.node.clone(),
+            settings.data_centre.clone(),
+            settings.region.clone(),
+        );
+        let live = self.app.peers.places(self.app.clock.now());
+        let all = std::iter::once(own).chain(live);
+        all.map(|(node, data_centre, region)| {
+            let remote = Remote {
+                app: self.app.clone(),
+                node,
+                data_centre,
+                region,
+                routes: self.routes.clone(),
+            };
+            Arc::new(remote) as Arc<dyn GangOwner>
+        })
+        .collect()
+    }
+
+    async fn launch(&self, start: TaskStart) -> LaunchOutcome {
+        self.routes.note(std::slice::from_ref(&start.attempt));
+        let Some(node) = self.routes.node(start.hold) else {
+            return LaunchOutcome::NotRun;
+        };
+        if node == *self.app.node() {
+            return owner::launch(&self.app, start).await;
+        }
+        let call = Call::Launch(start);
+        match self.app.mesh.call(&node, &call, LAUNCH_TIMEOUT).await {
+            Ok(Reply::Launched(outcome)) => outcome,
+            Err(fault) if fault.without_effect() => LaunchOutcome::NotRun,
+            Ok(_) | Err(_) => LaunchOutcome::Unknown,
+        }
+    }
+
+    async fn survey(&self, attempts: &[AttemptRecord]) -> Vec<Standing> {
+        self.routes.note(attempts);
+        let asked = attempts.iter().map(|attempt| {
+            let (task, upstream) = (attempt.task, self.upstream(&attempt.vm));
+            tokio::spawn(async move { state(upstream, task).await })
+        });
+        let asked: Vec<_> = asked.collect();
+        let mut standings = Vec::with_capacity(attempts.len());
+        for (answer, attempt) in asked.into_iter().zip(attempts) {
+            let state = answer.await.ok().flatten();
+            standings.push(match state {
+                Some(TaskState::Running) => Standing::Running,
+                Some(TaskState::Finished(answer)) => Standing::Finished(answer.status),
+                Some(TaskState::Cut) => Standing::Cut,
+                Some(TaskState::Barred) => Standing::Barred,
+                Some(TaskState::Unseen) => Standing::Unseen,
+                None => self.silent(&attempt.vm),
+            });
+        }
+        standings
+    }
+
+    async fn stop(&self, attempt: &AttemptRecord) -> Standing {
+        let Some(upstream) = self.upstream(&attempt.vm) else {
+            return self.silent(&attempt.vm);
+        };
+        match timeout(ASK_TIMEOUT.duration(), upstream.stop(attempt.task)).await {
+            Ok(Ok(StopAnswer::Barred)) => Standing::Barred,
+            Ok(Ok(StopAnswer::Cut)) => Standing::Cut,
+            Ok(Ok(StopAnswer::Finished(answer))) => Standing::Finished(answer.status),
+            Ok(Err(_)) | Err(_) => self.silent(&attempt.vm),
+        }
+    }
+
+    async fn press(&self, attempt: &AttemptRecord, pressure: Pressure) {
+        owner::press(&self.app, &attempt.vm, attempt.task, pressure).await;
+        self.broadcast(&Call::Press {
+            vm: attempt.vm.clone(),
+            task: attempt.task,
+            pressure,
+        });
+    }
+
+    fn recorded(&self, tasks: &[TaskId]) {
+        let placed = self.routes.take(tasks);
+        if placed.is_empty() {
+            return;
+        }
+        owner::forget(&self.app, &placed);
+        self.broadcast(&Call::Forget(placed));
+    }
+}
+
+/// Returns what must be free at one time for the job to run at all.
+fn together(spec: &JobSpec) -> Size {
+    let count = if spec.kind == Kind::Gang {
+        spec.tasks
+    } else {
+        1
+    };
+    (1..count).fold(spec.size, |sum, _| sum.plus(&spec.size))
+}
+
+async fn state(upstream: Option<Arc<dyn Upstream>>, task: TaskId) -> Option<TaskState> {
+    let upstream = upstream?;
+    let asked: Result<Result<TaskState, CallError>, _> =
+        timeout(ASK_TIMEOUT.duration(), upstream.state(task)).await;
+    asked.ok()?.ok()
+}
--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -7,8 +7,10 @@
 //! capacity apart on a VM that this node owns, or [`peers`] names a node that has some, and
 //! [`requests`] dispatches it and settles its fate in the journal.
 
+pub mod adapters;
 pub mod app;
 pub mod front;
+pub mod jobs;
 pub mod logging;
 pub mod messages;
 pub mod metrics;
--- a/crates/dotterel-entry/src/messages.rs
+++ b/crates/dotterel-entry/src/messages.rs
@@ -7,11 +7,13 @@
 use dotterel_coord::Heartbeat;
 use dotterel_coord::claims::{Change, Verdict as ChangeVerdict};
 use dotterel_coord::feed::Passed;
+use dotterel_coord::jobs::{Held, HoldAsk, HoldId, LaunchOutcome, NoHold, TaskStart};
 use dotterel_kernel::{
-    Account, Attempt, Incarnation, Millis, Reason, Record, RequestId, Revision, Service, TaskId,
+    Account, Attempt, Incarnation, Millis, Reason, Record, RequestId, Revision, Service, Size,
+    TaskId, VmId,
 };
 use dotterel_mesh::Protocol;
-use dotterel_platform::{Answer, ListedVm};
+use dotterel_platform::{Answer, ListedVm, Pressure};
 use serde::{Deserialize, Serialize};
 
 /// The messages of the mesh.
@@ -54,6 +56,25 @@
     Push(Passed),
     /// Make a change of a claim durable.
     Change(Change),
+    /// Set capacity apart for tasks of a job.
+    Hold(HoldAsk),
+    /// Keep a hold for the starts that follow.
+    CommitHold(HoldId),
+    /// Give a hold back.
+    ReleaseHold(HoldId),
+    /// Start a task of a job on the VM that was held for it.
+    Launch(TaskStart),
+    /// Throttle, restore or checkpoint a task, if its VM is yours.
+    Press {
+        /// The VM.
+        vm: VmId,
+        /// The task.
+        task: TaskId,
+        /// What to do.
+        pressure: Pressure,
+    },
+    /// Let your VMs forget these tasks, whose ends are recorded.
+    Forget(Vec<(VmId, TaskId)>),
     /// Send your account.
     Account {
         /// One service, or all.
@@ -74,12 +95,14 @@
     pub heartbeat: Heartbeat,
     /// A hash of the revisions in force.
     pub documents: u64,
+    /// The largest of the sender's VMs, resource by resource.
+    pub largest: Option<Size>,
 }
 
 /// What the other answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Reply {
-    /// To [`Call::Beat`], [`Call::Started`] and [`Call::Push`].
+    /// To calls that need no answer.
     Heard,
     /// To [`Call::Submit`] and [`Call::Settle`].
     Done(Done),
@@ -91,6 +114,12 @@
     Documents(Vec<Passed>),
     /// To [`Call::Change`].
     Changed(ChangeVerdict),
+    /// To [`Call::Hold`].
+    Held(Result<Held, NoHold>),
+    /// To [`Call::CommitHold`].
+    Kept(bool),
+    /// To [`Call::Launch`].
+    Launched(LaunchOutcome),
     /// To [`Call::Account`].
     Account(Account),
     /// To [`Call::Record`], if there is one.
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use dotterel_coord::claims::{self, Claims};
 use dotterel_coord::feed::{self, Feed};
+use dotterel_coord::jobs::Jobs;
 use dotterel_coord::journal::{self, Journal, Reader, Shipped};
 use dotterel_coord::{Budget, Heartbeat};
 use dotterel_kernel::plugin::UnknownPlugin;
@@ -19,12 +20,15 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use salvo::{Listener, Server};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::adapters::{Adapters, Connect};
 use crate::app::{App, Flag, Gate};
+use crate::jobs::{self, Holds};
 use crate::metrics::Metrics;
-use crate::ownership::{self, Connect, Keepers, Listed};
+use crate::ownership::{self, Keepers, Listed};
 use crate::peers::{self, Peers, Writers};
 use crate::requests::{Bodies, Recall};
 use crate::settings::Settings;
@@ -36,6 +40,9 @@
 /// How long the node goes on taking requests after it has said that it is stopping.
 const LINGER: Millis = Millis(500);
 
+/// The longest that giving back the shards of jobs may take.
+const JOBS_LIMIT: Millis = Millis::secs(3);
+
 /// The longest that the last journal segments may take.
 const SHIP_LIMIT: Millis = Millis::secs(3);
 
@@ -88,6 +95,8 @@
     server: ServerHandle,
     serving: JoinHandle<()>,
     keepers: JoinHandle<()>,
+    jobs: JoinHandle<()>,
+    end_jobs: watch::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -136,10 +145,14 @@
             tokio::spawn(peers::beat(app.clone())),
             tokio::spawn(ownership::follow_list(app.clone(), parts.list)),
             tokio::spawn(quotas::follow(app.clone())),
+            tokio::spawn(jobs::sweep(app.clone())),
             tokio::spawn(follow_documents(app.clone())),
             tokio::spawn(ship(app.clone())),
         ];
-        let keepers = tokio::spawn(Keepers::new(app.clone(), parts.connect).run());
+        let (end_jobs, stop_jobs) = watch::channel(false);
+        let engine = jobs::engine(&app);
+        let jobs = tokio::spawn(engine.run(stop_jobs));
+        let keepers = tokio::spawn(Keepers::new(app.clone()).run());
         let (server, serving) = serve(&app, acceptor);
         log::info!(node = app.node().as_str(), http:% = http, mesh:% = app.mesh.addr(); "serving");
         Ok(Self {
@@ -148,6 +161,8 @@
             server,
             serving,
             keepers,
+            jobs,
+            end_jobs,
             tasks,
         })
     }
@@ -178,6 +193,10 @@
         log::info!(node = self.app.node().as_str(), grace_ms = grace.0; "stopping");
         self.app.stopping.set(true);
         peers::announce(&self.app, true);
+        self.end_jobs.send_replace(true);
+        if timeout(JOBS_LIMIT.duration(), self.jobs).await.is_err() {
+            log::warn!("shards of jobs not given back in time");
+        }
         let handed = timeout(grace.duration(), self.keepers).await;
         if handed.is_err() {
             log::warn!("not all leases were handed over in time");
@@ -226,6 +245,7 @@
         spare: Size::ZERO,
         documents: Vec::new(),
     };
+    let jobs = Jobs::new(parts.table.clone(), clock, owner.clone(), jobs::CONFIG);
     let peers = Arc::new(Peers::new(own, clock.now()));
     let writers = Writers::new(mesh.clone(), peers.clone(), clock);
     let claims = Claims::new(parts.table.clone(), clock, owner, claims::Config::default())
@@ -248,7 +268,9 @@
         claims,
         mesh,
         peers,
-        connect: parts.connect.clone(),
+        adapters: Adapters::new(parts.connect.clone()),
+        jobs,
+        holds: Holds::default(),
         listed: Listed::default(),
         recall: Recall::default(),
         bodies: Bodies::default(),
--- a/crates/dotterel-entry/src/ownership.rs
+++ b/crates/dotterel-entry/src/ownership.rs
@@ -6,7 +6,7 @@
 
 use dotterel_coord::{Keeper, Leaving, Wish};
 use dotterel_kernel::{Millis, VmId};
-use dotterel_platform::{ListedVm, Listing, Owner, Role, Upstream, VmList};
+use dotterel_platform::{ListedVm, Listing, Owner, Role, VmList};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -20,13 +20,13 @@
 /// How long a VM may be missing from the list before it is given up.
 const MISSING_LIMIT: Millis = Millis::secs(30);
 
-/// Makes the adapter of a listed VM.
-pub type Connect = Arc<dyn Fn(&ListedVm) -> Arc<dyn Upstream> + Send + Sync>;
+/// The list, the VMs that leave, and those asked for that are missing, with since when.
+type Known = (Listing, Leaving, Vec<(VmId, Millis)>);
 
 /// The platform's list as it was read last.
 #[derive(Default)]
 pub struct Listed {
-    state: Mutex<(Listing, Leaving)>,
+    state: Mutex<Known>,
 }
 
 impl Listed {
@@ -36,6 +36,32 @@
         self.state().0.clone()
     }
 
+    /// Returns the VM as it was listed last.
+    #[must_use]
+    pub fn find(&self, vm: &VmId) -> Option<ListedVm> {
+        let state = self.state();
+        state.0.vms.iter().find(|listed| listed.id == vm.0).cloned()
+    }
+
+    /// Returns since when a VM has been missing from the list, once it has been for long.
+    #[must_use]
+    pub fn gone(&self, vm: &VmId) -> Option<Millis> {
+        let mut state = self.state();
+        let as_of = state.0.as_of;
+        if state.0.vms.iter().any(|listed| listed.id == vm.0) {
+            state.2.retain(|missing| missing.0 != *vm);
+            return None;
+        }
+        let since = match state.2.iter().find(|missing| missing.0 == *vm) {
+            Some(missing) => missing.1,
+            None => {
+                state.2.push((vm.clone(), as_of));
+                as_of
+            }
+        };
+        (as_of.since(since) > MISSING_LIMIT).then_some(since)
+    }
+
     /// Returns true when the VM takes no new work, by the list's word.
     #[must_use]
     pub fn leaving(&self, vm: &VmId) -> bool {
@@ -51,7 +77,7 @@
         state.0 = listing;
     }
 
-    fn state(&self) -> MutexGuard<'_, (Listing, Leaving)> {
+    fn state(&self) -> MutexGuard<'_, Known> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -64,6 +90,7 @@
             Ok(Ok(listing)) => {
                 app.platform.set(true);
                 app.peers.hear_list(&listing);
+                app.adapters.retain(&listing.vms);
                 app.listed.hear(listing);
             }
             Ok(Err(fault)) => {
@@ -112,17 +139,15 @@
 /// The keepers of all VMs of this node's data centre.
 pub struct Keepers {
     app: Arc<App>,
-    connect: Connect,
     kept: Vec<Kept>,
 }
 
 impl Keepers {
     /// Returns no keepers yet.
     #[must_use]
-    pub const fn new(app: Arc<App>, connect: Connect) -> Self {
+    pub const fn new(app: Arc<App>) -> Self {
         Self {
             app,
-            connect,
             kept: Vec::new(),
         }
     }
@@ -177,7 +202,7 @@
     }
 
     fn add(&mut self, listed: &ListedVm, vm: VmId, now: Millis) {
-        let upstream = (self.connect)(listed);
+        let upstream = self.app.adapters.of(listed);
         self.app.workers.add(vm.clone(), upstream.clone());
         let owner = Owner {
             node: self.app.node().clone(),
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -8,7 +8,8 @@
 
 use dotterel_coord::{Heard, Heartbeat, Members, rendezvous};
 use dotterel_kernel::{
-    DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Revision, Service, Spill, VmId,
+    DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Revision, Service, Size, Spill,
+    VmId,
 };
 use dotterel_platform::Listing;
 use rand::seq::IndexedRandom;
@@ -42,6 +43,8 @@
     members: Members,
     /// Tasks sent to each node since its last heartbeat, sorted by node.
     sent: Vec<(NodeId, u32)>,
+    /// The largest VM of each node, sorted by node.
+    largest: Vec<(NodeId, Option<Size>)>,
 }
 
 impl Peers {
@@ -52,6 +55,7 @@
             state: Mutex::new(State {
                 members: Members::new(own, PATIENCE, now),
                 sent: Vec::new(),
+                largest: Vec::new(),
             }),
         }
     }
@@ -109,6 +113,35 @@
         live.map(|peer| peer.node.clone()).collect()
     }
 
+    /// Returns the live nodes with their data centres and regions.
+    #[must_use]
+    pub fn places(&self, now: Millis) -> Vec<(NodeId, DataCentre, Region)> {
+        let state = self.state();
+        let staying = state.members.live_peers(now).filter(|peer| !peer.stopping);
+        let place = |peer: &Heartbeat| {
+            let (dc, region) = (peer.data_centre.clone(), peer.region.clone());
+            (peer.node.clone(), dc, region)
+        };
+        staying.map(place).collect()
+    }
+
+    /// Notes the largest VM of a node, resource by resource.
+    pub fn note_largest(&self, node: &NodeId, size: Option<Size>) {
+        let mut state = self.state();
+        match state.largest.binary_search_by(|entry| entry.0.cmp(node)) {
+            Ok(index) => state.largest[index].1 = size,
+            Err(index) => state.largest.insert(index, (node.clone(), size)),
+        }
+    }
+
+    /// Returns the largest VM that any node has told of, resource by resource.
+    #[must_use]
+    pub fn largest(&self, own: Option<Size>) -> Option<Size> {
+        let state = self.state();
+        let told = state.largest.iter().filter_map(|entry| entry.1);
+        told.chain(own).reduce(largest)
+    }
+
     /// Returns true while a node is live in the life that work was sent to.
     #[must_use]
     pub fn alive(&self, target: &Target, now: Millis) -> bool {
@@ -243,6 +276,17 @@
     }
 }
 
+/// Returns the larger of two sizes, resource by resource.
+pub(crate) fn largest(a: Size, b: Size) -> Size {
+    Size {
+        milli_cores: a.milli_cores.max(b.milli_cores),
+        memory_mb: a.memory_mb.max(b.memory_mb),
+        accelerators: a.accelerators.max(b.accelerators),
+        slots: a.slots.max(b.slots),
+        connections: a.connections.max(b.connections),
+    }
+}
+
 fn within(reach: Spill, dc: &DataCentre, region: &Region, peer: &Heartbeat) -> bool {
     match reach {
         Spill::DataCentre => peer.data_centre == *dc,
--- a/crates/dotterel-entry/src/peers/beat.rs
+++ b/crates/dotterel-entry/src/peers/beat.rs
@@ -43,6 +43,7 @@
     let beat = Beat {
         heartbeat,
         documents,
+        largest: app.workers.largest(),
     };
     for link in app.mesh.status() {
         if link.connected && (far || app.peers.near(&link.peer.node)) {
@@ -116,6 +117,7 @@
 
 /// Takes in a heartbeat; asks for the sender's revisions when they have changed.
 pub(crate) fn hear(app: &Arc<App>, from: NodeId, beat: Beat) {
+    app.peers.note_largest(&from, beat.largest);
     let mut heartbeat = beat.heartbeat;
     let known = app.peers.documents(&from);
     let changed = digest(&known) != beat.documents;
--- a/crates/dotterel-entry/src/peers/serve.rs
+++ b/crates/dotterel-entry/src/peers/serve.rs
@@ -8,7 +8,7 @@
 use super::beat::hear;
 use crate::app::App;
 use crate::messages::{Call, Messages, Reply};
-use crate::requests;
+use crate::{jobs, requests};
 
 /// Serves the calls of other nodes.
 pub struct Server(pub Arc<App>);
@@ -40,6 +40,21 @@
                 Reply::Heard
             }
             Call::Change(change) => Reply::Changed(app.claims.serve(change).await),
+            Call::Hold(ask) => Reply::Held(jobs::hold(app, &ask)),
+            Call::CommitHold(hold) => Reply::Kept(app.holds.commit(hold, app.clock.now())),
+            Call::ReleaseHold(hold) => {
+                app.holds.release(hold);
+                Reply::Heard
+            }
+            Call::Launch(start) => Reply::Launched(jobs::launch(app, start).await),
+            Call::Press { vm, task, pressure } => {
+                jobs::press(app, &vm, task, pressure).await;
+                Reply::Heard
+            }
+            Call::Forget(tasks) => {
+                jobs::forget(app, &tasks);
+                Reply::Heard
+            }
             Call::Account { service, since } => {
                 Reply::Account(app.journal.account(service.as_ref(), since))
             }
--- a/crates/dotterel-entry/src/requests/prove.rs
+++ b/crates/dotterel-entry/src/requests/prove.rs
@@ -58,9 +58,7 @@
     });
     fit.map(|listed| {
         let vm = VmId(listed.id.clone());
-        let known = app.workers.upstream(&vm);
-        let upstream = known.unwrap_or_else(|| (app.connect)(listed));
-        (vm, upstream)
+        (vm, app.adapters.of(listed))
     })
     .collect()
 }
--- a/crates/dotterel-entry/src/workers.rs
+++ b/crates/dotterel-entry/src/workers.rs
@@ -5,6 +5,7 @@
 //! VM; dropping it gives the capacity back and lets the next waiting task start.
 
 mod holder;
+mod reserve;
 mod slot;
 mod state;
 mod ticket;
@@ -20,6 +21,7 @@
 use dotterel_platform::Upstream;
 use tokio::sync::oneshot;
 
+pub use reserve::Reserve;
 pub use slot::{End, Slot};
 pub use ticket::Ticket;
 
@@ -141,6 +143,14 @@
         self.state().scheduler.fleet().len()
     }
 
+    /// Returns the largest owned VM, resource by resource.
+    #[must_use]
+    pub fn largest(&self) -> Option<Size> {
+        let state = self.state();
+        let vms = state.scheduler.fleet().iter();
+        vms.map(|(_, vm)| vm.capacity).reduce(crate::peers::largest)
+    }
+
     /// Returns what is free on VMs that take new work, less what waits.
     #[must_use]
     pub fn spare(&self) -> Size {
@@ -217,6 +227,14 @@
         self.pump();
     }
 
+    fn rename(&self, vm: &VmId, from: TaskId, to: TaskId) {
+        self.state().change(vm, from, |task| task.id = to);
+    }
+
+    fn adopt(&self, vm: &VmId, task: TaskId) {
+        self.state().change(vm, task, |task| task.live = false);
+    }
+
     fn finish(&self, vm: &VmId, task: TaskId, end: End) {
         let now = self.inner.clock.now();
         self.state().finish(vm, task, end, now);
--- a/crates/dotterel-entry/src/workers/holder.rs
+++ b/crates/dotterel-entry/src/workers/holder.rs
@@ -1,12 +1,15 @@
 //! What the keepers of worker leases report.
 
 use dotterel_coord::{Batch, Holder, Permit};
-use dotterel_kernel::{Millis, Scheduler, Vm, VmId};
+use dotterel_kernel::{Millis, Scheduler, TaskId, Vm, VmId};
 use dotterel_platform::{Grant, Granted, Running, TaskState};
 
 use super::Workers;
 use super::state::{Lease, Owned, Task};
 
+/// Renewals in a row that do not list a task as running before it counts as ended.
+const MISSED_LIMIT: u8 = 2;
+
 impl Holder for Workers {
     fn granted(&self, grant: &Grant, permit: Option<Permit>) {
         let now = self.inner.clock.now();
@@ -77,18 +80,26 @@
             id: running.task,
             hold,
             live: false,
+            missed: 0,
         }),
     }
 }
 
-/// Gives back the capacity of adopted tasks that no longer run.
+/// Gives back the capacity of tasks that no longer run, other than those dispatched here.
+///
+/// The answer to one renewal may have left before the task's start arrived.
 fn reap(owned: &mut Owned, scheduler: &mut Scheduler, granted: &Granted) {
-    let runs = |task: &Task| {
-        let mut seen = granted.tasks.iter().filter(|seen| seen.task == task.id);
+    let runs = |id: TaskId| {
+        let mut seen = granted.tasks.iter().filter(|seen| seen.task == id);
         seen.any(|seen| seen.state == TaskState::Running)
     };
-    owned.tasks.retain(|task| {
-        let stays = task.live || runs(task);
+    owned.tasks.retain_mut(|task| {
+        if task.live || runs(task.id) {
+            task.missed = 0;
+            return true;
+        }
+        task.missed += 1;
+        let stays = task.missed < MISSED_LIMIT;
         if !stays && let Some(hold) = task.hold {
             scheduler.release(hold);
         }
--- a/crates/dotterel-entry/src/workers/slot.rs
+++ b/crates/dotterel-entry/src/workers/slot.rs
@@ -17,6 +17,7 @@
     placement: Placement,
     begun: Begun,
     end: End,
+    left: bool,
 }
 
 /// How a task ended, as far as its VM is concerned.
@@ -43,6 +44,7 @@
             placement,
             begun,
             end: End::Unused,
+            left: false,
         }
     }
 
@@ -82,6 +84,18 @@
         &self.begun.upstream
     }
 
+    /// Gives the slot to a task, in place of the one that it was set apart for.
+    pub fn assign(&mut self, task: TaskId) {
+        self.workers.rename(&self.placement.id, self.task, task);
+        self.task = task;
+    }
+
+    /// Leaves the task to its VM, whose renewals tell when it no longer runs.
+    pub fn leave(mut self) {
+        self.workers.adopt(&self.placement.id, self.task);
+        self.left = true;
+    }
+
     /// Says how the task ended, before the slot is dropped.
     pub const fn ended(&mut self, end: End) {
         self.end = end;
--- a/crates/dotterel-entry/src/workers/state.rs
+++ b/crates/dotterel-entry/src/workers/state.rs
@@ -47,6 +47,8 @@
     pub(super) hold: Option<HoldKey>,
     /// True for tasks that this node dispatched and has not settled.
     pub(super) live: bool,
+    /// Renewals in a row that did not list it as running.
+    pub(super) missed: u8,
 }
 
 struct Waiter {
@@ -127,6 +129,7 @@
             id: task,
             hold: Some(placement.hold),
             live: true,
+            missed: 0,
         });
         if self.aside.standing(&placement.id, now) == Standing::Probe {
             self.aside.probing(&placement.id, now);
@@ -146,6 +149,15 @@
         })
     }
 
+    /// Changes a task on a VM, if it is there.
+    pub(super) fn change(&mut self, vm: &VmId, task: TaskId, change: impl FnOnce(&mut Task)) {
+        if let Some((owned, _)) = self.owned(vm)
+            && let Some(known) = owned.tasks.iter_mut().find(|known| known.id == task)
+        {
+            change(known);
+        }
+    }
+
     pub(super) fn finish(&mut self, vm: &VmId, task: TaskId, end: End, now: Millis) {
         let Some((owned, scheduler)) = self.owned(vm) else {
             return;
--- a/crates/dotterel-entry/tests/path/main.rs
+++ b/crates/dotterel-entry/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod fate;
 mod forward;
 mod input;
+mod jobs;
 mod stop;
 mod stranger;
 mod support;
