--- a/crates/dotterel-entry/src/lib.rs
+++ b/crates/dotterel-entry/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod quotas;
 pub mod requests;
 pub mod settings;
+pub mod traffic;
 pub mod workers;
 
 pub use app::App;
 pub use node::{Node, Parts, StartError};
 pub use settings::{Settings, SettingsError};
+pub use traffic::Traffic;
 pub use workers::Workers;
