Keep the capacity of started job tasks until the VM no longer lists them

Cause: the slot of a task that was left to its VM gave its capacity back when it was dropped, so that the owner counted none of the service's tasks. Ruled out: the fleet, the reaping after renewals, lapsed holds.

--- a/crates/dotterel-entry/src/jobs/owner.rs
+++ b/crates/dotterel-entry/src/jobs/owner.rs
@@ -83,6 +83,7 @@
     let begin = begin(start, &slot);
     let limits = Limits::default();
     let launched = launch_task(&*upstream, permit, begin, body, &app.clock, &limits).await;
+    log::debug!(task:% = slot.task(), vm = vm.as_str(), launched:? = launched; "launched");
     match launched {
         Launched::Running => {
             slot.leave();
--- a/crates/dotterel-entry/src/workers/slot.rs
+++ b/crates/dotterel-entry/src/workers/slot.rs
@@ -104,6 +104,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.left {
+            return;
+        }
         self.workers.finish(&self.placement.id, self.task, self.end);
     }
 }
--- a/crates/dotterel-entry/tests/path/jobs.rs
+++ b/crates/dotterel-entry/tests/path/jobs.rs
@@ -50,6 +50,16 @@
     progress.phase
 }
 
+/// Returns the slots that the nodes count as used.
+async fn used(nodes: &[&Entry]) -> u32 {
+    let mut used = 0;
+    for node in nodes {
+        let vms = node.status().await.vms;
+        used += vms.iter().map(|vm| vm.used.slots).sum::<u32>();
+    }
+    used
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_of_every_kind_run_and_what_cannot_run_blocks_nothing() {
     let site = Site::start(4).await;
@@ -63,13 +73,16 @@
     let again = id(&submit(&b, "simulation", &key, r#"{"run_ms": 400}"#).await);
     let other = submit(&b, "simulation", &key, "{}").await;
     let gang = id(&submit(&b, "layout", &[], r#"{"run_ms": 400}"#).await);
-    let service = id(&submit(&a, "renderer", &[], r#"{"run_ms": 600000}"#).await);
     let interactive = submit(&a, "bracket-count", &[], "{}").await;
     until(async || phase(&b, &batch).await == Phase::Finished).await;
     until(async || phase(&a, &gang).await == Phase::Finished).await;
+    // Only now does every VM have room, so that the service can be spread over all of them.
+    until(async || used(&[&a, &b]).await == 0).await;
+    let service = id(&submit(&a, "renderer", &[], r#"{"run_ms": 600000}"#).await);
     let workers = site.cluster.workers();
     let runs = |job: &str| witness::runs_of_job(&workers, job.parse().expect("an identifier"));
     until(async || runs(&service).len() == 4).await;
+    let held = used(&[&a, &b]).await;
     let mut vms: Vec<_> = runs(&service).into_iter().map(|run| run.vm).collect();
     vms.sort();
     vms.dedup();
@@ -89,6 +102,7 @@
     assert_eq!(cancelled.status, StatusCode::ACCEPTED);
     assert_eq!(runs(&batch).len(), 1);
     assert_eq!(runs(&gang).len(), 10);
+    assert_eq!(held, 4, "running tasks are counted by the owners");
     assert_eq!(vms.len(), 4, "a service is spread over the VMs");
     assert!(matches!(phase(&a, &vast).await, Phase::Parked(_)));
     assert_eq!(runs(&vast).len(), 0);
