--- a/crates/dotterel-entry/src/app.rs
+++ b/crates/dotterel-entry/src/app.rs
@@ -85,15 +85,15 @@
             return Some(self.settings.region.clone());
         }
         let listing = self.listed.listing();
-        let mut vms = listing.vms.into_iter();
+        let mut vms = listing.vms.iter();
         vms.find(|vm| vm.data_centre == *data_centre)
-            .map(|vm| vm.region)
+            .map(|vm| vm.region.clone())
     }
 
     /// Returns true when the node takes requests.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && (self.platform.get() || !self.feed.revisions().is_empty())
+        !self.stopping.get() && (self.feed.read() || !self.feed.revisions().is_empty())
     }
 }
 
--- a/crates/dotterel-entry/src/front/jobs.rs
+++ b/crates/dotterel-entry/src/front/jobs.rs
@@ -10,15 +10,13 @@
 use salvo::prelude::{Request, Response, handler};
 use serde::{Deserialize, Serialize};
 
-use super::answer::{Refusal, header, json};
+use super::answer::{Refusal, json};
 use super::{KEY_HEADER, requests};
 use crate::app::App;
 
 /// How long a call waits for the table.
 const TABLE_WAIT: Millis = Millis::secs(5);
 
-const RETRY_AFTER_SECONDS: &str = "1";
-
 /// The answer to an accepted job.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct AcceptedJob {
@@ -33,10 +31,7 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         match post(&self.0, req).await {
             Ok(job) => json(res, StatusCode::ACCEPTED, &AcceptedJob { job }),
-            Err(refusal) => {
-                header(res, "retry-after", RETRY_AFTER_SECONDS);
-                refusal.write(res);
-            }
+            Err(refusal) => refusal.write(res),
         }
     }
 }
--- a/crates/dotterel-entry/src/front/requests.rs
+++ b/crates/dotterel-entry/src/front/requests.rs
@@ -19,7 +19,6 @@
 
 const KEY_LIMIT: usize = 128;
 const KEY_RANGE: &str = "1 to 128 visible ASCII characters";
-const RETRY_AFTER_SECONDS: &str = "1";
 
 /// Takes a caller's request.
 pub(super) struct Post(pub(super) Arc<App>);
@@ -107,6 +106,11 @@
 /// Returns a class as the document in force describes it.
 pub(super) fn class(app: &App, service: &Service, name: &str) -> Result<Class, Refusal> {
     let Some(accepted) = app.feed.in_force(service) else {
+        if !app.feed.read() {
+            let reason = "the node has not read the documents yet";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Refusal::new(status, "service", reason));
+        }
         let reason = format_compact!("no document is in force for service {service}");
         return Err(Refusal::new(StatusCode::NOT_FOUND, "service", reason));
     };
@@ -210,7 +214,6 @@
 
 fn not_run(res: &mut Response, id: RequestId, reason: Reason) {
     head(res, id, &Fate::NotRun(reason));
-    header(res, "retry-after", RETRY_AFTER_SECONDS);
     let text = format_compact!("not run: {reason}");
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "request", text).write(res);
 }
--- a/crates/dotterel-entry/src/jobs.rs
+++ b/crates/dotterel-entry/src/jobs.rs
@@ -10,7 +10,7 @@
 
 use std::sync::Arc;
 
-use dotterel_coord::jobs::{Config, Engine};
+use dotterel_coord::jobs::Engine;
 use dotterel_kernel::Millis;
 
 pub use holds::Holds;
@@ -18,19 +18,6 @@
 
 use crate::app::App;
 
-/// Rhythm and limits of the jobs.
-pub const CONFIG: Config = Config {
-    shards: 16,
-    round: Millis(200),
-    ttl: Millis(9_000),
-    call: Millis(1_000),
-    hold: Millis(5_000),
-    backoff: Millis(1_000),
-    survey: Millis(2_000),
-    margin: Millis(1_000),
-    batch: 256,
-};
-
 const SWEEP_PERIOD: Millis = Millis(500);
 
 /// Returns the engine that runs the jobs of this node's shards.
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -247,7 +247,12 @@
         spare: Size::ZERO,
         documents: Vec::new(),
     };
-    let jobs = Jobs::new(parts.table.clone(), clock, owner.clone(), jobs::CONFIG);
+    let jobs = Jobs::new(
+        parts.table.clone(),
+        clock,
+        owner.clone(),
+        Default::default(),
+    );
     let peers = Arc::new(Peers::new(own, clock.now()));
     let writers = Writers::new(mesh.clone(), peers.clone(), clock);
     let claims = Claims::new(parts.table.clone(), clock, owner, claims::Config::default())
--- a/crates/dotterel-policies/src/filter/short_reserve.rs
+++ b/crates/dotterel-policies/src/filter/short_reserve.rs
@@ -1,17 +1,13 @@
-//! Holds slots back for short work.
+//! Holds room back for short work.
 //!
-//! Long work leaves as many slots free as short work wanted at its recent peak, and never takes
-//! more than a share of one VM while short work is about.
+//! Long work leaves room for as many short tasks as there were at their recent peak. The room is
+//! counted VM by VM, since free cores without a free slot are of no use, nor the other way round.
 
 use dotterel_kernel::plugin::{Part, Plugin};
 use dotterel_kernel::{Ask, Candidate, Filter, Load};
 
-/// The largest part of all slots that is held back.
-const RESERVE_LIMIT: f64 = 0.5;
-/// The part of a VM's slots that long work may take, in eighths.
-const LONG_EIGHTHS: u32 = 7;
-/// Below this many slots at its peak, short work counts as absent.
-const PRESENT: f64 = 0.5;
+/// At most one slot of this many is held back.
+const RESERVE_PART: u32 = 2;
 
 struct ShortReserve;
 
@@ -21,16 +17,14 @@
     }
 
     fn admits(&self, ask: &Ask, candidate: &Candidate<'_>, load: &Load) -> bool {
-        if !ask.long || load.short_peak < PRESENT {
+        if !ask.long {
             return true;
         }
-        let slots = f64::from(load.slots);
-        let reserve = load.short_peak.min(slots * RESERVE_LIMIT);
-        if f64::from(load.long + ask.size.slots) > slots - reserve {
-            return false;
-        }
-        let most = (candidate.vm.capacity.slots * LONG_EIGHTHS / 8).max(1);
-        candidate.vm.long_slots + ask.size.slots <= most
+        let free = candidate.vm.capacity.minus(&candidate.vm.long);
+        let before = free.count(&load.short_unit);
+        let after = free.minus(&ask.size).count(&load.short_unit);
+        let reserve = load.short_peak.slots.min(load.slots / RESERVE_PART);
+        load.short_room >= reserve + (before - after)
     }
 }
 
