--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -196,13 +196,6 @@
         self.app.stopping.set(true);
         peers::announce(&self.app, true);
         self.end_jobs.send_replace(true);
-        if timeout(JOBS_LIMIT.duration(), self.jobs).await.is_err() {
-            log::warn!("shards of jobs not given back in time");
-        }
-        let handed = timeout(grace.duration(), self.keepers).await;
-        if handed.is_err() {
-            log::warn!("not all leases were handed over in time");
-        }
         tokio::time::sleep(LINGER.duration()).await;
         let left = until - self.app.clock.now();
         self.server.stop_graceful(left.duration());
@@ -214,6 +207,15 @@
         }
         // Ends by itself once the last connection is closed, or when the grace is over.
         let _ = timeout(left.duration(), self.serving).await;
+        if timeout(JOBS_LIMIT.duration(), self.jobs).await.is_err() {
+            log::warn!("shards of jobs not given back in time");
+        }
+        // Leases are handed over meanwhile; keepers stay on until their heirs have taken them.
+        let left = until - self.app.clock.now();
+        let handed = timeout(left.duration(), self.keepers).await;
+        if handed.is_err() {
+            log::warn!("not all leases were handed over in time");
+        }
         let _ = timeout(SHIP_LIMIT.duration(), ship_all(&self.app)).await;
         for task in &self.tasks {
             task.abort();
