Leave no gap in the account after a planned stop

Cause, two faults: a stopping node shipped its segments but never noted the end of its life, so its account ended in a gap; and the sum of a life claimed to have forgotten hours before its horizon even when nothing had been counted there, so an account from the beginning of time got a gap as well. Ruled out: a segment lost at the stop (the record was in the account). A refusal for want of a claim now also says that nothing is known of earlier requests with the same key.

--- a/crates/dotterel-coord/src/journal/life.rs
+++ b/crates/dotterel-coord/src/journal/life.rs
@@ -22,7 +22,7 @@
     pub(super) next: u64,
     /// Up to when it is complete.
     pub(super) until: Millis,
-    /// Hours before this time are no longer counted.
+    /// Hours before this time were counted once and are no longer; zero when all still are.
     pub(super) counted: Millis,
     /// True when the node ended in order and left nothing unshipped.
     pub(super) ended: bool,
@@ -82,8 +82,9 @@
 
     /// Forgets hours that began before `time`.
     pub(super) fn forget(&mut self, time: Millis) {
-        self.tally.forget(time);
-        self.counted = self.counted.max(time);
+        if self.tally.forget(time) {
+            self.counted = self.counted.max(time);
+        }
     }
 
     /// Encodes the sum.
--- a/crates/dotterel-coord/src/journal/tally.rs
+++ b/crates/dotterel-coord/src/journal/tally.rs
@@ -62,11 +62,14 @@
         }
     }
 
-    /// Forgets hours that began before `time`.
-    pub(super) fn forget(&mut self, time: Millis) {
+    /// Forgets hours that began before `time`; returns true when something was counted there.
+    pub(super) fn forget(&mut self, time: Millis) -> bool {
+        let count = |lines: &[Line]| lines.iter().map(|line| line.cells.len()).sum::<usize>();
+        let before = count(&self.lines);
         for line in &mut self.lines {
             line.cells.retain(|cell| cell.start >= time);
         }
+        count(&self.lines) < before
     }
 
     /// Sums up the hours since the one that contains `since`.
--- a/crates/dotterel-entry/src/front/requests.rs
+++ b/crates/dotterel-entry/src/front/requests.rs
@@ -214,7 +214,13 @@
 
 fn not_run(res: &mut Response, id: RequestId, reason: Reason) {
     head(res, id, &Fate::NotRun(reason));
-    let text = format_compact!("not run: {reason}");
+    let text = match reason {
+        // Nothing is known of the key, so an earlier request with it may have run.
+        Reason::ClaimUnavailable => format_compact!(
+            "not run: {reason}; what became of earlier requests with this key is not known"
+        ),
+        _ => format_compact!("not run: {reason}"),
+    };
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "request", text).write(res);
 }
 
--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -8,7 +8,7 @@
 use dotterel_coord::claims::{self, Claims};
 use dotterel_coord::feed::{self, Feed};
 use dotterel_coord::jobs::Jobs;
-use dotterel_coord::journal::{self, Journal, Reader, Shipped};
+use dotterel_coord::journal::{self, Journal, Reader};
 use dotterel_coord::{Budget, Heartbeat};
 use dotterel_kernel::plugin::UnknownPlugin;
 use dotterel_kernel::{Clock, Incarnation, Millis, NodeId, PolicySet, Size};
@@ -216,7 +216,10 @@
         if handed.is_err() {
             log::warn!("not all leases were handed over in time");
         }
-        let _ = timeout(SHIP_LIMIT.duration(), ship_all(&self.app)).await;
+        let shipped = timeout(SHIP_LIMIT.duration(), self.app.journal.finish()).await;
+        if shipped != Ok(true) {
+            log::warn!("journal not shipped to its end");
+        }
         for task in &self.tasks {
             task.abort();
         }
@@ -311,12 +314,6 @@
     app.journal.run().await;
 }
 
-async fn ship_all(app: &App) {
-    while app.journal.ship().await != Shipped::Nothing {
-        tokio::task::yield_now().await;
-    }
-}
-
 /// Why a node did not start.
 #[derive(Debug)]
 pub enum StartError {
--- a/crates/dotterel-entry/tests/path/stop.rs
+++ b/crates/dotterel-entry/tests/path/stop.rs
@@ -69,3 +69,25 @@
     assert_eq!(late.status, StatusCode::OK, "{late:?}");
     assert_eq!(a.ended().await, Some(0));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_leaves_no_gap_in_the_account() {
+    let site = Site::start(2).await;
+    let (mut a, b) = (site.entry("entry-a"), site.entry("entry-b"));
+    settled(&site, &[&a, &b]).await;
+    a.apply(DOCUMENT, &[&a, &b]).await;
+    let answer = a.post(PATH, &[], "{}").await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+
+    a.terminate();
+    assert_eq!(a.ended().await, Some(0));
+    until(async || b.status().await.peers.iter().all(|peer| !peer.alive)).await;
+    let account = b.account().await;
+
+    assert_eq!(account.gaps, Vec::new());
+    assert_eq!(
+        account.lines.first().map(|line| line.ran),
+        Some(1),
+        "{account:?}"
+    );
+}
