Ask less often about tasks that run on

Cause: a dispatch asked the VM about its task each 500 ms until the task ended, two calls of 280 bytes a second for each running task. Ruled out: no questions while the call is open, because its connection may be silent for good. Change: while the VM answers that the task runs, the time between questions grows to a quarter of the run so far, at most half of the time after which a silent VM is given up. Mutation: with limits.probe in place of self.pause() the test in tests/ownership/questions.rs fails: gap 500 ms where 625 ms is asked.

--- a/crates/dotterel-coord/src/dispatch.rs
+++ b/crates/dotterel-coord/src/dispatch.rs
@@ -18,7 +18,9 @@
 pub struct Limits {
     /// How long a call to the VM may take, other than the one that runs the task.
     pub call: Millis,
-    /// The time between two questions about a task.
+    /// The shortest time between two questions about a task.
+    ///
+    /// While a task runs on, the time grows to a quarter of its run and at most half of `settle`.
     pub probe: Millis,
     /// How long a start may be under way before it is barred.
     pub start: Millis,
@@ -199,6 +201,7 @@
     task: TaskId,
     clock: &'a Clock,
     limits: &'a Limits,
+    began: Millis,
     /// When a task that the VM has not seen is barred.
     bar_at: Millis,
     /// When the VM answered last.
@@ -215,6 +218,7 @@
             task,
             clock,
             limits,
+            began: now,
             bar_at: now + limits.start,
             heard: now,
             started: false,
@@ -241,13 +245,13 @@
     /// Asks until the outcome is proved or the VM has been out of reach for too long.
     async fn until_ended(&mut self) -> Dispatched {
         loop {
-            match self.ask().await {
+            let pause = match self.ask().await {
                 Some(Launched::Over(outcome)) => return outcome,
-                Some(Launched::Running) => {}
+                Some(Launched::Running) => self.pause(),
                 None if self.given_up() => return Dispatched::Unknown,
-                None => {}
-            }
-            tokio::time::sleep(self.limits.probe.duration()).await;
+                None => self.limits.probe,
+            };
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 
@@ -263,6 +267,15 @@
         }
     }
 
+    /// Returns the time until a running task is asked about again.
+    ///
+    /// It leaves time for several questions before a silent VM is given up.
+    fn pause(&self) -> Millis {
+        let run = self.clock.now().since(self.began);
+        let most = Millis(self.limits.settle.0 / 2);
+        Millis(run.0 / 4).min(most).max(self.limits.probe)
+    }
+
     fn given_up(&self) -> bool {
         self.clock.now().since(self.heard) >= self.limits.settle
     }
--- a/crates/dotterel-coord/tests/ownership.rs
+++ b/crates/dotterel-coord/tests/ownership.rs
@@ -8,5 +8,7 @@
 mod lease;
 #[path = "ownership/node.rs"]
 mod node;
+#[path = "ownership/questions.rs"]
+mod questions;
 #[path = "ownership/scenarios.rs"]
 mod scenarios;
