--- a/crates/dotterel-entry/tests/features/promises.feature
+++ b/crates/dotterel-entry/tests/features/promises.feature
@@ -79,6 +79,17 @@
     Then the newest document is in force on every live node soon
     And every live node serves a bracket-count
 
+  @cut
+  Scenario: Work that was forwarded before a cut is not started a second time
+    Given a cell of 2 data centres with 1 node and 1 worker each
+    And 2 callers send a simulation of 5000 ms to node a1
+    When 2 calls have started
+    And 1 callers send a simulation of 13000 ms to node a1
+    And 3 calls have started
+    And data centre b is cut from the others
+    Then every caller is told something
+    And at least 2 calls ran
+
   @table
   Scenario: The table is down for a while under load
     Given a cell of 1 data centre with 2 nodes and 2 workers each
--- a/crates/dotterel-entry/tests/promises/cell.rs
+++ b/crates/dotterel-entry/tests/promises/cell.rs
@@ -264,19 +264,28 @@
         found.expect("the scenario names a worker of the cell")
     }
 
-    /// Cuts nodes of a data centre from the others', or from the platform.
+    /// Cuts a data centre from the others: its nodes from theirs, and each side from the other's
+    /// workers.
     pub(crate) fn cut_peers(&self, data_centre: &str) {
+        let inside = |name: &str| name.starts_with(data_centre);
         for entry in &self.entries {
-            let apart = |other: &&Entry| {
-                (other.data_centre == data_centre) != (entry.data_centre == data_centre)
-            };
-            let others = self.entries.iter().filter(apart);
+            let side = inside(&entry.data_centre);
+            let others = self.entries.iter();
+            let others = others.filter(|other| inside(&other.data_centre) != side);
             entry
                 .relay
                 .cut(others.map(|other| other.mesh.ip()).collect());
         }
+        for worker in self.cluster.workers() {
+            let side = inside(worker.vm().as_str());
+            let others = self.entries.iter();
+            let others = others.filter(|other| inside(&other.data_centre) != side);
+            let names: Vec<_> = others.map(|other| other.name.as_str().into()).collect();
+            worker.set_faults(|faults| faults.silent = names);
+        }
     }
 
+    /// Cuts the nodes of a data centre from the platform.
     pub(crate) fn cut_platform(&self, data_centre: &str) {
         let nodes = self.entries.iter();
         let nodes = nodes.filter(|entry| entry.data_centre == data_centre);
