--- a/crates/dotterel-entry/src/node.rs
+++ b/crates/dotterel-entry/src/node.rs
@@ -1,6 +1,7 @@
 //! One node from its start to its planned stop.
 
-use std::fmt;
+mod error;
+
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 
@@ -10,9 +11,8 @@
 use dotterel_coord::jobs::Jobs;
 use dotterel_coord::journal::{self, Journal, Reader, Shipped};
 use dotterel_coord::{Budget, Heartbeat};
-use dotterel_kernel::plugin::UnknownPlugin;
 use dotterel_kernel::{Clock, Incarnation, Millis, NodeId, PolicySet, Size};
-use dotterel_mesh::{Config, Mesh, OpenError};
+use dotterel_mesh::{Config, Mesh};
 use dotterel_platform::{
     HttpStore, HttpTable, HttpUpstream, HttpVmList, Limits, ObjectStore, Owner, Table, VmList,
 };
@@ -24,6 +24,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+pub use error::StartError;
+
 use crate::adapters::{Adapters, Connect};
 use crate::app::{App, Flag, Gate};
 use crate::jobs::{self, Holds};
@@ -316,38 +318,3 @@
         tokio::task::yield_now().await;
     }
 }
-
-/// Why a node did not start.
-#[derive(Debug)]
-pub enum StartError {
-    /// An address cannot be listened at.
-    Listen(SocketAddr, std::io::Error),
-    /// The mesh cannot be opened.
-    Mesh(OpenError),
-    /// A plug-in is not registered.
-    Plugin(UnknownPlugin),
-}
-
-impl From<OpenError> for StartError {
-    fn from(fault: OpenError) -> Self {
-        Self::Mesh(fault)
-    }
-}
-
-impl From<UnknownPlugin> for StartError {
-    fn from(fault: UnknownPlugin) -> Self {
-        Self::Plugin(fault)
-    }
-}
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Listen(addr, fault) => write!(f, "cannot listen at {addr}: {fault}"),
-            Self::Mesh(fault) => fault.fmt(f),
-            Self::Plugin(fault) => fault.fmt(f),
-        }
-    }
-}
-
-impl std::error::Error for StartError {}
