--- a/crates/dotterel-coord/examples/job_writes.rs
+++ b/crates/dotterel-coord/examples/job_writes.rs
@@ -101,6 +101,7 @@
     JobSpec {
         service: "quotes".into(),
         class: "roof".into(),
+        origin: "dc-1".into(),
         kind: Kind::Batch,
         urgency: Urgency::Normal,
         tasks,
