--- a/crates/dotterel-entry/benches/faults/experiments.rs
+++ b/crates/dotterel-entry/benches/faults/experiments.rs
@@ -230,7 +230,7 @@
     table("Death of a node", &samples, &phases);
     let open = samples
         .iter()
-        .filter(|sample| sample.node == node && sample.due <= at && sample.ended > at);
+        .filter(|sample| sample.node == node && sample.due <= at && sample.ended >= at);
     println!("calls open at the node when it died: {}", open.count());
     let grants = regrants(&workers, node, at);
     let spans = grants.iter().filter_map(|grant| grant.1);
