Judge failing VMs against those of the whole cell

Cause: a node set at most half of its own VMs aside and compared a VM with its own others only. A node that owned 4 failing VMs among 5 left two at work, and a VM that fails at once always has room, so these two took nearly all starts on failing VMs. Ruled out: retries (99.9 starts for 100 calls), the least number of starts before a VM is judged (every VM left over had over 1000). Change: heartbeats tell how the sender's VMs did lately; a VM is judged against all of them, and at most half of the cell is set aside. A node that hears nobody judges by its own VMs as before. The test of the rule failed first (left: 0, right: 6).

--- a/crates/dotterel-coord/src/lib.rs
+++ b/crates/dotterel-coord/src/lib.rs
@@ -21,6 +21,6 @@
     Held, Lapsed, Permit, RawTerms, Released, Renewal, Seeking, Sought, Terms, TermsError,
     WorkerLease,
 };
-pub use limit::{Adaptive, Outcome, SetAside, Standing};
+pub use limit::{Adaptive, Health, Outcome, SetAside, Standing};
 pub use membership::{Heard, Heartbeat, Leaving, Member, Members, follow, rendezvous};
 pub use retry::Budget;
--- a/crates/dotterel-coord/src/limit.rs
+++ b/crates/dotterel-coord/src/limit.rs
@@ -4,4 +4,4 @@
 mod set_aside;
 
 pub use self::adaptive::{Adaptive, Outcome};
-pub use self::set_aside::{SetAside, Standing};
+pub use self::set_aside::{Health, SetAside, Standing};
--- a/crates/dotterel-coord/src/limit/set_aside.rs
+++ b/crates/dotterel-coord/src/limit/set_aside.rs
@@ -1,6 +1,7 @@
 //! Setting aside VMs that fail what they start.
 
 use dotterel_kernel::{Millis, VmId};
+use serde::{Deserialize, Serialize};
 
 /// How many starts a VM's failure rate is taken over.
 const WINDOW: u32 = 20;
@@ -12,10 +13,10 @@
 const FAILING_PERCENT: u32 = 50;
 
 /// A VM is set aside only when its rate is at least so many times that of its peers.
-const PEER_FACTOR: u32 = 3;
+const PEER_FACTOR: u64 = 3;
 
 /// At most one VM in so many is set aside; more failing ones point to another cause.
-const MAX_SHARE: usize = 2;
+const MAX_SHARE: u32 = 2;
 
 /// The time before the first probe, in milliseconds.
 const FIRST_PROBE_MS: u64 = 5_000;
@@ -52,17 +53,57 @@
     passed: u32,
 }
 
+/// How a group of VMs did lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Health {
+    /// VMs that have started anything.
+    pub vms: u32,
+    /// How many of them are set aside.
+    pub aside: u32,
+    /// Recent starts on the others.
+    pub starts: u32,
+    /// How many of these starts failed.
+    pub failures: u32,
+}
+
+impl Health {
+    /// Returns the health of both groups together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            vms: self.vms.saturating_add(other.vms),
+            aside: self.aside.saturating_add(other.aside),
+            starts: self.starts.saturating_add(other.starts),
+            failures: self.failures.saturating_add(other.failures),
+        }
+    }
+}
+
 /// The failure rates of a node's VMs.
 ///
 /// A task may fail through its own fault, so a VM is judged against its peers, which run tasks of
-/// the same classes.
+/// the same classes. VMs of other nodes count as peers too, because those of one node may fail
+/// together.
 #[derive(Clone, Debug, Default)]
 pub struct SetAside {
     /// Sorted by VM.
     vms: Vec<History>,
+    others: Health,
 }
 
 impl SetAside {
+    /// Takes in how the VMs of all other nodes did; default when no other node is heard.
+    pub const fn hear(&mut self, others: Health) {
+        self.others = others;
+    }
+
+    /// Returns how this node's VMs did, for other nodes to hear.
+    #[must_use]
+    pub fn health(&self) -> Health {
+        let vms = self.vms.iter().map(History::health);
+        vms.fold(Health::default(), Health::plus)
+    }
+
     /// Counts a task that ended on a VM, and returns the VM's standing afterwards.
     pub fn ended(&mut self, vm: &VmId, failed: bool, now: Millis) -> Standing {
         let place = self.place(vm);
@@ -127,19 +168,15 @@
         if own.starts < MIN_STARTS || own.failures * 100 < own.starts * FAILING_PERCENT {
             return false;
         }
-        let aside = self.vms.iter().filter(|vm| vm.aside.is_some()).count();
-        if (aside + 1) * MAX_SHARE > self.vms.len() {
+        let all = self.health().plus(self.others);
+        if (all.aside + 1) * MAX_SHARE > all.vms {
             return false;
         }
-        let peers = self
-            .vms
-            .iter()
-            .filter(|vm| vm.vm != own.vm && vm.aside.is_none());
-        let (failures, starts) = peers.fold((0, 0), |(failures, starts), vm| {
-            (failures + vm.failures, starts + vm.starts)
-        });
+        let starts = u64::from(all.starts - own.starts);
+        let failures = u64::from(all.failures - own.failures);
         // Compares own.failures / own.starts with PEER_FACTOR * failures / starts.
-        starts > 0 && own.failures * starts >= PEER_FACTOR * failures * own.starts
+        let (own_failures, own_starts) = (u64::from(own.failures), u64::from(own.starts));
+        starts > 0 && own_failures * starts >= PEER_FACTOR * failures * own_starts
     }
 
     fn place(&mut self, vm: &VmId) -> usize {
@@ -161,6 +198,23 @@
 }
 
 impl History {
+    const fn health(&self) -> Health {
+        if self.aside.is_some() {
+            return Health {
+                vms: 1,
+                aside: 1,
+                starts: 0,
+                failures: 0,
+            };
+        }
+        Health {
+            vms: 1,
+            aside: 0,
+            starts: self.starts,
+            failures: self.failures,
+        }
+    }
+
     /// Counts a start; older starts weigh less and less.
     const fn count(&mut self, failed: bool) {
         if self.starts >= WINDOW {
--- a/crates/dotterel-coord/tests/limits.rs
+++ b/crates/dotterel-coord/tests/limits.rs
@@ -1,6 +1,6 @@
 //! Retry budgets, concurrency limits and setting VMs aside.
 
-use dotterel_coord::{Adaptive, Budget, Outcome, SetAside, Standing};
+use dotterel_coord::{Adaptive, Budget, Health, Outcome, SetAside, Standing};
 use dotterel_kernel::{Millis, VmId};
 use quickcheck::{Gen, QuickCheck};
 
@@ -126,3 +126,19 @@
     let aside = (0..8).filter(|index| vms.standing(&vm(*index), Millis::ZERO) != Standing::Normal);
     assert_eq!(aside.count(), 4);
 }
+
+#[test]
+fn most_vms_of_a_node_are_set_aside_when_those_of_other_nodes_do_well() {
+    let mut vms = SetAside::default();
+    vms.hear(Health {
+        vms: 16,
+        aside: 0,
+        starts: 320,
+        failures: 0,
+    });
+
+    play(&mut vms, 6, 50, Millis::ZERO);
+
+    let aside = (0..8).filter(|index| vms.standing(&vm(*index), Millis::ZERO) != Standing::Normal);
+    assert_eq!(aside.count(), 6);
+}
--- a/crates/dotterel-entry/src/messages.rs
+++ b/crates/dotterel-entry/src/messages.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use dotterel_coord::Heartbeat;
 use dotterel_coord::claims::{Change, Verdict as ChangeVerdict};
 use dotterel_coord::feed::Passed;
 use dotterel_coord::jobs::{Held, HoldAsk, HoldId, LaunchOutcome, NoHold, TaskStart};
+use dotterel_coord::{Health, Heartbeat};
 use dotterel_kernel::{
     Account, Attempt, Incarnation, Millis, Reason, Record, RequestId, Revision, Service, Size,
     TaskId, VmId,
@@ -97,6 +97,8 @@
     pub documents: u64,
     /// The largest of the sender's VMs, resource by resource.
     pub largest: Option<Size>,
+    /// How the sender's VMs did lately.
+    pub health: Health,
 }
 
 /// What the other answers.
--- a/crates/dotterel-entry/src/peers.rs
+++ b/crates/dotterel-entry/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use dotterel_coord::{Heard, Heartbeat, Members, rendezvous};
+use dotterel_coord::{Health, Heard, Heartbeat, Members, rendezvous};
 use dotterel_kernel::{
     DataCentre, Incarnation, Millis, NodeId, PeerStatus, Region, Revision, Service, Size, Spill,
     VmId,
@@ -49,8 +49,15 @@
     members: Members,
     /// Tasks sent to each node since its last heartbeat, sorted by node.
     sent: Vec<(NodeId, u32)>,
-    /// The largest VM of each node, sorted by node.
-    largest: Vec<(NodeId, Option<Size>)>,
+    /// What each node told of its VMs, sorted by node.
+    told: Vec<Told>,
+}
+
+/// What a node told of its VMs.
+struct Told {
+    node: NodeId,
+    largest: Option<Size>,
+    health: Health,
 }
 
 impl Peers {
@@ -61,7 +68,7 @@
             state: Mutex::new(State {
                 members: Members::new(own, PATIENCE, now),
                 sent: Vec::new(),
-                largest: Vec::new(),
+                told: Vec::new(),
             }),
         }
     }
@@ -131,12 +138,17 @@
         staying.map(place).collect()
     }
 
-    /// Notes the largest VM of a node, resource by resource.
-    pub fn note_largest(&self, node: &NodeId, size: Option<Size>) {
+    /// Notes what a node tells of its VMs: the largest, resource by resource, and how they did.
+    pub fn note(&self, node: &NodeId, largest: Option<Size>, health: Health) {
         let mut state = self.state();
-        match state.largest.binary_search_by(|entry| entry.0.cmp(node)) {
-            Ok(index) => state.largest[index].1 = size,
-            Err(index) => state.largest.insert(index, (node.clone(), size)),
+        let told = Told {
+            node: node.clone(),
+            largest,
+            health,
+        };
+        match state.told.binary_search_by(|told| told.node.cmp(node)) {
+            Ok(index) => state.told[index] = told,
+            Err(index) => state.told.insert(index, told),
         }
     }
 
@@ -144,10 +156,19 @@
     #[must_use]
     pub fn largest(&self, own: Option<Size>) -> Option<Size> {
         let state = self.state();
-        let told = state.largest.iter().filter_map(|entry| entry.1);
+        let told = state.told.iter().filter_map(|told| told.largest);
         told.chain(own).reduce(largest)
     }
 
+    /// Returns how the VMs of all other live nodes did lately.
+    #[must_use]
+    pub fn health(&self, now: Millis) -> Health {
+        let state = self.state();
+        let live = |told: &&Told| state.members.is_live(&told.node, now);
+        let told = state.told.iter().filter(live).map(|told| told.health);
+        told.fold(Health::default(), Health::plus)
+    }
+
     /// Returns true while a node is live in the life that work was sent to.
     #[must_use]
     pub fn alive(&self, target: &Target, now: Millis) -> bool {
--- a/crates/dotterel-entry/src/peers/beat.rs
+++ b/crates/dotterel-entry/src/peers/beat.rs
@@ -34,6 +34,7 @@
     let now = app.clock.now();
     let own = own(app, now);
     app.peers.tick(own.clone(), now);
+    app.workers.hear_health(app.peers.health(now));
     app.mesh.set_peers(contacts(app));
     let documents = digest(&own.documents);
     let heartbeat = Heartbeat {
@@ -44,6 +45,7 @@
         heartbeat,
         documents,
         largest: app.workers.largest(),
+        health: app.workers.health(),
     };
     for link in app.mesh.status() {
         if link.connected && (far || app.peers.near(&link.peer.node)) {
@@ -122,7 +124,7 @@
 
 /// Takes in a heartbeat; asks for the sender's revisions when they have changed.
 pub(crate) fn hear(app: &Arc<App>, from: NodeId, beat: Beat) {
-    app.peers.note_largest(&from, beat.largest);
+    app.peers.note(&from, beat.largest, beat.health);
     let mut heartbeat = beat.heartbeat;
     let known = app.peers.documents(&from);
     let changed = digest(&known) != beat.documents;
--- a/crates/dotterel-entry/src/workers.rs
+++ b/crates/dotterel-entry/src/workers.rs
@@ -12,7 +12,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dotterel_coord::Permit;
+use dotterel_coord::{Health, Permit};
 use dotterel_kernel::scheduler::Load;
 use dotterel_kernel::{
     Clock, DataCentre, Epoch, Placement, PolicySet, Reason, Scheduler, Service, Size, Submit,
@@ -151,6 +151,17 @@
         vms.map(|(_, vm)| vm.capacity).reduce(crate::peers::largest)
     }
 
+    /// Returns how the owned VMs did lately.
+    #[must_use]
+    pub fn health(&self) -> Health {
+        self.state().health()
+    }
+
+    /// Takes in how the VMs of other nodes did, against which the owned ones are judged.
+    pub fn hear_health(&self, others: Health) {
+        self.state().hear_health(others);
+    }
+
     /// Returns what is free on VMs that take new work, less what waits.
     #[must_use]
     pub fn spare(&self) -> Size {
--- a/crates/dotterel-entry/src/workers/state.rs
+++ b/crates/dotterel-entry/src/workers/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dotterel_coord::{Permit, SetAside, Standing};
+use dotterel_coord::{Health, Permit, SetAside, Standing};
 use dotterel_kernel::{
     HoldKey, Millis, Placement, Scheduler, Size, TaskId, VmId, VmKey, VmStatus, WaitKey,
 };
@@ -174,6 +174,14 @@
         self.judge(vm, end, now);
     }
 
+    pub(super) fn health(&self) -> Health {
+        self.aside.health()
+    }
+
+    pub(super) const fn hear_health(&mut self, others: Health) {
+        self.aside.hear(others);
+    }
+
     /// Sets a VM aside that fails far more than its peers.
     fn judge(&mut self, vm: &VmId, end: End, now: Millis) {
         if end == End::Unused {
