--- a/crates/dotterel-kernel/src/document/raw.rs
+++ b/crates/dotterel-kernel/src/document/raw.rs
@@ -185,57 +185,61 @@
 fn check_class(raw: &RawClass) -> Result<Class, FieldError> {
     check_name("class.name", &raw.name)?;
     let field = |leaf: &str| format_compact!("class.{}.{leaf}", raw.name);
-    let tasks = raw.tasks.unwrap_or(1);
-    let spread = matches!(raw.kind, Kind::Gang | Kind::Service);
-    if tasks == 0 || tasks > TASK_LIMIT || (tasks > 1 && !spread) {
-        return Err(FieldError::new(
-            field("tasks"),
-            tasks,
-            "1 to 4096 for gang and service, 1 for other kinds",
-        ));
-    }
-    let flag_duplicates = match raw.duplicates.as_deref() {
-        None | Some("allow") => false,
-        Some("flag") => true,
-        Some(other) => {
-            return Err(FieldError::new(
-                field("duplicates"),
-                other,
-                "\"flag\" or \"allow\"",
-            ));
-        }
+    let span = |leaf: &str, span: Option<u64>, default: u64| {
+        check_span(field(leaf), span.unwrap_or(default))
     };
     let class = Class {
         name: raw.name.clone(),
         kind: raw.kind,
         urgency: raw.urgency.unwrap_or(Urgency::Normal),
         repeatable: raw.repeatable.unwrap_or(true),
-        start: check_span(field("start_ms"), raw.start_ms.unwrap_or(START_DEFAULT_MS))?,
-        timeout: check_span(
-            field("timeout_ms"),
-            raw.timeout_ms.unwrap_or(TIMEOUT_DEFAULT_MS),
-        )?,
+        start: span("start_ms", raw.start_ms, START_DEFAULT_MS)?,
+        timeout: span("timeout_ms", raw.timeout_ms, TIMEOUT_DEFAULT_MS)?,
         typical: check_span(field("typical_ms"), raw.typical_ms)?,
-        size: Size {
-            milli_cores: check_cores(field("size.cores"), raw.size.cores, TASK_CORE_LIMIT)?,
-            memory_mb: check_memory(field("size.memory_mb"), raw.size.memory_mb)?,
-            accelerators: raw.size.accelerators,
-            slots: 1,
-            connections: 1,
-        },
-        tasks,
+        size: check_size(raw)?,
+        tasks: check_tasks(raw)?,
         spill: raw.spill.unwrap_or(Spill::Region),
-        flag_duplicates,
-        key_window: check_span(
-            field("key_window_ms"),
-            raw.key_window_ms.unwrap_or(KEY_WINDOW_DEFAULT_MS),
-        )?,
+        flag_duplicates: check_duplicates(raw)?,
+        key_window: span("key_window_ms", raw.key_window_ms, KEY_WINDOW_DEFAULT_MS)?,
         sign_off: raw.sign_off.clone(),
     };
     check_window(&class)?;
     Ok(class)
 }
 
+fn check_size(raw: &RawClass) -> Result<Size, FieldError> {
+    let field = |leaf: &str| format_compact!("class.{}.size.{leaf}", raw.name);
+    Ok(Size {
+        milli_cores: check_cores(field("cores"), raw.size.cores, TASK_CORE_LIMIT)?,
+        memory_mb: check_memory(field("memory_mb"), raw.size.memory_mb)?,
+        accelerators: raw.size.accelerators,
+        slots: 1,
+        connections: 1,
+    })
+}
+
+fn check_tasks(raw: &RawClass) -> Result<u32, FieldError> {
+    let tasks = raw.tasks.unwrap_or(1);
+    let several = matches!(raw.kind, Kind::Gang | Kind::Service);
+    if tasks == 0 || tasks > TASK_LIMIT || (tasks > 1 && !several) {
+        let field = format_compact!("class.{}.tasks", raw.name);
+        let allowed = format_compact!("1 to {TASK_LIMIT} for gang and service, 1 for other kinds");
+        return Err(FieldError::new(field, tasks, allowed));
+    }
+    Ok(tasks)
+}
+
+fn check_duplicates(raw: &RawClass) -> Result<bool, FieldError> {
+    match raw.duplicates.as_deref() {
+        None | Some("allow") => Ok(false),
+        Some("flag") => Ok(true),
+        Some(other) => {
+            let field = format_compact!("class.{}.duplicates", raw.name);
+            Err(FieldError::new(field, other, "\"flag\" or \"allow\""))
+        }
+    }
+}
+
 /// A key must be remembered for as long as its request may wait and run, or a retry could run it
 /// a second time.
 fn check_window(class: &Class) -> Result<(), FieldError> {
