Try every fault of owned VMs alone and with every other

13 kinds of faults, all ordered pairs, at once, 700 ms and 3700 ms apart, with work before, between and after; the judge is the worker's log and what was told. Not caught here: an owner that trusts its lease 4 s too long, since the worker refuses its starts; the scenarios of ownership cover the owner's own side.

--- a/crates/dotterel-coord/tests/ownership/faults.rs
+++ b/crates/dotterel-coord/tests/ownership/faults.rs
@@ -278,3 +278,68 @@
 fn planned_stops_cut_nothing() {
     check().quickcheck(cuts_nothing as fn(Vec<Planned>) -> Result<bool, String>);
 }
+
+/// One step for each kind of fault, all at the first node or the first worker.
+const FAULTS: [Step; 13] = [
+    Step::Kill(0),
+    Step::Pause(0),
+    Step::Cut(0, 0),
+    Step::Silence(0, 0),
+    Step::Mute(0, 0),
+    Step::Delay(0, 2_500),
+    Step::LoseAnswer(0),
+    Step::DropCall(0),
+    Step::Restart(0),
+    Step::Give(0, 0, 1),
+    Step::Drop(0, 0),
+    Step::Seek(1, 0),
+    Step::Retry(1),
+];
+
+/// Times between two faults in milliseconds: at once, within a lease and beyond it.
+const GAPS_MS: [u16; 3] = [0, 700, 3_700];
+
+/// Returns a schedule with work before, between and after two faults.
+fn pair(first: &Step, gap: u16, second: &Step) -> Vec<Step> {
+    vec![
+        Step::Wait(500),
+        Step::Submit(0, 8_000),
+        Step::Wait(200),
+        first.clone(),
+        Step::Submit(0, 1_000),
+        Step::Wait(gap),
+        second.clone(),
+        Step::Submit(0, 1_000),
+        Step::Wait(4_000),
+        Step::Retry(1),
+        Step::Resume(0),
+        Step::Submit(0, 500),
+        Step::Submit(1, 500),
+        Step::Wait(2_000),
+        Step::Heal(0),
+        Step::Retry(2),
+    ]
+}
+
+#[test]
+fn every_fault_alone_is_safe() {
+    for fault in &FAULTS {
+        let outcome = is_safe(pair(fault, 0, &Step::Wait(0)));
+
+        assert_eq!(outcome, Ok(true), "{fault:?}");
+    }
+}
+
+#[test]
+fn every_pair_of_faults_is_safe() {
+    for (first, second) in FAULTS
+        .iter()
+        .flat_map(|a| FAULTS.iter().map(move |b| (a, b)))
+    {
+        for gap in GAPS_MS {
+            let outcome = is_safe(pair(first, gap, second));
+
+            assert_eq!(outcome, Ok(true), "{first:?}, {gap} ms, {second:?}");
+        }
+    }
+}
