Print faults of the tools in one line, and show examples in their help

Cause: main returned the error, which prints a backtrace where one is asked for by the environment, and the load tool had no examples. Before: 'Error: ...' with 30 lines of frames. After: one line with the causes and exit code 1.

--- a/crates/dotterel-load/src/main.rs
+++ b/crates/dotterel-load/src/main.rs
@@ -1,11 +1,25 @@
 //! Open-loop load and policy experiments.
 
+use std::process::ExitCode;
+
 use anyhow::Result;
 use clap::{Parser, Subcommand};
 use dotterel_load::{cell, control, decision, experiment, footprint, http_load};
 
+const EXAMPLES: &str = "\
+Examples:
+  dotterel-load experiment docs/experiments/head-of-line.toml --csv head-of-line.csv
+  dotterel-load decisions
+  dotterel-load run --help
+
+Exit codes:
+  0  done
+  1  it could not be run, for the reason printed
+  2  wrong command line";
+
 /// Measures policies and running entry nodes.
 #[derive(Parser)]
+#[command(name = "dotterel-load", version, after_help = EXAMPLES)]
 struct Args {
     #[command(subcommand)]
     command: Command,
@@ -27,9 +41,19 @@
     Decisions(decision::Options),
 }
 
+fn main() -> ExitCode {
+    match run(Args::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("dotterel-load: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[tokio::main]
-async fn main() -> Result<()> {
-    match Args::parse().command {
+async fn run(command: Command) -> Result<()> {
+    match command {
         Command::Cell(options) => cell::run(&options).await,
         Command::Control(options) => control::run(&options).await,
         Command::Experiment(options) => experiment::run(&options),
--- a/crates/dotterel-standin/src/main.rs
+++ b/crates/dotterel-standin/src/main.rs
@@ -3,6 +3,7 @@
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 
 use anyhow::{Context, anyhow, bail};
 use clap::Parser;
@@ -171,9 +172,18 @@
     toml::from_str(&text).with_context(|| path.display().to_string())
 }
 
+fn main() -> ExitCode {
+    match run(&Options::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("dotterel-standin: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[tokio::main]
-async fn main() -> anyhow::Result<()> {
-    let options = Options::parse();
+async fn run(options: &Options) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut builder = Cluster::builder(Clock::system()).platform(options.platform);
     if let Some(addr) = options.admin {
