--- a/crates/dotterel-load/src/report.rs
+++ b/crates/dotterel-load/src/report.rs
@@ -6,48 +6,38 @@
 use crate::stats::{ClassStats, Outcome};
 use crate::trace::quota_slots;
 
+/// Heads and widths of the columns of [`figures`].
+const COLUMNS: [(&str, usize); 9] = [
+    ("arrived", 8),
+    ("finished", 8),
+    ("p50", 7),
+    ("p99", 7),
+    ("p99.9", 7),
+    ("max", 8),
+    ("refused", 8),
+    ("expired", 8),
+    ("told p99", 8),
+];
+
 /// Returns one line for each policy, load and class.
 #[must_use]
 pub fn table(scenario: &Scenario, outcomes: &[Outcome]) -> String {
     let mut text = String::new();
     let raw = &scenario.raw;
     let _ = writeln!(text, "experiment {} seed {}", raw.name, raw.seed);
-    let _ = writeln!(
-        text,
-        "{:<12} {:>5} {:<16} {:>8} {:>8} {:>7} {:>7} {:>7} {:>8} {:>8} {:>8} {:>8} {:>8}",
-        "policy",
-        "load",
-        "class",
-        "arrived",
-        "finished",
-        "p50",
-        "p99",
-        "p99.9",
-        "max",
-        "refused",
-        "expired",
-        "told p99",
-        "work %"
-    );
+    let _ = write!(text, "{:<12} {:>5} {:<16}", "policy", "load", "class");
+    for (head, width) in COLUMNS {
+        let _ = write!(text, " {head:>width$}");
+    }
+    let _ = writeln!(text, " {:>8}", "work %");
     for outcome in outcomes {
         for (class, stats) in raw.classes.iter().zip(&outcome.classes) {
-            let _ = writeln!(
-                text,
-                "{:<12} {:>5.2} {:<16} {:>8} {:>8} {:>7} {:>7} {:>7} {:>8} {:>8} {:>8} {:>8} {:>8.2}",
-                outcome.policy,
-                outcome.load,
-                class.name,
-                stats.arrived,
-                stats.finished,
-                quantile(stats, 0.5),
-                quantile(stats, 0.99),
-                quantile(stats, 0.999),
-                stats.waits.max(),
-                stats.refusals(),
-                stats.expired,
-                stats.told.value_at_quantile(0.99),
-                100.0 * work(scenario, stats),
-            );
+            let (policy, load) = (&outcome.policy, outcome.load);
+            let _ = write!(text, "{policy:<12} {load:>5.2} {:<16}", class.name);
+            for (value, (_, width)) in figures(stats).into_iter().zip(COLUMNS) {
+                let _ = write!(text, " {value:>width$}");
+            }
+            let _ = writeln!(text, " {:>8.2}", 100.0 * work(scenario, stats));
         }
         let _ = writeln!(text, "{}", summary(scenario, outcome));
     }
@@ -68,23 +58,16 @@
                 .iter()
                 .map(|(reason, count)| format!("{reason}:{count}"))
                 .collect();
+            let figures = figures(stats).map(|figure| figure.to_string());
             let _ = writeln!(
                 text,
-                "{},{},{},{},{},{},{},{},{},{},{},{},{},{},{:.4},{}",
+                "{},{},{},{},{},{},{:.4},{}",
                 scenario.raw.name,
                 scenario.raw.seed,
                 outcome.policy,
                 outcome.load,
                 class.name,
-                stats.arrived,
-                stats.finished,
-                quantile(stats, 0.5),
-                quantile(stats, 0.99),
-                quantile(stats, 0.999),
-                stats.waits.max(),
-                stats.refusals(),
-                stats.expired,
-                stats.told.value_at_quantile(0.99),
+                figures.join(","),
                 work(scenario, stats),
                 reasons.join(" "),
             );
@@ -160,8 +143,20 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
-fn quantile(stats: &ClassStats, rank: f64) -> u64 {
-    stats.waits.value_at_quantile(rank)
+/// Returns the counts, and the times in milliseconds, of one class.
+fn figures(stats: &ClassStats) -> [u64; 9] {
+    let wait = |rank| stats.waits.value_at_quantile(rank);
+    [
+        stats.arrived,
+        stats.finished,
+        wait(0.5),
+        wait(0.99),
+        wait(0.999),
+        stats.waits.max(),
+        stats.refusals(),
+        stats.expired,
+        stats.told.value_at_quantile(0.99),
+    ]
 }
 
 fn work(scenario: &Scenario, stats: &ClassStats) -> f64 {
--- a/crates/dotterel-platform/src/client/platform.rs
+++ b/crates/dotterel-platform/src/client/platform.rs
@@ -15,58 +15,39 @@
 use crate::store::{Commit, ObjectStore, Row, Table, Write};
 use crate::vm_list::{Changes, Listing, Tag, VmList};
 
-/// A [`Table`] over HTTP.
-#[derive(Clone, Debug)]
-pub struct HttpTable(Arc<Wire>);
-
-/// An [`ObjectStore`] over HTTP.
-#[derive(Clone, Debug)]
-pub struct HttpStore(Arc<Wire>);
-
-/// A [`VmList`] over HTTP.
-#[derive(Clone, Debug)]
-pub struct HttpVmList(Arc<Wire>);
-
-impl HttpTable {
-    /// Returns a client that opens connections when they are needed.
-    #[must_use]
-    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
-        Self(Arc::new(Wire::new(addr, caller, limits)))
-    }
-
-    /// Counts the bytes of its connections in `traffic`.
-    #[must_use]
-    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
-        Self(Arc::new(self.0.counted(traffic)))
-    }
+macro_rules! client {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug)]
+        pub struct $name(Arc<Wire>);
+
+        impl $name {
+            /// Returns a client that opens connections when they are needed.
+            #[must_use]
+            pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
+                Self(Arc::new(Wire::new(addr, caller, limits)))
+            }
+
+            /// Counts the bytes of its connections in `traffic`.
+            #[must_use]
+            pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
+                Self(Arc::new(self.0.counted(traffic)))
+            }
+        }
+    };
 }
 
-impl HttpStore {
-    /// Returns a client that opens connections when they are needed.
-    #[must_use]
-    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
-        Self(Arc::new(Wire::new(addr, caller, limits)))
-    }
-
-    /// Counts the bytes of its connections in `traffic`.
-    #[must_use]
-    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
-        Self(Arc::new(self.0.counted(traffic)))
-    }
+client! {
+    /// A [`Table`] over HTTP.
+    HttpTable
 }
-
-impl HttpVmList {
-    /// Returns a client that opens connections when they are needed.
-    #[must_use]
-    pub fn new(addr: SocketAddr, caller: &NodeId, limits: Limits) -> Self {
-        Self(Arc::new(Wire::new(addr, caller, limits)))
-    }
-
-    /// Counts the bytes of its connections in `traffic`.
-    #[must_use]
-    pub fn counted(self, traffic: &Arc<Traffic>) -> Self {
-        Self(Arc::new(self.0.counted(traffic)))
-    }
+client! {
+    /// An [`ObjectStore`] over HTTP.
+    HttpStore
+}
+client! {
+    /// A [`VmList`] over HTTP.
+    HttpVmList
 }
 
 #[async_trait]
