--- /dev/null
+++ b/crates/dotterel-cell/src/cell.rs
@@ -0,0 +1,448 @@
+//! Events in, orders and rows out.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use dotterel_kernel::{Millis, Size};
+use slotmap::{SecondaryMap, SlotMap};
+
+use crate::job::{Job, JobKey, JobState, Phase, StepRef};
+use crate::record::{EndRecord, JobRecord, Progress};
+use crate::spec::{JobId, TaskName};
+use crate::vm::{RunOn, RunPhase, Vm, VmInfo, VmKey};
+
+mod admission;
+mod batch;
+mod ends;
+mod orders;
+mod reports;
+mod tick;
+
+pub use batch::{Batch, RowWrite};
+
+/// Figures that the platform states, and the settings of the cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The lease that each call to a VM asks for.
+    pub lease: Millis,
+    /// How long a stop may take.
+    pub stop: Millis,
+    /// How long members of a gang wait for the others.
+    pub gang: Millis,
+    /// How long the state of an ended job can be asked for.
+    pub keep: Millis,
+    /// How many times as long a task takes away from its data, in hundredths.
+    pub far_pct: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            lease: Millis(4000),
+            stop: Millis(400),
+            gang: Millis(3000),
+            keep: Millis::secs(120),
+            far_pct: 150,
+        }
+    }
+}
+
+/// A question for the advice service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The step.
+    pub step: StepRef,
+    /// Its job.
+    pub job: JobId,
+    /// The VMs to ask about.
+    pub vms: Vec<VmKey>,
+    /// What the call is expected to take.
+    pub cost: Millis,
+}
+
+/// What the scheduler orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start a run.
+    Start {
+        /// Where.
+        vm: VmKey,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: u32,
+        /// The state to resume from; empty for none.
+        saved: CompactString,
+        /// The advice service's ticket; empty for none.
+        ticket: CompactString,
+        /// How long the step has been open.
+        waited: Millis,
+    },
+    /// Stop a run.
+    Stop {
+        /// Where.
+        vm: VmKey,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: u32,
+        /// Why, for the log.
+        reason: &'static str,
+    },
+    /// Ask the advice service.
+    Ask(Ask),
+}
+
+/// Why a job is refused before anything of it is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// When the caller should come back.
+    pub retry: Millis,
+}
+
+/// What became of a job that came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// It is new and will be durable with the next batch.
+    New,
+    /// It is known and durable.
+    Known,
+    /// It is known but not durable yet.
+    Pending,
+    /// It isn't taken.
+    Refused(Refusal),
+}
+
+/// What became of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelled {
+    /// No such job.
+    Unknown,
+    /// It had ended, and that is durable.
+    Ended,
+    /// It will be durable with the next batch.
+    Pending,
+}
+
+/// A cell's jobs, VMs and orders.
+#[derive(Debug)]
+pub struct Cell {
+    limits: Limits,
+    term: u32,
+    began: Millis,
+    hold_off: Millis,
+    settled: bool,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    index: Vec<(JobId, JobKey)>,
+    pub(crate) vms: SlotMap<VmKey, Vm>,
+    vm_ids: Vec<(CompactString, VmKey)>,
+    pub(crate) open: Vec<StepRef>,
+    pub(crate) orders: Vec<Order>,
+    fresh: Vec<JobKey>,
+    changed: Vec<JobKey>,
+    changed_at: Millis,
+    closing: Vec<JobKey>,
+    dropping: Vec<JobId>,
+    pub(crate) dirty: bool,
+    pub(crate) good: Vec<(CompactString, f32)>,
+    pub(crate) held: SecondaryMap<VmKey, Size>,
+}
+
+impl Cell {
+    /// Returns a cell whose scheduler took the role at `now`.
+    ///
+    /// Tasks of earlier terms wait until every listed VM has answered, but not past `hold_off`.
+    #[must_use]
+    pub fn new(limits: Limits, term: u32, now: Millis, hold_off: Millis) -> Self {
+        Self {
+            limits,
+            term,
+            began: now,
+            hold_off,
+            settled: false,
+            jobs: SlotMap::with_key(),
+            index: Vec::new(),
+            vms: SlotMap::with_key(),
+            vm_ids: Vec::new(),
+            open: Vec::new(),
+            orders: Vec::new(),
+            fresh: Vec::new(),
+            changed: Vec::new(),
+            changed_at: Millis::ZERO,
+            closing: Vec::new(),
+            dropping: Vec::new(),
+            dirty: true,
+            good: Vec::new(),
+            held: SecondaryMap::new(),
+        }
+    }
+
+    /// Returns the figures that the cell works with.
+    #[must_use]
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Takes in a job that an earlier term kept.
+    pub fn inherit(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        progress: Option<&Progress>,
+        now: Millis,
+    ) {
+        if self.find(id).is_some() {
+            return;
+        }
+        let mut job = Job::new(id, record, now);
+        job.since = job.arrived.min(now);
+        job.stored = true;
+        job.inherited = true;
+        job.run_floor = self.run_floor();
+        if let Some(progress) = progress {
+            job.restore(progress, now);
+        }
+        let key = self.insert(job);
+        self.begin_due(key, now);
+        self.reopen(key, now);
+    }
+
+    /// Takes in the end of a job that an earlier term kept.
+    pub fn inherit_end(&mut self, id: JobId, end: &EndRecord, now: Millis) {
+        if self.find(id).is_some() {
+            return;
+        }
+        let mut job = Job::new(id, JobRecord::default(), now);
+        job.policy.queue = end.queue.clone();
+        job.stored = true;
+        job.end = Some(end.state);
+        job.shown = true;
+        job.ended = end.at.min(now);
+        self.insert(job);
+    }
+
+    /// Returns what callers are told of a job; none when it isn't known or not accepted yet.
+    #[must_use]
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let job = &self.jobs[self.find(id)?];
+        job.stored.then(|| job.state())
+    }
+
+    /// Returns how many accepted jobs of a queue have not begun.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> u32 {
+        let waiting = self.jobs.values().filter(|job| {
+            job.stored && !job.begun && job.end.is_none() && job.policy.queue == queue
+        });
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.find(id).map(|key| &self.jobs[key])
+    }
+
+    /// Returns the VM that a key points to.
+    #[must_use]
+    pub fn vm(&self, key: VmKey) -> Option<&Vm> {
+        self.vms.get(key)
+    }
+
+    /// Returns all VMs.
+    pub fn vms(&self) -> impl Iterator<Item = (VmKey, &Vm)> {
+        self.vms.iter()
+    }
+
+    /// Returns all jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// Returns the number of VMs that run something but have gone from the registry.
+    #[must_use]
+    pub fn unlisted_busy(&self) -> usize {
+        let busy = self.vms.values().filter(|vm| !vm.listed && !vm.runs.is_empty());
+        busy.count()
+    }
+
+    /// Takes the orders given since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns true when something has changed that a new plan could use.
+    #[must_use]
+    pub const fn wants_plan(&self) -> bool {
+        self.dirty
+    }
+
+    /// Takes in an entry of the registry.
+    pub fn vm_listed(&mut self, info: VmInfo, now: Millis) -> VmKey {
+        let at = self
+            .vm_ids
+            .binary_search_by(|(id, _)| id.as_str().cmp(&info.id));
+        if let Ok(at) = at {
+            let key = self.vm_ids[at].1;
+            let born = self.vms[key].info.born;
+            if born == info.born {
+                let vm = &mut self.vms[key];
+                vm.listed = true;
+                self.dirty |= vm.info.draining != info.draining;
+                vm.info = info;
+                return key;
+            }
+            if born > info.born {
+                return key;
+            }
+            self.lose_vm(key, now);
+        }
+        self.dirty = true;
+        let id = info.id.clone();
+        let key = self.vms.insert(Vm::new(info));
+        let at = self.vm_ids.partition_point(|(known, _)| *known < id);
+        self.vm_ids.insert(at, (id, key));
+        key
+    }
+
+    /// Takes in that an entry has gone from the registry.
+    pub fn vm_unlisted(&mut self, id: &str, now: Millis) {
+        if let Some(key) = self.vm_by_id(id) {
+            let vm = &mut self.vms[key];
+            if vm.listed {
+                vm.listed = false;
+                vm.unlisted = now;
+            }
+        }
+    }
+
+    /// Finds a VM.
+    #[must_use]
+    pub fn vm_by_id(&self, id: &str) -> Option<VmKey> {
+        let at = self.vm_ids.binary_search_by(|(known, _)| known.as_str().cmp(id));
+        at.ok().map(|at| self.vm_ids[at].1)
+    }
+
+    pub(crate) fn find(&self, id: JobId) -> Option<JobKey> {
+        let at = self.index.binary_search_by_key(&id, |(known, _)| *known);
+        at.ok().map(|at| self.index[at].1)
+    }
+
+    fn insert(&mut self, job: Job) -> JobKey {
+        let id = job.id;
+        let key = self.jobs.insert(job);
+        let at = self.index.partition_point(|(known, _)| *known < id);
+        self.index.insert(at, (id, key));
+        key
+    }
+
+    /// Begins occurrences whose time has come.
+    fn begin_due(&mut self, key: JobKey, now: Millis) {
+        let job = &mut self.jobs[key];
+        if job.end.is_some() {
+            return;
+        }
+        loop {
+            let number = job.next_round;
+            let due = if job.spec.repeats == 0 {
+                if number > 0 {
+                    break;
+                }
+                now
+            } else {
+                if number >= job.spec.repeats {
+                    break;
+                }
+                job.spec.first + Millis(job.spec.period.0 * u64::from(number))
+            };
+            if due > now {
+                break;
+            }
+            job.begin_round(number, now);
+        }
+        self.reopen(key, now);
+    }
+
+    /// Puts the open steps of a job into the queue.
+    fn reopen(&mut self, key: JobKey, now: Millis) {
+        let job = &mut self.jobs[key];
+        let numbers: Vec<u32> = job.rounds.iter().map(|round| round.number).collect();
+        for round in numbers {
+            for step in job.open_steps(round, now) {
+                self.open.push(StepRef { job: key, round, step });
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn touch(&mut self, key: JobKey, now: Millis) {
+        if let Err(at) = self.changed.binary_search(&key) {
+            if self.changed.is_empty() {
+                self.changed_at = now;
+            }
+            self.changed.insert(at, key);
+        }
+    }
+
+    /// Ends a job: what runs of it is stopped, and the end is kept.
+    fn finish(&mut self, key: JobKey, state: JobState, now: Millis) {
+        let job = &mut self.jobs[key];
+        if job.end.is_some() {
+            return;
+        }
+        job.end = Some(state);
+        job.ended = now;
+        let id = job.id;
+        let mut placed = Vec::new();
+        for round in &job.rounds {
+            for (step, run) in round.steps.iter().enumerate() {
+                for (index, task) in run.tasks.iter().enumerate() {
+                    if let Phase::Placed(vm) = task.phase {
+                        let name = TaskName {
+                            job: id,
+                            round: round.number,
+                            step: u16::try_from(step).unwrap_or(u16::MAX),
+                            index: u32::try_from(index).unwrap_or(u32::MAX),
+                        };
+                        placed.push((vm, name, task.run));
+                    }
+                }
+            }
+        }
+        for (vm, name, run) in placed {
+            self.order_stop(vm, name, run, "job ended");
+        }
+        if let Ok(at) = self.changed.binary_search(&key) {
+            self.changed.remove(at);
+        }
+        self.closing.push(key);
+    }
+
+    fn run_floor(&self) -> u32 {
+        /// Runs of one task that a single term can reach; attempts are few.
+        const RUNS_A_TERM: u32 = 64;
+        self.term.saturating_sub(1).saturating_mul(RUNS_A_TERM)
+    }
+
+    pub(crate) fn step_spec(&self, at: StepRef) -> Option<(Arc<crate::spec::JobSpec>, usize)> {
+        let job = self.jobs.get(at.job)?;
+        Some((Arc::clone(&job.spec), usize::from(at.step)))
+    }
+
+    pub(crate) fn run_on(&self, name: TaskName, run: u32, now: Millis) -> RunOn {
+        let job = self.find(name.job).map(|key| &self.jobs[key]);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(name.step)));
+        RunOn {
+            task: name,
+            run,
+            size: step.map_or(Size::ZERO, crate::plan::room_for),
+            priority: job.map_or(0, |job| job.policy.priority),
+            checkpoint: step.is_some_and(|step| step.checkpoint && !step.gang && !step.service),
+            phase: RunPhase::Starting,
+            ordered: now,
+            confirmed: now,
+            percent: 0,
+            moved: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/admission.rs
@@ -0,0 +1,53 @@
+//! Jobs that come in, and cancellations.
+
+use dotterel_kernel::Millis;
+
+use super::{Cancelled, Cell, Refusal, Submitted};
+use crate::job::{Job, JobState};
+use crate::record::JobRecord;
+use crate::spec::JobId;
+
+/// Jobs that a cell keeps open at most; bounds memory, since each takes a few kilobytes.
+const MAX_OPEN_JOBS: usize = 20_000;
+/// When callers come back to a cell that is full.
+const FULL_RETRY: Millis = Millis::secs(2);
+
+impl Cell {
+    /// Takes in a job.
+    pub fn submit(&mut self, id: JobId, mut record: JobRecord, now: Millis) -> Submitted {
+        if let Some(key) = self.find(id) {
+            return if self.jobs[key].stored {
+                Submitted::Known
+            } else {
+                Submitted::Pending
+            };
+        }
+        if self.open_jobs() >= MAX_OPEN_JOBS {
+            return Submitted::Refused(Refusal { retry: FULL_RETRY });
+        }
+        record.term = self.term;
+        let key = self.insert(Job::new(id, record, now));
+        self.fresh.push(key);
+        self.begin_due(key, now);
+        Submitted::New
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: JobId, now: Millis) -> Cancelled {
+        let Some(key) = self.find(id) else {
+            return Cancelled::Unknown;
+        };
+        let job = &self.jobs[key];
+        if job.shown {
+            return Cancelled::Ended;
+        }
+        if job.end.is_none() {
+            self.finish(key, JobState::Cancelled, now);
+        }
+        Cancelled::Pending
+    }
+
+    fn open_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| job.end.is_none()).count()
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -0,0 +1,146 @@
+//! Runs that have ended.
+
+use dotterel_kernel::Millis;
+
+use super::Cell;
+use crate::job::{JobKey, JobState, Phase};
+use crate::spec::TaskName;
+use crate::vm::{How, ReportedEnd, VmKey};
+
+impl Cell {
+    /// Takes in one end that a VM lists.
+    pub(crate) fn run_ended(&mut self, vm: VmKey, end: &ReportedEnd, now: Millis) {
+        let own = self.vms[vm].remove(end.task, end.run).is_some();
+        self.dirty = true;
+        let Some(key) = self.find(end.task.job) else {
+            return;
+        };
+        if self.jobs[key].end.is_some() {
+            return;
+        }
+        let Some(task) = self.task_mut(end.task) else {
+            return;
+        };
+        let current = task.run == end.run && task.phase == Phase::Placed(vm);
+        // A run of an earlier term, or one that was given up while the VM was silent. Its end
+        // counts only as long as the task has not been started again.
+        let late = !own && task.phase == Phase::Waiting;
+        if !current && !late {
+            return;
+        }
+        task.run = task.run.max(end.run);
+        let spec = self.jobs[key].spec.clone();
+        let Some(step) = spec.steps.get(usize::from(end.task.step)) else {
+            return;
+        };
+        if step.checkpoint && !end.saved.is_empty() {
+            self.save_state(key, end, step.gang);
+            self.touch(key, now);
+        }
+        self.jobs[key].begun = true;
+        match end.how {
+            How::Done if !step.service => {
+                self.vms[vm].standing.succeeded();
+                self.task_done(key, end.task, step.gang, now);
+            }
+            How::Failed if !step.service => {
+                self.vms[vm].standing.failed(end.task.job, now);
+                self.task_failed(vm, key, end, step.gang, now);
+            }
+            _ => self.task_waits(vm, end.task, current),
+        }
+        if step.gang && end.how != How::Done {
+            self.void_gang(end.task, end.run);
+        }
+    }
+
+    fn save_state(&mut self, key: JobKey, end: &ReportedEnd, gang: bool) {
+        let Some(round) = self.jobs[key].round_mut(end.task.round) else {
+            return;
+        };
+        let step = &mut round.steps[usize::from(end.task.step)];
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            // The members of a gang resume from the same state.
+            if gang || index == end.task.index as usize {
+                task.saved = end.saved.clone();
+            }
+        }
+    }
+
+    fn task_waits(&mut self, vm: VmKey, name: TaskName, current: bool) {
+        if let Some(task) = self.task_mut(name)
+            && current
+            && task.phase == Phase::Placed(vm)
+        {
+            task.phase = Phase::Waiting;
+        }
+        self.requeue(name);
+    }
+
+    pub(crate) fn task_done(&mut self, key: JobKey, name: TaskName, gang: bool, now: Millis) {
+        let Some(round) = self.jobs[key].round_mut(name.round) else {
+            return;
+        };
+        let step = &mut round.steps[usize::from(name.step)];
+        if gang {
+            // One member's end stands for all; the others' ends follow.
+            for task in &mut step.tasks {
+                task.phase = Phase::Done;
+            }
+            step.left = 0;
+        } else {
+            let task = &mut step.tasks[name.index as usize];
+            if task.phase != Phase::Done {
+                task.phase = Phase::Done;
+                step.left -= 1;
+            }
+        }
+        let step_done = step.left == 0;
+        let round_done = round.is_done();
+        self.touch(key, now);
+        if round_done {
+            self.jobs[key].rounds.retain(|round| round.number != name.round);
+            let job = &self.jobs[key];
+            if job.rounds.is_empty() && job.next_round >= job.spec.repeats.max(1) {
+                self.finish(key, JobState::Completed, now);
+            }
+        } else if step_done {
+            self.reopen(key, now);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        vm: VmKey,
+        key: JobKey,
+        end: &ReportedEnd,
+        gang: bool,
+        now: Millis,
+    ) {
+        let attempts = self.jobs[key].policy.attempts.max(1);
+        let Some(round) = self.jobs[key].round_mut(end.task.round) else {
+            return;
+        };
+        let step = &mut round.steps[usize::from(end.task.step)];
+        let task = &mut step.tasks[end.task.index as usize];
+        task.fails = task.fails.saturating_add(1);
+        task.phase = Phase::Waiting;
+        if !task.avoid.contains(&vm) {
+            task.avoid.push(vm);
+        }
+        let mut fails = task.fails;
+        if gang {
+            if step.failed_run != end.run {
+                step.failed_run = end.run;
+                step.fails = step.fails.saturating_add(1);
+            }
+            fails = step.fails;
+        }
+        self.touch(key, now);
+        if fails >= attempts {
+            self.finish(key, JobState::Failed, now);
+        } else {
+            self.requeue(end.task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -0,0 +1,176 @@
+//! Orders to VMs, and what the VMs answer.
+
+use dotterel_kernel::Millis;
+
+use super::{Cell, Order};
+use crate::job::Phase;
+use crate::spec::TaskName;
+use crate::vm::{RunPhase, StartAnswer, VmKey};
+
+impl Cell {
+    /// Orders a run to stop, once.
+    pub(crate) fn order_stop(
+        &mut self,
+        vm: VmKey,
+        task: TaskName,
+        run: u32,
+        reason: &'static str,
+    ) {
+        let Some(on) = self.vms.get_mut(vm) else {
+            return;
+        };
+        let Some(at) = on.find(task, run) else {
+            return;
+        };
+        if !matches!(on.runs[at].phase, RunPhase::Stopping { .. }) {
+            on.runs[at].phase = RunPhase::Stopping { acked: None };
+            self.orders.push(Order::Stop { vm, task, run, reason });
+        }
+    }
+
+    /// Takes in what became of a start.
+    pub fn start_answered(
+        &mut self,
+        vm: VmKey,
+        task: TaskName,
+        run: u32,
+        answer: StartAnswer,
+        now: Millis,
+    ) {
+        let Some(on) = self.vms.get_mut(vm) else {
+            return;
+        };
+        let Some(at) = on.find(task, run) else {
+            return;
+        };
+        match answer {
+            StartAnswer::Started => {
+                let entry = &mut on.runs[at];
+                if entry.phase == RunPhase::Starting {
+                    entry.phase = RunPhase::Running;
+                    entry.confirmed = now;
+                    entry.moved = now;
+                }
+                if let Some(key) = self.find(task.job) {
+                    self.jobs[key].begun = true;
+                }
+                return;
+            }
+            StartAnswer::Unknown | StartAnswer::Fenced => {
+                // The order may yet be carried out, so the run is barred before it goes elsewhere.
+                on.standing.stalled(now);
+                self.order_stop(vm, task, run, "start not answered");
+                self.void_gang(task, run);
+                return;
+            }
+            StartAnswer::Old => {
+                // It has ended there, and the VM will say how.
+                on.runs[at].phase = RunPhase::Stopping { acked: Some(now) };
+                return;
+            }
+            StartAnswer::Unhealthy => on.standing.stalled(now),
+            StartAnswer::BadTicket => self.drop_ticket(vm, task),
+            StartAnswer::NoRoom
+            | StartAnswer::Late
+            | StartAnswer::Reborn
+            | StartAnswer::Malformed => {}
+        }
+        self.release(vm, task, run);
+        self.void_gang(task, run);
+    }
+
+    /// Takes in that a VM has answered a stop.
+    pub fn stop_answered(&mut self, vm: VmKey, task: TaskName, run: u32, now: Millis) {
+        let Some(on) = self.vms.get_mut(vm) else {
+            return;
+        };
+        if let Some(at) = on.find(task, run) {
+            on.runs[at].phase = RunPhase::Stopping { acked: Some(now) };
+        }
+    }
+
+    /// Takes a run off a VM; its task waits again if this was its run.
+    pub(crate) fn release(&mut self, vm: VmKey, task: TaskName, run: u32) {
+        if let Some(on) = self.vms.get_mut(vm) {
+            on.remove(task, run);
+        }
+        self.dirty = true;
+        let Some(key) = self.find(task.job) else {
+            return;
+        };
+        if self.jobs[key].end.is_some() {
+            return;
+        }
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        if entry.phase == Phase::Placed(vm) && entry.run == run {
+            entry.phase = Phase::Waiting;
+            self.requeue(task);
+        }
+    }
+
+    /// Puts a task's step back into the queue.
+    pub(crate) fn requeue(&mut self, task: TaskName) {
+        let Some(job) = self.find(task.job) else {
+            return;
+        };
+        let at = crate::job::StepRef {
+            job,
+            round: task.round,
+            step: task.step,
+        };
+        if !self.open.contains(&at) {
+            self.open.push(at);
+        }
+        self.dirty = true;
+    }
+
+    /// Stops the other members of a gang's run, which can't end well any more.
+    pub(crate) fn void_gang(&mut self, task: TaskName, run: u32) {
+        let Some(key) = self.find(task.job) else {
+            return;
+        };
+        let job = &self.jobs[key];
+        let gang = job.spec.steps.get(usize::from(task.step)).is_some_and(|step| step.gang);
+        let Some(round) = job.round(task.round).filter(|_| gang) else {
+            return;
+        };
+        let mut members = Vec::new();
+        for (index, entry) in round.steps[usize::from(task.step)].tasks.iter().enumerate() {
+            if let Phase::Placed(vm) = entry.phase
+                && entry.run == run
+            {
+                let index = u32::try_from(index).unwrap_or(u32::MAX);
+                members.push((vm, TaskName { index, ..task }));
+            }
+        }
+        for (vm, member) in members {
+            self.order_stop(vm, member, run, "gang broken");
+        }
+    }
+
+    pub(crate) fn task_mut(&mut self, name: TaskName) -> Option<&mut crate::job::Task> {
+        let key = self.find(name.job)?;
+        let round = self.jobs[key].round_mut(name.round)?;
+        let step = round.steps.get_mut(usize::from(name.step))?;
+        step.tasks.get_mut(name.index as usize)
+    }
+
+    fn drop_ticket(&mut self, vm: VmKey, task: TaskName) {
+        let Some(key) = self.find(task.job) else {
+            return;
+        };
+        let Some(round) = self.jobs[key].round_mut(task.round) else {
+            return;
+        };
+        let Some(step) = round.steps.get_mut(usize::from(task.step)) else {
+            return;
+        };
+        for allowed in &mut step.advice.allowed {
+            if allowed.vm == vm {
+                allowed.until = Millis::ZERO;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -0,0 +1,131 @@
+//! VMs' accounts of themselves.
+
+use dotterel_kernel::Millis;
+
+use super::{Cell, Order};
+use crate::job::Phase;
+use crate::vm::{Report, ReportedRun, RunPhase, VmInfo, VmKey};
+
+impl Cell {
+    /// Takes in what a VM says of itself; `sent` is when it was asked.
+    ///
+    /// Only one question to a VM may be under way at a time, so that reports come in order.
+    pub fn report(&mut self, key: VmKey, report: &Report, sent: Millis, now: Millis) {
+        let Some(vm) = self.vms.get(key) else {
+            return;
+        };
+        if report.born > vm.info.born {
+            // The VM has started anew and the registry doesn't say so yet.
+            let info = VmInfo {
+                born: report.born,
+                ..vm.info.clone()
+            };
+            let key = self.vm_listed(info, now);
+            self.report(key, report, sent, now);
+            return;
+        }
+        if vm.info.born != report.born {
+            return;
+        }
+        let vm = &mut self.vms[key];
+        if !vm.fenced {
+            vm.fenced = true;
+            self.dirty = true;
+        }
+        if report.clock >= vm.clock {
+            vm.clock = report.clock;
+            vm.answered = now;
+        }
+        let taken = vm.taken;
+        for end in report.ended.iter().filter(|end| end.number > taken) {
+            self.run_ended(key, end, now);
+            self.vms[key].taken = end.number;
+        }
+        for run in &report.running {
+            self.run_listed(key, run, now);
+        }
+        self.drop_absent(key, report, sent);
+    }
+
+    /// Returns the end of the lease to ask a VM for, on its clock; none before its first answer.
+    pub fn name_lease(&mut self, key: VmKey, now: Millis) -> Option<Millis> {
+        let lease = self.limits.lease;
+        let vm = self.vms.get_mut(key)?;
+        if vm.clock == Millis::ZERO {
+            return None;
+        }
+        vm.lease = vm.lease.max(vm.clock_at(now) + lease);
+        Some(vm.lease)
+    }
+
+    fn run_listed(&mut self, key: VmKey, seen: &ReportedRun, now: Millis) {
+        let vm = &mut self.vms[key];
+        if let Some(at) = vm.find(seen.task, seen.run) {
+            let on = &mut vm.runs[at];
+            if on.phase == RunPhase::Starting {
+                on.phase = RunPhase::Running;
+                on.confirmed = now;
+            }
+            if seen.percent != on.percent {
+                on.percent = seen.percent;
+                on.moved = now;
+            }
+            if let Some(job) = self.find(seen.task.job) {
+                self.jobs[job].begun = true;
+            }
+            return;
+        }
+        let mut run = self.run_on(seen.task, seen.run, now);
+        run.percent = seen.percent;
+        let wanted = self
+            .find(seen.task.job)
+            .is_some_and(|job| self.jobs[job].end.is_none());
+        let adopted = wanted
+            && self
+                .task_mut(seen.task)
+                .is_some_and(|task| task.phase == Phase::Waiting && task.run <= seen.run);
+        if adopted {
+            run.phase = RunPhase::Running;
+            if let Some(task) = self.task_mut(seen.task) {
+                task.phase = Phase::Placed(key);
+                task.run = seen.run;
+            }
+            if let Some(job) = self.find(seen.task.job) {
+                self.jobs[job].begun = true;
+            }
+            self.vms[key].add(run);
+        } else {
+            run.phase = RunPhase::Stopping { acked: None };
+            self.vms[key].add(run);
+            self.orders.push(Order::Stop {
+                vm: key,
+                task: seen.task,
+                run: seen.run,
+                reason: "not wanted here",
+            });
+        }
+    }
+
+    /// Drops runs that the VM would have listed if they were there.
+    fn drop_absent(&mut self, key: VmKey, report: &Report, sent: Millis) {
+        let mut absent = Vec::new();
+        for on in &self.vms[key].runs {
+            let sure = match on.phase {
+                RunPhase::Stopping { acked: Some(at) } => at < sent,
+                RunPhase::Running => on.confirmed < sent,
+                _ => false,
+            };
+            let listed = report
+                .running
+                .iter()
+                .any(|run| run.task == on.task && run.run == on.run);
+            if sure && !listed {
+                absent.push((on.task, on.run));
+            }
+        }
+        for (task, run) in absent {
+            self.release(key, task, run);
+            self.void_gang(task, run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/job.rs
@@ -0,0 +1,362 @@
+//! A job's steps and tasks while the scheduler works on them.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use dotterel_kernel::Millis;
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+
+use crate::record::{JobRecord, Progress, RoundProgress, StepProgress};
+use crate::spec::{JobId, JobSpec, Policy, Step};
+use crate::vm::VmKey;
+
+new_key_type! {
+    /// Points to a job.
+    pub struct JobKey;
+}
+
+/// What callers are told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task or gang has used up its attempts.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns true when nothing of the job runs any more or ever will.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// Points to a step of an occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepRef {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence's number.
+    pub round: u32,
+    /// The step's number.
+    pub step: u16,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not started, or to be started again.
+    Waiting,
+    /// Ordered to a VM, running there or being stopped there.
+    Placed(VmKey),
+    /// Done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Where it stands.
+    pub phase: Phase,
+    /// The highest run number used.
+    pub run: u32,
+    /// Failed runs.
+    pub fails: u8,
+    /// The state to resume from; empty for none.
+    pub saved: CompactString,
+    /// VMs on which it failed or stalled.
+    pub avoid: Vec<VmKey>,
+}
+
+/// A VM that may run a step.
+#[derive(Clone, Debug)]
+pub struct Allowed {
+    /// The VM.
+    pub vm: VmKey,
+    /// Start of the VM's life for which the ticket holds.
+    pub born: u64,
+    /// Shown with each start.
+    pub ticket: CompactString,
+    /// No longer valid from this moment on.
+    pub until: Millis,
+}
+
+/// What the advice service has said of a step.
+#[derive(Clone, Debug, Default)]
+pub struct Advice {
+    /// VMs that it was asked about, sorted.
+    pub asked: Vec<VmKey>,
+    /// Those of them that may run the step, sorted by VM.
+    pub allowed: Vec<Allowed>,
+    /// Set while a call is under way: when it was made.
+    pub pending: Option<Millis>,
+    /// No further call before this moment.
+    pub not_before: Millis,
+}
+
+/// One step of an occurrence.
+#[derive(Clone, Debug)]
+pub struct StepRun {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Set once all predecessors are done.
+    pub open: bool,
+    /// When it opened.
+    pub opened: Millis,
+    /// Failed runs of the gang.
+    pub fails: u8,
+    /// The gang's run that already counted as failed.
+    pub failed_run: u32,
+    /// Which VMs may run it.
+    pub advice: Advice,
+    /// Since when the step has waited for room that is being made for it.
+    pub reserved: Option<Millis>,
+}
+
+/// One occurrence of a job's steps.
+#[derive(Clone, Debug)]
+pub struct Round {
+    /// Its number.
+    pub number: u32,
+    /// When it came due, on the scheduler's clock.
+    pub due: Millis,
+    /// Its steps.
+    pub steps: Vec<StepRun>,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The caller's id.
+    pub id: JobId,
+    /// What the caller asked for.
+    pub spec: Arc<JobSpec>,
+    /// How its queue is treated.
+    pub policy: Policy,
+    /// When the first request for it came in, on the wall clock.
+    pub arrived: Millis,
+    /// The same on the scheduler's clock.
+    pub since: Millis,
+    /// The term in which it was accepted.
+    pub term: u32,
+    /// Set once the acceptance is durable.
+    pub stored: bool,
+    /// Set once a task has started.
+    pub begun: bool,
+    /// How it ended, once it has; callers see it when `shown` is set.
+    pub end: Option<JobState>,
+    /// Set once the end is durable.
+    pub shown: bool,
+    /// When it ended.
+    pub ended: Millis,
+    /// Occurrences under way.
+    pub rounds: Vec<Round>,
+    /// The number of the next occurrence.
+    pub next_round: u32,
+    /// Lower bound of run numbers, above those that an earlier term may have used.
+    pub run_floor: u32,
+    /// Set when it was read back after a take-over.
+    pub inherited: bool,
+}
+
+impl Job {
+    /// Returns a job that has just come in, or was read back.
+    #[must_use]
+    pub fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
+        Self {
+            id,
+            arrived: record.arrived,
+            spec: Arc::new(record.spec),
+            policy: record.policy,
+            since: now,
+            term: record.term,
+            stored: false,
+            begun: false,
+            end: None,
+            shown: false,
+            ended: Millis::ZERO,
+            rounds: Vec::new(),
+            next_round: 0,
+            run_floor: 0,
+            inherited: false,
+        }
+    }
+
+    /// Returns what callers are told.
+    #[must_use]
+    pub fn state(&self) -> JobState {
+        match self.end {
+            Some(end) if self.shown => end,
+            _ if self.begun => JobState::Running,
+            _ => JobState::Queued,
+        }
+    }
+
+    /// Returns the moment by which the job should be completed, on the scheduler's clock.
+    #[must_use]
+    pub fn objective(&self) -> Millis {
+        let chain = self.spec.chain().0 * u64::from(self.policy.stretch_pct) / 100;
+        Millis(chain) + self.policy.allowance
+    }
+
+    /// Finds an occurrence.
+    #[must_use]
+    pub fn round(&self, number: u32) -> Option<&Round> {
+        self.rounds.iter().find(|round| round.number == number)
+    }
+
+    /// Finds an occurrence.
+    pub fn round_mut(&mut self, number: u32) -> Option<&mut Round> {
+        self.rounds.iter_mut().find(|round| round.number == number)
+    }
+
+    /// Begins an occurrence; its steps without predecessors open at once.
+    pub fn begin_round(&mut self, number: u32, now: Millis) {
+        let floor = self.run_floor;
+        let steps = self.spec.steps.iter().map(|step| StepRun::new(step, floor, now));
+        let round = Round {
+            number,
+            due: now,
+            steps: steps.collect(),
+        };
+        self.rounds.push(round);
+        self.next_round = self.next_round.max(number + 1);
+    }
+
+    /// Opens steps whose predecessors are all done.
+    pub fn open_steps(&mut self, number: u32, now: Millis) -> Vec<u16> {
+        let spec = Arc::clone(&self.spec);
+        let Some(round) = self.round_mut(number) else {
+            return Vec::new();
+        };
+        let mut opened = Vec::new();
+        for (index, step) in spec.steps.iter().enumerate() {
+            let ready = step
+                .after
+                .iter()
+                .all(|before| round.steps[usize::from(*before)].left == 0);
+            let run = &mut round.steps[index];
+            if ready && !run.open {
+                run.open = true;
+                run.opened = now;
+                opened.push(u16::try_from(index).unwrap_or(u16::MAX));
+            }
+        }
+        opened
+    }
+
+    /// Returns what of the job's progress must outlive the scheduler.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        Progress {
+            rounds: self.rounds.iter().map(Round::progress).collect(),
+            next: self.next_round,
+        }
+    }
+
+    /// Takes over the progress that an earlier term wrote.
+    pub fn restore(&mut self, progress: &Progress, now: Millis) {
+        self.rounds.clear();
+        for round in &progress.rounds {
+            self.begin_round(round.round, now);
+            let floor = self.run_floor;
+            let Some(last) = self.rounds.last_mut() else {
+                continue;
+            };
+            for (step, saved) in last.steps.iter_mut().zip(&round.steps) {
+                step.restore(saved, floor);
+            }
+            self.begun = true;
+        }
+        self.next_round = self.next_round.max(progress.next);
+    }
+}
+
+impl Round {
+    /// Returns true when all steps are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    fn progress(&self) -> RoundProgress {
+        RoundProgress {
+            round: self.number,
+            steps: self.steps.iter().map(StepRun::progress).collect(),
+        }
+    }
+}
+
+impl StepRun {
+    fn new(step: &Step, floor: u32, now: Millis) -> Self {
+        let task = Task {
+            phase: Phase::Waiting,
+            run: floor,
+            fails: 0,
+            saved: CompactString::default(),
+            avoid: Vec::new(),
+        };
+        Self {
+            tasks: vec![task; step.count as usize],
+            left: step.count,
+            open: false,
+            opened: now,
+            fails: 0,
+            failed_run: 0,
+            advice: Advice::default(),
+            reserved: None,
+        }
+    }
+
+    /// Returns true when a task waits for a VM.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.left > 0 && self.tasks.iter().any(|task| task.phase == Phase::Waiting)
+    }
+
+    fn progress(&self) -> StepProgress {
+        let mut done = vec![0u8; self.tasks.len().div_ceil(8)];
+        let mut marks = Vec::new();
+        for (index, task) in self.tasks.iter().enumerate() {
+            if task.phase == Phase::Done {
+                done[index / 8] |= 1 << (index % 8);
+            } else if task.fails > 0 || !task.saved.is_empty() {
+                let index = u32::try_from(index).unwrap_or(u32::MAX);
+                marks.push((index, task.fails, task.run, task.saved.clone()));
+            }
+        }
+        StepProgress {
+            done,
+            marks,
+            fails: self.fails,
+        }
+    }
+
+    fn restore(&mut self, saved: &StepProgress, floor: u32) {
+        self.fails = saved.fails;
+        for (index, task) in self.tasks.iter_mut().enumerate() {
+            let bits = saved.done.get(index / 8).copied().unwrap_or_default();
+            if bits & (1 << (index % 8)) != 0 {
+                task.phase = Phase::Done;
+                self.left -= 1;
+            }
+        }
+        for (index, fails, run, state) in &saved.marks {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.fails = *fails;
+                task.run = (*run).max(floor);
+                task.saved = state.clone();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -0,0 +1,209 @@
+//! Which VMs the advice service is asked about, and when.
+//!
+//! Answers the pattern "a call takes longer than the work it is for": the first call is made while
+//! the job is still being stored, names the VMs that will have room, and later calls renew tickets
+//! only where they would be used at once.
+
+use compact_str::CompactString;
+use dotterel_kernel::Millis;
+
+use crate::cell::{Ask, Cell, Order};
+use crate::job::{Allowed, StepRef};
+use crate::plan::fit::TICKET_MARGIN;
+use crate::plan::room_for;
+use crate::spec::Step;
+use crate::vm::VmKey;
+
+/// VMs that one call may name.
+const MAX_NAMED: usize = 100;
+/// VMs that a first call names at least.
+const MIN_NAMED: usize = 6;
+/// Room asked about, in multiples of the room needed, since others take some of it meanwhile.
+const SURPLUS: f32 = 2.0;
+/// The share of VMs that are allowed, before anything has been learnt of a queue.
+const GOOD_SHARE: f32 = 0.45;
+/// How much the latest answer counts in that share.
+const GOOD_WEIGHT: f32 = 0.05;
+/// A call that failed is repeated after this time; the service answers 429 while it has a queue.
+const ASK_AGAIN: Millis = Millis(150);
+/// A call without an answer is given up after its own duration and this time.
+const ASK_TIMEOUT: Millis = Millis(2500);
+
+impl Cell {
+    /// Asks about a step whose job isn't durable yet.
+    pub(crate) fn ask_early(&mut self, at: StepRef, step: &Step, now: Millis) {
+        let asked = self.step_run(at).is_some_and(|run| !run.advice.asked.is_empty());
+        if !asked {
+            self.ask_more(at, step, step.count, now);
+        }
+    }
+
+    /// Asks about more VMs, or renews tickets, when that would let waiting tasks start.
+    pub(crate) fn ask_more(&mut self, at: StepRef, step: &Step, left: u32, now: Millis) {
+        let Some(job) = self.jobs.get(at.job) else {
+            return;
+        };
+        let Some(terms) = job.policy.advice else {
+            return;
+        };
+        let (id, queue) = (job.id, job.policy.queue.clone());
+        let Some(run) = self.step_run(at) else {
+            return;
+        };
+        let waits = run.advice.pending.is_some_and(|since| now.since(since) < ASK_TIMEOUT);
+        if waits || now < run.advice.not_before {
+            return;
+        }
+        let vms = self.worth_asking(at, step, left, self.good_share(&queue), now);
+        if vms.is_empty() {
+            return;
+        }
+        let named = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+        let cost = terms.base + Millis(u64::from(terms.each_us) * u64::from(named) / 1000);
+        if let Some(run) = self.step_run_mut(at) {
+            run.advice.pending = Some(now);
+        }
+        self.orders.push(Order::Ask(Ask {
+            step: at,
+            job: id,
+            vms,
+            cost,
+        }));
+    }
+
+    fn worth_asking(
+        &self,
+        at: StepRef,
+        step: &Step,
+        left: u32,
+        share: f32,
+        now: Millis,
+    ) -> Vec<VmKey> {
+        let Some(run) = self.step_run(at) else {
+            return Vec::new();
+        };
+        let Some(job) = self.jobs.get(at.job) else {
+            return Vec::new();
+        };
+        let size = room_for(step);
+        let (mut expired, mut fresh) = (Vec::new(), Vec::new());
+        let mut valid = 0;
+        for (key, vm) in &self.vms {
+            if !self.usable(vm, &job.policy.service, step, now) {
+                continue;
+            }
+            let slots = self.room(key, vm).count(&size);
+            let known = run.advice.asked.binary_search(&key).is_ok();
+            let allowed = run.advice.allowed.iter().find(|entry| entry.vm == key);
+            match allowed {
+                Some(entry) if entry.born == vm.info.born => {
+                    if entry.until > now + TICKET_MARGIN {
+                        valid += slots;
+                    } else if slots > 0 {
+                        expired.push((slots, key));
+                    }
+                }
+                Some(_) => expired.push((slots, key)),
+                None if known => {}
+                None => fresh.push((slots, key)),
+            }
+        }
+        if valid >= left {
+            return Vec::new();
+        }
+        let mut sum: f32 = to_f32(valid);
+        let need = to_f32(left) * SURPLUS;
+        expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        let mut named = Vec::new();
+        for (slots, key) in expired {
+            if sum >= need || named.len() >= MAX_NAMED {
+                break;
+            }
+            sum += to_f32(slots);
+            named.push(key);
+        }
+        let first = run.advice.asked.is_empty();
+        for (slots, key) in fresh {
+            let enough = sum >= need && (!first || named.len() >= MIN_NAMED);
+            // VMs without room are only worth a call when there is no better choice.
+            let full = slots == 0 && (!named.is_empty() || !first);
+            if enough || full || named.len() >= MAX_NAMED {
+                break;
+            }
+            sum += to_f32(slots) * share;
+            named.push(key);
+        }
+        named
+    }
+
+    /// Takes in the advice service's answer.
+    pub fn advised(
+        &mut self,
+        at: StepRef,
+        asked: &[VmKey],
+        good: &[(CompactString, CompactString)],
+        valid: Millis,
+        now: Millis,
+    ) {
+        let mut allowed = Vec::with_capacity(good.len());
+        for (id, ticket) in good {
+            let Some(key) = self.vm_by_id(id) else {
+                continue;
+            };
+            allowed.push(Allowed {
+                vm: key,
+                born: self.vms[key].info.born,
+                ticket: ticket.clone(),
+                until: now + valid,
+            });
+        }
+        if let Some(queue) = self.jobs.get(at.job).map(|job| job.policy.queue.clone()) {
+            self.learn_share(queue, good.len(), asked.len());
+        }
+        let Some(run) = self.step_run_mut(at) else {
+            return;
+        };
+        let advice = &mut run.advice;
+        advice.pending = None;
+        for key in asked {
+            if let Err(place) = advice.asked.binary_search(key) {
+                advice.asked.insert(place, *key);
+            }
+            advice.allowed.retain(|entry| entry.vm != *key);
+        }
+        advice.allowed.extend(allowed);
+        self.dirty = true;
+    }
+
+    /// Takes in that the advice service gave no answer.
+    pub fn not_advised(&mut self, at: StepRef, now: Millis) {
+        if let Some(run) = self.step_run_mut(at) {
+            run.advice.pending = None;
+            run.advice.not_before = now + ASK_AGAIN;
+        }
+    }
+
+    fn good_share(&self, queue: &str) -> f32 {
+        let known = self.good.iter().find(|(name, _)| name == queue);
+        known.map_or(GOOD_SHARE, |(_, share)| *share)
+    }
+
+    fn learn_share(&mut self, queue: CompactString, good: usize, asked: usize) {
+        if asked == 0 {
+            return;
+        }
+        let seen = to_f32(u32::try_from(good).unwrap_or(0))
+            / to_f32(u32::try_from(asked).unwrap_or(1));
+        match self.good.iter_mut().find(|(name, _)| *name == queue) {
+            Some((_, share)) => *share += (seen - *share) * GOOD_WEIGHT,
+            None => self.good.push((queue, GOOD_SHARE + (seen - GOOD_SHARE) * GOOD_WEIGHT)),
+        }
+    }
+}
+
+/// Counts of VMs and tasks are far below the point where precision is lost.
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
+fn to_f32(count: u32) -> f32 {
+    count as f32
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -0,0 +1,117 @@
+//! The choice of a VM for a task.
+//!
+//! Answers the pattern "wide tasks find no VM with room although much is free in all": the VM on
+//! which the task leaves the least behind is taken, so that others stay whole.
+
+use compact_str::CompactString;
+use dotterel_kernel::{Millis, Size};
+
+use crate::cell::Cell;
+use crate::job::StepRef;
+use crate::plan::{SILENT, room_for};
+use crate::spec::{Step, TaskName};
+use crate::vm::{Vm, VmKey};
+
+/// A ticket with less time left than this might run out on the way.
+pub(crate) const TICKET_MARGIN: Millis = Millis(120);
+/// Weight of a VM in another rack than the data, above any weight of room.
+const FAR_WEIGHT: u64 = 1_000_000;
+
+impl Cell {
+    /// Returns true when a VM may be given tasks of a step, room aside.
+    pub(crate) fn usable(&self, vm: &Vm, service: &str, step: &Step, now: Millis) -> bool {
+        vm.fenced
+            && vm.listed
+            && !vm.info.draining
+            && now.since(vm.answered) < SILENT
+            && vm.info.service == service
+            && (step.label.is_empty() || vm.info.labels.contains(&step.label))
+            && vm.standing.allows(vm.runs.len(), now)
+    }
+
+    /// Returns the room on a VM that is neither taken nor held for more urgent work.
+    pub(crate) fn room(&self, key: VmKey, vm: &Vm) -> Size {
+        let free = vm.free();
+        match self.held.get(key) {
+            Some(held) => free.minus(held),
+            None => free,
+        }
+    }
+
+    /// Returns the VMs that may run a step now, each with its ticket, room aside.
+    pub(crate) fn candidates(
+        &self,
+        at: StepRef,
+        step: &Step,
+        now: Millis,
+    ) -> Vec<(VmKey, CompactString)> {
+        let Some(job) = self.jobs.get(at.job) else {
+            return Vec::new();
+        };
+        let service = job.policy.service.as_str();
+        let mut found = Vec::new();
+        if job.policy.advice.is_some() {
+            let Some(run) = self.step_run(at) else {
+                return found;
+            };
+            for allowed in &run.advice.allowed {
+                let Some(vm) = self.vms.get(allowed.vm) else {
+                    continue;
+                };
+                let valid = allowed.until > now + TICKET_MARGIN && vm.info.born == allowed.born;
+                if valid && self.usable(vm, service, step, now) {
+                    found.push((allowed.vm, allowed.ticket.clone()));
+                }
+            }
+        } else {
+            for (key, vm) in &self.vms {
+                if self.usable(vm, service, step, now) {
+                    found.push((key, CompactString::default()));
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns the VM on which a task leaves the least room behind.
+    pub(crate) fn best_vm(
+        &self,
+        at: StepRef,
+        step: &Step,
+        index: u32,
+        now: Millis,
+    ) -> Option<(VmKey, CompactString)> {
+        let job = self.jobs.get(at.job)?;
+        let task = &self.step_run(at)?.tasks[index as usize];
+        let size = room_for(step);
+        let name = TaskName {
+            job: job.id,
+            round: at.round,
+            step: at.step,
+            index,
+        };
+        let mut best: Option<(u64, VmKey, CompactString)> = None;
+        for (key, ticket) in self.candidates(at, step, now) {
+            let vm = &self.vms[key];
+            let room = self.room(key, vm);
+            let full = step.per_vm > 0 && vm.count_step(name) >= step.per_vm;
+            if full || !size.fits(&room) || task.avoid.contains(&key) {
+                continue;
+            }
+            let mut weight = left_behind(&room.minus(&size), &vm.info.capacity);
+            if !step.rack.is_empty() && step.rack != vm.info.rack {
+                weight += FAR_WEIGHT;
+            }
+            if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
+                best = Some((weight, key, ticket));
+            }
+        }
+        best.map(|(_, key, ticket)| (key, ticket))
+    }
+}
+
+/// Returns what is left in thousandths of the VM, processor and memory together.
+fn left_behind(left: &Size, capacity: &Size) -> u64 {
+    let share = |part: u32, whole: u32| u64::from(part) * 1000 / u64::from(whole.max(1));
+    share(left.milli_cores, capacity.milli_cores) + share(left.memory_mb, capacity.memory_mb)
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/plan/order.rs
@@ -0,0 +1,46 @@
+//! The order of the queue.
+//!
+//! Answers the pattern "urgent counts behind long simulations": priority goes first, and among
+//! equals the job whose objective ends first. Work whose value has run out waits behind work that
+//! can still be on time, so that a backlog does not make everything late.
+
+use dotterel_kernel::Millis;
+
+use crate::cell::Cell;
+use crate::job::StepRef;
+
+/// A job that takes longer than this many objectives is worth nothing to its caller any more.
+const WORTHLESS_AFTER: u64 = 3;
+
+/// Where a step stands in the queue; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    worthless: bool,
+    priority: u8,
+    due: Millis,
+}
+
+impl Cell {
+    /// Returns the queued steps with their ranks.
+    pub(crate) fn queue(&self, now: Millis) -> Vec<(Rank, StepRef)> {
+        let mut queue = Vec::with_capacity(self.open.len());
+        for at in &self.open {
+            let Some(job) = self.jobs.get(at.job) else {
+                continue;
+            };
+            let begin = match job.round(at.round) {
+                Some(round) if job.spec.repeats > 0 => round.due,
+                _ => job.since,
+            };
+            let objective = job.objective();
+            let lasts = job.spec.lasts();
+            let rank = Rank {
+                worthless: !lasts && now > begin + Millis(objective.0 * WORTHLESS_AFTER),
+                priority: job.policy.priority,
+                due: begin + objective,
+            };
+            queue.push((rank, *at));
+        }
+        queue
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/record.rs
@@ -0,0 +1,77 @@
+//! What of a job is kept in the store, and how it is encoded.
+
+use compact_str::CompactString;
+use dotterel_kernel::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::job::JobState;
+use crate::spec::{JobSpec, Policy};
+
+/// Written once, when a job is accepted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What the caller asked for.
+    pub spec: JobSpec,
+    /// What the configuration said of its queue.
+    pub policy: Policy,
+    /// Wall time at which the first request for it came in.
+    pub arrived: Millis,
+    /// The scheduler's term in which it was accepted.
+    pub term: u32,
+}
+
+/// Rewritten while a job runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Occurrences that have begun and aren't done.
+    pub rounds: Vec<RoundProgress>,
+    /// Occurrences below this number have begun.
+    pub next: u32,
+}
+
+/// The progress of one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RoundProgress {
+    /// Its number.
+    pub round: u32,
+    /// Its steps in order.
+    pub steps: Vec<StepProgress>,
+}
+
+/// The progress of one step.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// Tasks that are done, one bit each, lowest bit first.
+    pub done: Vec<u8>,
+    /// Tasks that failed or ended early: number, failed runs, highest run, saved state.
+    pub marks: Vec<(u32, u8, u32, CompactString)>,
+    /// Failed runs of the gang.
+    pub fails: u8,
+}
+
+/// Takes the place of a job's other rows once it has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// How it ended.
+    pub state: JobState,
+    /// Wall time of the end.
+    pub at: Millis,
+    /// The queue, for the account.
+    pub queue: CompactString,
+}
+
+/// Encodes a record for the store.
+///
+/// # Panics
+///
+/// Panics when the record can't be encoded, which no record of this module can cause.
+#[must_use]
+pub fn encode<T: Serialize>(record: &T) -> Vec<u8> {
+    postcard::to_stdvec(record).expect("records hold nothing that can't be encoded")
+}
+
+/// Decodes a record from the store; none when the bytes are something else.
+#[must_use]
+pub fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/dotterel-cell/src/vm.rs
@@ -0,0 +1,269 @@
+//! VMs, what runs on them and how long their leases last.
+
+use compact_str::CompactString;
+use dotterel_kernel::{Millis, Size};
+use slotmap::new_key_type;
+
+use crate::spec::TaskName;
+use crate::suspect::Standing;
+
+new_key_type! {
+    /// Points to a VM.
+    pub struct VmKey;
+}
+
+/// A VM's clock may run this many hundredths slow.
+const SLOW_CLOCK_PCT: u64 = 2;
+/// Time for a VM to end its tasks once their lease is over.
+const LAPSE_SLACK: Millis = Millis(300);
+
+/// What the registry says of a VM.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct VmInfo {
+    /// Its id.
+    pub id: CompactString,
+    /// Where it takes orders.
+    pub address: CompactString,
+    /// Wall time of its start; another value means another life.
+    pub born: u64,
+    /// The service whose tasks it runs.
+    pub service: CompactString,
+    /// Its data centre.
+    pub zone: CompactString,
+    /// Its rack.
+    pub rack: CompactString,
+    /// All its labels.
+    pub labels: Vec<CompactString>,
+    /// What it holds.
+    pub capacity: Size,
+    /// Set while it is leaving.
+    pub draining: bool,
+    /// While it is leaving: the least time that is left.
+    pub remaining: Option<Millis>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// The task is done.
+    Done,
+    /// It failed, by its own fault or the VM's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// A run as a VM reports it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedRun {
+    /// The task.
+    pub task: TaskName,
+    /// Its run.
+    pub run: u32,
+    /// The state to resume from; empty for none.
+    pub saved: CompactString,
+    /// How far it is.
+    pub percent: u8,
+    /// Tail latency in ms of a task that serves, else processor use.
+    pub gauge: Option<u32>,
+}
+
+/// An end as a VM reports it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedEnd {
+    /// Its number on that VM.
+    pub number: u64,
+    /// The task.
+    pub task: TaskName,
+    /// Its run.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// The state to resume from; empty for none.
+    pub saved: CompactString,
+}
+
+/// A VM's account of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Start of the life that answered.
+    pub born: u64,
+    /// The VM's clock.
+    pub clock: Millis,
+    /// What runs.
+    pub running: Vec<ReportedRun>,
+    /// What has ended and isn't acknowledged.
+    pub ended: Vec<ReportedEnd>,
+}
+
+/// What became of a start order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// It runs.
+    Started,
+    /// Another scheduler has taken over.
+    Fenced,
+    /// This run or a later one has already ended there.
+    Old,
+    /// The named lease had already run out on arrival.
+    Late,
+    /// The VM has no room.
+    NoRoom,
+    /// The ticket isn't valid any more.
+    BadTicket,
+    /// The VM did nothing and is unhealthy.
+    Unhealthy,
+    /// Another life answered.
+    Reborn,
+    /// The VM calls the order malformed.
+    Malformed,
+    /// No answer: it may have been carried out, or may be later.
+    Unknown,
+}
+
+/// How far a run on a VM is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Ordered, not answered.
+    Starting,
+    /// Known to have started.
+    Running,
+    /// Ordered to stop; `acked` is set once the VM has answered.
+    Stopping {
+        /// When the VM answered.
+        acked: Option<Millis>,
+    },
+}
+
+/// A run that takes room on a VM.
+#[derive(Clone, Debug)]
+pub struct RunOn {
+    /// The task.
+    pub task: TaskName,
+    /// Its run.
+    pub run: u32,
+    /// The room it takes.
+    pub size: Size,
+    /// Its priority.
+    pub priority: u8,
+    /// It can be stopped without losing its work.
+    pub checkpoint: bool,
+    /// How far it is.
+    pub phase: RunPhase,
+    /// When it was ordered.
+    pub ordered: Millis,
+    /// When its start was confirmed.
+    pub confirmed: Millis,
+    /// How far its work is.
+    pub percent: u8,
+    /// When `percent` last grew.
+    pub moved: Millis,
+}
+
+/// A VM as the scheduler sees it.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// What the registry says.
+    pub info: VmInfo,
+    /// Cleared when its entry has gone from the registry.
+    pub listed: bool,
+    /// When its entry went.
+    pub unlisted: Millis,
+    /// Set once it has answered this scheduler's token.
+    pub fenced: bool,
+    /// The room that its runs take.
+    pub used: Size,
+    /// Its runs.
+    pub runs: Vec<RunOn>,
+    /// The number of the last end taken in.
+    pub taken: u64,
+    /// Ends up to this number are durable.
+    pub durable: u64,
+    /// Its clock at the last answer.
+    pub clock: Millis,
+    /// When the last answer came.
+    pub answered: Millis,
+    /// The latest lease end named to it, on its clock.
+    pub lease: Millis,
+    /// How well it has been working.
+    pub standing: Standing,
+}
+
+impl Vm {
+    /// Returns a VM that has just been listed.
+    #[must_use]
+    pub fn new(info: VmInfo) -> Self {
+        Self {
+            info,
+            listed: true,
+            unlisted: Millis::ZERO,
+            fenced: false,
+            used: Size::ZERO,
+            runs: Vec::new(),
+            taken: 0,
+            durable: 0,
+            clock: Millis::ZERO,
+            answered: Millis::ZERO,
+            lease: Millis::ZERO,
+            standing: Standing::default(),
+        }
+    }
+
+    /// Returns the room that is left.
+    #[must_use]
+    pub fn free(&self) -> Size {
+        self.info.capacity.minus(&self.used)
+    }
+
+    /// Returns the VM's clock as it must at least show `now`.
+    #[must_use]
+    pub fn clock_at(&self, now: Millis) -> Millis {
+        let span = now.since(self.answered).0;
+        self.clock + Millis(span - span * SLOW_CLOCK_PCT / 100)
+    }
+
+    /// Returns the moment from which nothing ordered so far can be running there.
+    #[must_use]
+    pub fn lapsed_by(&self) -> Millis {
+        let left = self.lease.since(self.clock).0;
+        let slow = left * 100 / (100 - SLOW_CLOCK_PCT);
+        self.answered + Millis(slow) + LAPSE_SLACK
+    }
+
+    /// Adds a run and takes its room.
+    pub fn add(&mut self, run: RunOn) {
+        self.used = self.used.plus(&run.size);
+        self.runs.push(run);
+    }
+
+    /// Removes a run and frees its room.
+    pub fn remove(&mut self, task: TaskName, run: u32) -> Option<RunOn> {
+        let at = self.find(task, run)?;
+        let gone = self.runs.swap_remove(at);
+        self.used = self.used.minus(&gone.size);
+        Some(gone)
+    }
+
+    /// Finds a run.
+    #[must_use]
+    pub fn find(&self, task: TaskName, run: u32) -> Option<usize> {
+        self.runs
+            .iter()
+            .position(|on| on.task == task && on.run == run)
+    }
+
+    /// Counts runs of one step.
+    #[must_use]
+    pub fn count_step(&self, like: TaskName) -> u32 {
+        let same = self.runs.iter().filter(|on| {
+            on.task.job == like.job && on.task.round == like.round && on.task.step == like.step
+        });
+        u32::try_from(same.count()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/dotterel-node/src/http.rs
@@ -0,0 +1,7 @@
+//! The HTTP client and server.
+
+pub mod client;
+pub mod server;
+
+pub use client::{CallError, Client, Reply};
+pub use server::{Body, Service, answer, serve};
--- /dev/null
+++ b/crates/dotterel-node/src/routes.rs
@@ -0,0 +1,95 @@
+//! The configuration in force.
+
+use compact_str::CompactString;
+use dotterel_cell::{AdviceTerms, Policy};
+use dotterel_kernel::Millis;
+
+/// A queue and the requests that belong to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The queue's name.
+    pub name: CompactString,
+    /// The host that requests name.
+    pub host: CompactString,
+    /// What their path begins with.
+    pub prefix: CompactString,
+    /// The longest time for an answer.
+    pub timeout: Millis,
+    /// How its jobs are treated.
+    pub policy: Policy,
+}
+
+/// Bounds on callers' requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Bytes of a body.
+    pub body: usize,
+    /// Bytes of the headers.
+    pub header: usize,
+    /// Time for the headers to arrive.
+    pub header_wait: Millis,
+    /// Time that a connection may stay idle.
+    pub idle: Millis,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            body: 256 * 1024,
+            header: 16 * 1024,
+            header_wait: Millis::secs(3),
+            idle: Millis::secs(15),
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its version; higher ones replace lower ones.
+    pub version: u64,
+    /// The queues, longest prefix first.
+    pub routes: Vec<Route>,
+    /// Bounds on callers' requests.
+    pub bounds: Bounds,
+}
+
+impl Configuration {
+    /// Returns a configuration with its queues in matching order.
+    #[must_use]
+    pub fn new(version: u64, mut routes: Vec<Route>, bounds: Bounds) -> Self {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        Self {
+            version,
+            routes,
+            bounds,
+        }
+    }
+
+    /// Finds the queue of a request: the longest prefix of its path among those of its host.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, port)| {
+            if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
+        });
+        self.routes
+            .iter()
+            .find(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix))
+    }
+}
+
+/// Returns terms of advice from what the platform states in fractions of milliseconds.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "both are clamped to a range that the types hold"
+)]
+pub fn advice_terms(base_ms: f64, each_ms: f64, valid_ms: f64) -> AdviceTerms {
+    const MOST_MS: f64 = 3_600_000.0;
+    AdviceTerms {
+        base: Millis(base_ms.clamp(0.0, MOST_MS).ceil() as u64),
+        each_us: (each_ms.clamp(0.0, 1000.0) * 1000.0) as u32,
+        valid: Millis(valid_ms.clamp(0.0, MOST_MS) as u64),
+    }
+}
--- /dev/null
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -0,0 +1,190 @@
+//! Starts the role on this node and lets fronts in.
+
+use std::cell::{Cell as StdCell, RefCell};
+use std::rc::Rc;
+
+use dotterel_cell::Cell;
+use dotterel_kernel::{Clock, Millis};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::timeout;
+
+use super::{Scheduler, Takeover};
+use crate::link::{self, CellNo, Down, Up};
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::settings::Settings;
+
+/// Time for a front to say which cell it wants.
+const HELLO_TIMEOUT: Millis = Millis(1000);
+/// Time for a release to reach the store when the node stops.
+const RELEASE_TIMEOUT: Millis = Millis(1500);
+/// Slack for the clocks of VMs and for orders on their way, beyond the lease.
+const LEASE_SLACK: Millis = Millis(500);
+/// A former holder silent for longer than this may have lost VMs from the registry unseen.
+const LONG_SILENCE: Millis = Millis(3000);
+
+/// Holds the roles of this node.
+pub struct Host<P> {
+    platform: Rc<P>,
+    settings: Rc<Settings>,
+    metrics: Rc<Metrics>,
+    clock: Clock,
+    life: u64,
+    roles: RefCell<Vec<Rc<Scheduler<P>>>>,
+}
+
+impl<P: Platform> Host<P> {
+    /// Returns a host without roles.
+    #[must_use]
+    pub fn new(
+        platform: Rc<P>,
+        settings: Rc<Settings>,
+        metrics: Rc<Metrics>,
+        clock: Clock,
+        life: u64,
+    ) -> Self {
+        Self {
+            platform,
+            settings,
+            metrics,
+            clock,
+            life,
+            roles: RefCell::default(),
+        }
+    }
+
+    /// Returns true when this node holds a role.
+    #[must_use]
+    pub fn holds_any(&self) -> bool {
+        !self.roles.borrow().is_empty()
+    }
+
+    /// Begins a term of a role.
+    pub fn begin(self: Rc<Self>, takeover: Takeover) {
+        let now = self.clock.now();
+        let lease = self.settings.limits.lease + LEASE_SLACK;
+        let mut cell = Cell::new(self.settings.limits, takeover.term, now, now + lease);
+        let doubtful = takeover.before.is_some_and(|before| {
+            before.unlisted > 0 || now.since(before.at) > LONG_SILENCE
+        });
+        if doubtful {
+            cell.distrust_registry();
+        }
+        let scheduler = Rc::new(Scheduler {
+            platform: Rc::clone(&self.platform),
+            settings: Rc::clone(&self.settings),
+            metrics: Rc::clone(&self.metrics),
+            clock: self.clock,
+            life: self.life,
+            no: takeover.cell,
+            term: takeover.term,
+            fence: takeover.fence,
+            cell: RefCell::new(cell),
+            waiters: RefCell::default(),
+            peers: RefCell::default(),
+            next: StdCell::new(0),
+            calls: RefCell::default(),
+            lines: RefCell::default(),
+            plan: Notify::new(),
+            write: Notify::new(),
+            away: StdCell::new(None),
+            unsure: StdCell::new(None),
+            releasing: StdCell::new(false),
+            over: watch::Sender::new(false),
+        });
+        tokio::task::spawn_local(async move {
+            let mut over = scheduler.over.subscribe();
+            let loaded = tokio::select! {
+                () = scheduler.load() => true,
+                _ = over.wait_for(|over| *over) => false,
+            };
+            if !loaded {
+                return;
+            }
+            self.roles.borrow_mut().push(Rc::clone(&scheduler));
+            Rc::clone(&scheduler).run().await;
+            self.roles
+                .borrow_mut()
+                .retain(|role| !Rc::ptr_eq(role, &scheduler));
+        });
+    }
+
+    /// Lets fronts in.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Millis(20).duration()).await;
+                continue;
+            };
+            let host = Rc::clone(&self);
+            tokio::task::spawn_local(async move { host.admit(stream).await });
+        }
+    }
+
+    async fn admit(&self, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let (from, mut to) = stream.into_split();
+        let mut from = BufReader::new(from);
+        let hello = timeout(HELLO_TIMEOUT.duration(), link::read::<Up, _>(&mut from)).await;
+        let Ok(Ok(Up::Hello { node, cell })) = hello else {
+            return;
+        };
+        let (down, mut queue) = mpsc::channel(link::QUEUE);
+        match self.role(cell).await {
+            Some(role) => {
+                let welcome = Down::Welcome { fence: role.fence };
+                if down.try_send(welcome).is_ok() {
+                    tokio::task::spawn_local(async move {
+                        // The reader sees the end of the connection.
+                        let _ = link::write_queue(&mut to, &mut queue).await;
+                        let _ = to.shutdown().await;
+                    });
+                    role.serve_peer(node, from, down).await;
+                }
+            }
+            None => {
+                // The queue is empty and its capacity is above one, so this takes the message.
+                let _ = down.try_send(Down::NotHolder);
+                drop(down);
+                let _ = link::write_queue(&mut to, &mut queue).await;
+            }
+        }
+    }
+
+    /// Returns the role of a cell, which may be about to begin.
+    async fn role(&self, cell: CellNo) -> Option<Rc<Scheduler<P>>> {
+        const TRIES: u32 = 10;
+        const PAUSE: Millis = Millis(60);
+        for attempt in 0..TRIES {
+            let role = self
+                .roles
+                .borrow()
+                .iter()
+                .find(|role| role.no == cell && !role.releasing.get())
+                .cloned();
+            if role.is_some() || attempt + 1 == TRIES {
+                return role;
+            }
+            tokio::time::sleep(PAUSE.duration()).await;
+        }
+        None
+    }
+
+    /// Gives all roles back, so that successors need not wait.
+    pub async fn release(&self) {
+        let roles = self.roles.borrow().clone();
+        for role in roles {
+            role.releasing.set(true);
+            role.write.notify_one();
+            let mut over = role.over.subscribe();
+            let wait = over.wait_for(|over| *over);
+            if timeout(RELEASE_TIMEOUT.duration(), wait).await.is_err() {
+                role.end("stopping, and the store doesn't answer");
+            }
+        }
+    }
+}
