Acknowledge ends only once durable, take over runs whatever their number

Cause: ends were acknowledged while the batch with their rows was on its way (TWICE after a take-over), and runs of an earlier term were stopped because their number was below the floor for new runs.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -143,6 +143,8 @@
     changed_at: Millis,
     closing: Vec<JobKey>,
     dropping: Vec<JobId>,
+    /// Set while a batch is on its way to the store.
+    writing: bool,
     pub(crate) dirty: bool,
     pub(crate) good: Vec<(CompactString, f32)>,
     pub(crate) held: SecondaryMap<VmKey, Size>,
@@ -171,6 +173,7 @@
             changed_at: Millis::ZERO,
             closing: Vec::new(),
             dropping: Vec::new(),
+            writing: false,
             dirty: true,
             good: Vec::new(),
             held: SecondaryMap::new(),
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -69,8 +69,9 @@
         urgent || (!self.changed.is_empty() && now.since(self.changed_at) >= PROGRESS_DELAY)
     }
 
-    /// Takes the rows to write next.
+    /// Takes the rows to write next; [`Self::written`] follows before the next call.
     pub fn take_batch(&mut self, now: Millis) -> Batch {
+        self.writing = true;
         let mut batch = Batch::default();
         let mut size = Room::default();
         while let Some(key) = self.closing.first().copied() {
@@ -136,6 +137,7 @@
 
     /// Takes in that a batch is durable.
     pub fn written(&mut self, batch: &Batch) {
+        self.writing = false;
         for key in &batch.keys {
             if let Some(job) = self.jobs.get_mut(*key) {
                 job.stored = true;
@@ -158,9 +160,9 @@
         self.dirty = true;
     }
 
-    /// Acknowledges ends that need no row, when no row waits.
+    /// Acknowledges ends that need no row, when no row waits or is on its way.
     pub fn settle_idle(&mut self) {
-        if self.changed.is_empty() && self.closing.is_empty() {
+        if !self.writing && self.changed.is_empty() && self.closing.is_empty() {
             for vm in self.vms.values_mut() {
                 vm.durable = vm.taken;
             }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -31,6 +31,8 @@
         if !vm.fenced {
             vm.fenced = true;
             self.dirty = true;
+            // A former scheduler may have asked for a lease up to this moment.
+            vm.lease = vm.lease.max(report.clock + self.limits.lease);
         }
         if report.clock >= vm.clock {
             vm.clock = report.clock;
@@ -83,7 +85,7 @@
         let adopted = wanted
             && self
                 .task_mut(seen.task)
-                .is_some_and(|task| task.phase == Phase::Waiting && task.run <= seen.run);
+                .is_some_and(|task| task.phase == Phase::Waiting);
         if adopted {
             run.phase = RunPhase::Running;
             if let Some(task) = self.task_mut(seen.task) {
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -163,7 +163,7 @@
     pub rounds: Vec<Round>,
     /// The number of the next occurrence.
     pub next_round: u32,
-    /// Lower bound of run numbers, above those that an earlier term may have used.
+    /// New runs get numbers above this one, which an earlier term may have used.
     pub run_floor: u32,
     /// Set when it was read back after a take-over.
     pub inherited: bool,
@@ -222,8 +222,7 @@
 
     /// Begins an occurrence; its steps without predecessors open at once.
     pub fn begin_round(&mut self, number: u32, now: Millis) {
-        let floor = self.run_floor;
-        let steps = self.spec.steps.iter().map(|step| StepRun::new(step, floor, now));
+        let steps = self.spec.steps.iter().map(|step| StepRun::new(step, now));
         let round = Round {
             number,
             due: now,
@@ -269,12 +268,11 @@
         self.rounds.clear();
         for round in &progress.rounds {
             self.begin_round(round.round, now);
-            let floor = self.run_floor;
             let Some(last) = self.rounds.last_mut() else {
                 continue;
             };
             for (step, saved) in last.steps.iter_mut().zip(&round.steps) {
-                step.restore(saved, floor);
+                step.restore(saved);
             }
             self.begun = true;
         }
@@ -298,10 +296,10 @@
 }
 
 impl StepRun {
-    fn new(step: &Step, floor: u32, now: Millis) -> Self {
+    fn new(step: &Step, now: Millis) -> Self {
         let task = Task {
             phase: Phase::Waiting,
-            run: floor,
+            run: 0,
             fails: 0,
             saved: CompactString::default(),
             avoid: Vec::new(),
@@ -342,7 +340,7 @@
         }
     }
 
-    fn restore(&mut self, saved: &StepProgress, floor: u32) {
+    fn restore(&mut self, saved: &StepProgress) {
         self.fails = saved.fails;
         for (index, task) in self.tasks.iter_mut().enumerate() {
             let bits = saved.done.get(index / 8).copied().unwrap_or_default();
@@ -354,7 +352,7 @@
         for (index, fails, run, state) in &saved.marks {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.fails = *fails;
-                task.run = (*run).max(floor);
+                task.run = *run;
                 task.saved = state.clone();
             }
         }
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -120,13 +120,14 @@
             step: at.step,
             index,
         };
+        let floor = job.run_floor;
         let Some(round) = job.round_mut(at.round) else {
             return;
         };
         let step = &mut round.steps[usize::from(at.step)];
         let opened = step.opened;
         let entry = &mut step.tasks[index as usize];
-        entry.run += 1;
+        entry.run = entry.run.max(floor) + 1;
         entry.phase = Phase::Placed(vm);
         let run = entry.run;
         let saved = entry.saved.clone();
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -8,7 +8,7 @@
 use dotterel_kernel::Millis;
 
 use crate::cell::{Ask, Cell, Order};
-use crate::job::{Allowed, StepRef};
+use crate::job::{Allowed, Phase, StepRef};
 use crate::plan::fit::TICKET_MARGIN;
 use crate::plan::room_for;
 use crate::spec::Step;
@@ -88,10 +88,14 @@
         let size = room_for(step);
         let (mut expired, mut fresh) = (Vec::new(), Vec::new());
         let mut valid = 0;
+        let avoid = self.avoided(at, step);
         for (key, vm) in &self.vms {
             if !self.usable(vm, &job.policy.service, step, now) {
                 continue;
             }
+            if avoid.contains(&key) {
+                continue;
+            }
             let slots = self.room(key, vm).count(&size);
             let known = run.advice.asked.binary_search(&key).is_ok();
             let allowed = run.advice.allowed.iter().find(|entry| entry.vm == key);
@@ -137,6 +141,22 @@
         named
     }
 
+    /// Returns the VMs that none of the waiting tasks would take: for a gang, all that a member
+    /// avoids.
+    fn avoided(&self, at: StepRef, step: &Step) -> Vec<VmKey> {
+        let Some(run) = self.step_run(at) else {
+            return Vec::new();
+        };
+        let waiting = || run.tasks.iter().filter(|task| task.phase == Phase::Waiting);
+        let mut all: Vec<VmKey> = waiting().flat_map(|task| task.avoid.iter().copied()).collect();
+        all.sort_unstable();
+        all.dedup();
+        if !step.gang {
+            all.retain(|key| waiting().all(|task| task.avoid.contains(key)));
+        }
+        all
+    }
+
     /// Takes in the advice service's answer.
     pub fn advised(
         &mut self,
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -73,6 +73,30 @@
         found
     }
 
+    /// Returns true when all VMs that may run a step, asked about or not, are to be avoided.
+    pub(crate) fn only_avoided(
+        &self,
+        at: StepRef,
+        step: &Step,
+        avoid: &[VmKey],
+        now: Millis,
+    ) -> bool {
+        let Some(job) = self.jobs.get(at.job) else {
+            return false;
+        };
+        let advice = self.step_run(at).map(|run| &run.advice);
+        self.vms.iter().all(|(key, vm)| {
+            let may = match advice.filter(|_| job.policy.advice.is_some()) {
+                Some(advice) => {
+                    advice.asked.binary_search(&key).is_err()
+                        || advice.allowed.iter().any(|entry| entry.vm == key)
+                }
+                None => true,
+            };
+            !may || avoid.contains(&key) || !self.usable(vm, &job.policy.service, step, now)
+        })
+    }
+
     /// Returns the VM on which a task leaves the least room behind.
     pub(crate) fn best_vm(
         &self,
@@ -90,12 +114,14 @@
             step: at.step,
             index,
         };
+        // A VM on which the task has failed is better than none.
+        let no_other = !task.avoid.is_empty() && self.only_avoided(at, step, &task.avoid, now);
         let mut best: Option<(u64, VmKey, CompactString)> = None;
         for (key, ticket) in self.candidates(at, step, now) {
             let vm = &self.vms[key];
             let room = self.room(key, vm);
             let full = step.per_vm > 0 && vm.count_step(name) >= step.per_vm;
-            if full || !size.fits(&room) || task.avoid.contains(&key) {
+            if full || !size.fits(&room) || (task.avoid.contains(&key) && !no_other) {
                 continue;
             }
             let mut weight = left_behind(&room.minus(&size), &vm.info.capacity);
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -66,7 +66,10 @@
             let all = run.tasks.iter().flat_map(|task| task.avoid.iter().copied());
             all.collect::<Vec<VmKey>>()
         });
-        let avoid = avoid.unwrap_or_default();
+        let mut avoid = avoid.unwrap_or_default();
+        if !avoid.is_empty() && self.only_avoided(at, step, &avoid, now) {
+            avoid.clear();
+        }
         let mut slots = Vec::new();
         for (key, ticket) in self.candidates(at, step, now) {
             if avoid.contains(&key) {
--- /dev/null
+++ b/crates/dotterel-cell/tests/support.rs
@@ -0,0 +1,241 @@
+//! Fixtures: a cell with VMs, driven by hand.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![expect(clippy::allow_attributes, reason = "which part is unused differs by file")]
+
+use compact_str::{CompactString, format_compact};
+use dotterel_cell::{
+    AdviceTerms, Cell, How, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report, ReportedEnd,
+    ReportedRun, StartAnswer, Step, Submitted, TaskName, VmInfo, VmKey,
+};
+use dotterel_cell::vm::Vm;
+use dotterel_kernel::{Millis, Size};
+
+/// A cell with VMs of 32 cores and 64 GB.
+pub struct Bench {
+    pub cell: Cell,
+    pub now: Millis,
+    pub vms: Vec<VmKey>,
+}
+
+/// A start as it was ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    pub vm: VmKey,
+    pub task: TaskName,
+    pub run: u32,
+    pub saved: CompactString,
+}
+
+impl Bench {
+    pub fn new(vms: usize) -> Self {
+        Self::of_term(vms, 1)
+    }
+
+    pub fn of_term(vms: usize, term: u32) -> Self {
+        let now = Millis(1_000_000);
+        let hold_off = now + Millis(4500);
+        let cell = Cell::new(Limits::default(), term, now, hold_off);
+        let mut bench = Self {
+            cell,
+            now,
+            vms: Vec::new(),
+        };
+        for index in 0..vms {
+            let key = bench.cell.vm_listed(info(index), now);
+            bench.vms.push(key);
+        }
+        bench.advance(1);
+        for index in 0..vms {
+            bench.report(index, &[], &[]);
+        }
+        bench.cell.tick(bench.now);
+        bench
+    }
+
+    pub fn advance(&mut self, ms: u64) {
+        self.now += Millis(ms);
+    }
+
+    pub fn submit(&mut self, id: u64, record: JobRecord) -> Submitted {
+        self.cell.submit(JobId(id), record, self.now)
+    }
+
+    /// Makes all that waits durable.
+    pub fn store(&mut self) {
+        while self.cell.wants_write(self.now) {
+            let batch = self.cell.take_batch(self.now);
+            self.cell.written(&batch);
+        }
+    }
+
+    pub fn plan(&mut self) {
+        self.cell.plan(self.now);
+    }
+
+    pub fn take_starts(&mut self) -> Vec<Start> {
+        starts(&self.cell.take_orders())
+    }
+
+    /// Carries out all start orders.
+    pub fn start_all(&mut self) -> Vec<Start> {
+        let starts = self.take_starts();
+        for start in &starts {
+            self.cell
+                .start_answered(start.vm, start.task, start.run, StartAnswer::Started, self.now);
+        }
+        starts
+    }
+
+    pub fn report(&mut self, vm: usize, running: &[ReportedRun], ended: &[ReportedEnd]) {
+        let key = self.vms[vm];
+        let report = Report {
+            born: 7,
+            clock: self.now,
+            running: running.to_vec(),
+            ended: ended.to_vec(),
+        };
+        self.cell.report(key, &report, self.now, self.now);
+    }
+
+    /// Has each VM report its runs as running.
+    pub fn beat(&mut self, percent: u8) {
+        for index in 0..self.vms.len() {
+            let runs: Vec<ReportedRun> = self
+                .vm(index)
+                .runs
+                .iter()
+                .map(|on| running(on.task, on.run, percent))
+                .collect();
+            self.report(index, &runs, &[]);
+        }
+    }
+
+    pub fn vm(&self, index: usize) -> &Vm {
+        self.cell.vm(self.vms[index]).expect("the VM is known")
+    }
+
+    pub fn index_of(&self, key: VmKey) -> usize {
+        let found = self.vms.iter().position(|known| *known == key);
+        found.expect("the VM is known")
+    }
+}
+
+pub fn starts(orders: &[Order]) -> Vec<Start> {
+    let starts = orders.iter().filter_map(|order| match order {
+        Order::Start {
+            vm,
+            task,
+            run,
+            saved,
+            ..
+        } => Some(Start {
+            vm: *vm,
+            task: *task,
+            run: *run,
+            saved: saved.clone(),
+        }),
+        _ => None,
+    });
+    starts.collect()
+}
+
+pub fn info(index: usize) -> VmInfo {
+    VmInfo {
+        id: format_compact!("vm-{index:03}"),
+        address: format_compact!("127.0.0.1:{}", 9000 + index),
+        born: 7,
+        service: "quotes".into(),
+        zone: "dc-1".into(),
+        rack: format_compact!("r{}", index / 8),
+        labels: vec!["a".into(), format_compact!("r{}", index / 8)],
+        capacity: size(32_000, 65_536),
+        draining: false,
+        remaining: None,
+    }
+}
+
+pub fn size(milli_cores: u32, memory_mb: u32) -> Size {
+    Size {
+        milli_cores,
+        memory_mb,
+        ..Size::ZERO
+    }
+}
+
+pub fn step(count: u32, estimate: u64) -> Step {
+    Step {
+        count,
+        size: size(2000, 4096),
+        estimate: Millis(estimate),
+        ..Step::default()
+    }
+}
+
+pub fn record(priority: u8, steps: Vec<Step>) -> JobRecord {
+    JobRecord {
+        spec: JobSpec {
+            text: "work".into(),
+            steps,
+            ..JobSpec::default()
+        },
+        policy: Policy {
+            queue: format_compact!("queue-{priority}"),
+            service: "quotes".into(),
+            priority,
+            attempts: 2,
+            stretch_pct: 200,
+            allowance: Millis(400),
+            advice: None,
+        },
+        arrived: Millis(1_000_000),
+        term: 0,
+    }
+}
+
+pub fn loose(count: u32, estimate: u64) -> JobRecord {
+    record(1, vec![step(count, estimate)])
+}
+
+pub fn gang(count: u32, estimate: u64) -> JobRecord {
+    let mut step = step(count, estimate);
+    step.gang = true;
+    record(1, vec![step])
+}
+
+pub fn advised(mut record: JobRecord) -> JobRecord {
+    record.policy.advice = Some(AdviceTerms {
+        base: Millis(10),
+        each_us: 100,
+        valid: Millis(2500),
+    });
+    record
+}
+
+pub fn task(job: u64, index: u32) -> TaskName {
+    TaskName {
+        job: JobId(job),
+        round: 0,
+        step: 0,
+        index,
+    }
+}
+
+pub fn running(task: TaskName, run: u32, percent: u8) -> ReportedRun {
+    ReportedRun {
+        task,
+        run,
+        saved: CompactString::default(),
+        percent,
+        gauge: None,
+    }
+}
+
+pub fn ended(number: u64, task: TaskName, run: u32, how: How) -> ReportedEnd {
+    ReportedEnd {
+        number,
+        task,
+        run,
+        how,
+        saved: CompactString::default(),
+    }
+}
--- /dev/null
+++ b/crates/dotterel-cell/tests/takeover.rs
@@ -0,0 +1,109 @@
+//! A successor finds what runs before it starts anything.
+
+mod support;
+
+use dotterel_cell::record::{Progress, decode};
+use dotterel_cell::{How, JobId, RowWrite};
+use dotterel_kernel::Millis;
+use support::{Bench, ended, loose, running, task};
+
+#[test]
+fn a_run_of_an_earlier_term_is_taken_over_not_repeated() {
+    let mut bench = Bench::of_term(0, 2);
+    let key = bench.cell.vm_listed(support::info(0), bench.now);
+    bench.vms.push(key);
+    bench.cell.inherit(JobId(1), loose(1, 1000), None, bench.now);
+    bench.advance(10);
+
+    bench.report(0, &[running(task(1, 0), 1, 30)], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+
+    assert!(bench.cell.take_orders().is_empty(), "it runs already");
+    bench.advance(100);
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, How::Failed)]);
+    bench.plan();
+    let again = bench.take_starts();
+    assert!(again[0].run > 64, "run numbers of the earlier term are not used again");
+}
+
+#[test]
+fn an_earlier_terms_tasks_wait_until_every_vm_has_answered() {
+    let mut bench = Bench::of_term(0, 2);
+    for index in 0..2 {
+        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        bench.vms.push(key);
+    }
+    bench.cell.inherit(JobId(1), loose(1, 1000), None, bench.now);
+    bench.submit(2, loose(1, 1000));
+    bench.store();
+    bench.advance(10);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+
+    bench.plan();
+    let first = bench.take_starts();
+    bench.advance(10);
+    bench.report(1, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    let second = bench.take_starts();
+
+    assert_eq!(first.iter().map(|start| start.task.job).collect::<Vec<_>>(), [JobId(2)]);
+    assert_eq!(second.iter().map(|start| start.task.job).collect::<Vec<_>>(), [JobId(1)]);
+}
+
+#[test]
+fn a_silent_vm_holds_an_earlier_terms_tasks_back_only_for_a_lease() {
+    let mut bench = Bench::of_term(0, 2);
+    for index in 0..2 {
+        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        bench.vms.push(key);
+    }
+    bench.cell.inherit(JobId(1), loose(1, 1000), None, bench.now);
+    let lease = bench.cell.limits().lease;
+
+    bench.advance(lease.0 - 100);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    let early = bench.take_starts();
+    bench.advance(1000);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert!(early.is_empty(), "the silent VM may still run it");
+    assert_eq!(late.len(), 1);
+}
+
+#[test]
+fn progress_that_was_written_is_not_done_again() {
+    let mut first = Bench::new(1);
+    first.submit(1, loose(3, 1000));
+    first.store();
+    first.plan();
+    first.start_all();
+    first.advance(300);
+    first.report(0, &[], &[ended(1, task(1, 1), 1, How::Done)]);
+    first.advance(300);
+    let batch = first.cell.take_batch(first.now);
+    let progress = batch.writes.iter().find_map(|write| match write {
+        RowWrite::Progress(_, bytes) => decode::<Progress>(bytes),
+        _ => None,
+    });
+
+    let mut second = Bench::of_term(1, 2);
+    second
+        .cell
+        .inherit(JobId(1), loose(3, 1000), progress.as_ref(), second.now);
+    second.advance(Millis::secs(5).0);
+    second.beat(0);
+    second.cell.tick(second.now);
+    second.plan();
+    let starts = second.take_starts();
+
+    let indices: Vec<u32> = starts.iter().map(|start| start.task.index).collect();
+    assert_eq!(indices, [0, 2]);
+}
