Write rows over several lanes to a slow store; keep the room of stopped runs

Progress now goes first with a share of each batch, ends take fewer rows, and further lanes open while a transaction takes long.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -143,8 +143,9 @@
     changed_at: Millis,
     closing: Vec<JobKey>,
     dropping: Vec<JobId>,
-    /// Set while a batch is on its way to the store.
-    writing: bool,
+    /// Batches on their way to the store, oldest first.
+    sent: Vec<batch::Sent>,
+    batches: u64,
     pub(crate) dirty: bool,
     pub(crate) good: Vec<(CompactString, f32)>,
     pub(crate) held: SecondaryMap<VmKey, Size>,
@@ -173,7 +174,8 @@
             changed_at: Millis::ZERO,
             closing: Vec::new(),
             dropping: Vec::new(),
-            writing: false,
+            sent: Vec::new(),
+            batches: 0,
             dirty: true,
             good: Vec::new(),
             held: SecondaryMap::new(),
@@ -203,6 +205,7 @@
         job.inherited = true;
         job.run_floor = self.run_floor();
         if let Some(progress) = progress {
+            job.progressed = true;
             job.restore(progress, now);
         }
         let key = self.insert(job);
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -1,18 +1,19 @@
 //! Rows to write, many events to a transaction.
 //!
 //! Ends are acknowledged to VMs, and jobs shown as ended, only after the rows that say so are
-//! durable. Until then a successor reads the ends back from the VMs.
+//! durable. Until then a successor reads the ends back from the VMs. Several batches may be under
+//! way at once; no two of them hold rows of the same job, so they may be done in any order.
 
 use dotterel_kernel::Millis;
 
 use super::Cell;
-use crate::job::JobKey;
-use crate::record::{EndRecord, JobRecord, encode};
+use crate::job::{JobKey, JobState};
+use crate::record::{EndRecord, JobRecord, JobRow, encode};
 use crate::spec::JobId;
 use crate::vm::VmKey;
 
-/// Rows of one transaction at most; the store takes 100 entries, one is the writer's own.
-const MAX_ENTRIES: usize = 96;
+/// Rows of one transaction at most; the store takes 100 entries, some are the writer's own.
+const MAX_ENTRIES: usize = 94;
 /// Bytes of one transaction at most; the store takes 1 MB of encoded text, a third more.
 const MAX_BYTES: usize = 600_000;
 /// Progress waits so long for company, since a lost wait costs no work: the ends stay on the VMs.
@@ -21,28 +22,21 @@
 /// A change of a job's rows.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RowWrite {
-    /// The job is accepted.
+    /// The job is accepted, or has ended.
     Job(JobId, Vec<u8>),
     /// It has progressed.
     Progress(JobId, Vec<u8>),
-    /// It has ended; its other rows go.
-    End(JobId, Vec<u8>),
+    /// Its progress is of no use any more.
+    DropProgress(JobId),
     /// Its end is forgotten.
     Forget(JobId),
 }
 
 impl RowWrite {
-    const fn entries(&self) -> usize {
-        match self {
-            Self::End(..) => 3,
-            _ => 1,
-        }
-    }
-
     const fn bytes(&self) -> usize {
         match self {
-            Self::Job(_, bytes) | Self::Progress(_, bytes) | Self::End(_, bytes) => bytes.len(),
-            Self::Forget(_) => 0,
+            Self::Job(_, bytes) | Self::Progress(_, bytes) => bytes.len(),
+            Self::DropProgress(_) | Self::Forget(_) => 0,
         }
     }
 }
@@ -56,105 +50,171 @@
     pub accepted: Vec<JobId>,
     /// Jobs whose end it makes durable.
     pub ended: Vec<JobId>,
-    keys: Vec<JobKey>,
+    number: u64,
+    jobs: Vec<JobKey>,
     closed: Vec<JobKey>,
+}
+
+/// A batch under way: the ends that may be acknowledged once it and all before it are durable.
+#[derive(Debug)]
+pub(super) struct Sent {
+    number: u64,
+    done: bool,
     taken: Vec<(VmKey, u64)>,
 }
 
 impl Cell {
-    /// Returns true when callers wait for rows, or progress has waited long enough.
+    /// Returns true when callers wait for rows.
     #[must_use]
     pub fn wants_write(&self, now: Millis) -> bool {
-        let urgent = !self.fresh.is_empty() || !self.closing.is_empty();
-        urgent || (!self.changed.is_empty() && now.since(self.changed_at) >= PROGRESS_DELAY)
+        self.rows_waiting(now) > 0
     }
 
-    /// Takes the rows to write next; [`Self::written`] follows before the next call.
+    /// Returns how many jobs have rows that should be written now.
+    #[must_use]
+    pub fn rows_waiting(&self, now: Millis) -> usize {
+        let idle = |key: &&JobKey| self.jobs.get(**key).is_some_and(|job| !job.writing);
+        let urgent = self.closing.iter().chain(&self.fresh).filter(idle).count();
+        let due = now.since(self.changed_at) >= PROGRESS_DELAY;
+        let progress = if due { self.changed.iter().filter(idle).count() } else { 0 };
+        urgent + progress
+    }
+
+    /// Takes the rows to write next.
     pub fn take_batch(&mut self, now: Millis) -> Batch {
-        self.writing = true;
         let mut batch = Batch::default();
-        let mut size = Room::default();
-        while let Some(key) = self.closing.first().copied() {
-            let job = &self.jobs[key];
+        let mut room = Room::default();
+        // Progress goes first when it is due, since it waits least often and ends stay on VMs,
+        // which list no more than 500 of them, until it is written.
+        if now.since(self.changed_at) >= PROGRESS_DELAY {
+            self.take_progress(&mut batch, &mut room);
+        }
+        self.take_ends(&mut batch, &mut room, now);
+        self.take_fresh(&mut batch, &mut room);
+        while let Some(id) = self.dropping.last().copied() {
+            if !room.takes(&[RowWrite::Forget(id)]) {
+                break;
+            }
+            batch.writes.push(RowWrite::Forget(id));
+            self.dropping.pop();
+        }
+        for key in &batch.jobs {
+            self.jobs[*key].writing = true;
+        }
+        self.batches += 1;
+        batch.number = self.batches;
+        let all = self.changed.is_empty() && self.closing.is_empty();
+        self.sent.push(Sent {
+            number: batch.number,
+            done: false,
+            taken: if all { self.taken() } else { Vec::new() },
+        });
+        batch
+    }
+
+    fn take_progress(&mut self, batch: &mut Batch, room: &mut Room) {
+        /// Rows of a batch that progress may take; the rest is for those who wait.
+        const SHARE: usize = 40;
+        let mut left = Vec::new();
+        for key in std::mem::take(&mut self.changed) {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.writing || batch.writes.len() >= SHARE {
+                left.push(key);
+                continue;
+            }
+            let write = RowWrite::Progress(job.id, encode(&job.progress()));
+            if !room.takes(std::slice::from_ref(&write)) {
+                left.push(key);
+                continue;
+            }
+            job.progressed = true;
+            batch.jobs.push(key);
+            batch.writes.push(write);
+        }
+        self.changed = left;
+    }
+
+    fn take_ends(&mut self, batch: &mut Batch, room: &mut Room, now: Millis) {
+        let mut left = Vec::new();
+        for key in std::mem::take(&mut self.closing) {
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
             let end = EndRecord {
-                state: job.end.unwrap_or(crate::job::JobState::Failed),
+                state: job.end.unwrap_or(JobState::Failed),
                 at: now,
                 queue: job.policy.queue.clone(),
             };
-            let write = RowWrite::End(job.id, encode(&end));
-            if !size.takes(&write) {
-                break;
+            let mut writes = vec![RowWrite::Job(job.id, encode(&JobRow::Ended(end)))];
+            if job.progressed {
+                writes.push(RowWrite::DropProgress(job.id));
+            }
+            if job.writing || !room.takes(&writes) {
+                left.push(key);
+                continue;
             }
             batch.ended.push(job.id);
             if !job.stored {
                 batch.accepted.push(job.id);
                 self.fresh.retain(|fresh| *fresh != key);
             }
+            batch.jobs.push(key);
             batch.closed.push(key);
-            batch.writes.push(write);
-            self.closing.remove(0);
+            batch.writes.append(&mut writes);
         }
-        while let Some(key) = self.fresh.first().copied() {
-            let job = &self.jobs[key];
+        self.closing = left;
+    }
+
+    fn take_fresh(&mut self, batch: &mut Batch, room: &mut Room) {
+        let mut left = Vec::new();
+        for key in std::mem::take(&mut self.fresh) {
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
             let record = JobRecord {
                 spec: (*job.spec).clone(),
                 policy: job.policy.clone(),
                 arrived: job.arrived,
                 term: job.term,
             };
-            let write = RowWrite::Job(job.id, encode(&record));
-            if !size.takes(&write) {
-                break;
+            let write = RowWrite::Job(job.id, encode(&JobRow::Open(Box::new(record))));
+            if !room.takes(std::slice::from_ref(&write)) {
+                left.push(key);
+                continue;
             }
             batch.accepted.push(job.id);
-            batch.keys.push(key);
-            batch.writes.push(write);
-            self.fresh.remove(0);
-        }
-        let due = now.since(self.changed_at) >= PROGRESS_DELAY;
-        while due && let Some(key) = self.changed.last().copied() {
-            let job = &self.jobs[key];
-            let write = RowWrite::Progress(job.id, encode(&job.progress()));
-            if !size.takes(&write) {
-                break;
-            }
+            batch.jobs.push(key);
             batch.writes.push(write);
-            self.changed.pop();
         }
-        while let Some(id) = self.dropping.last().copied() {
-            let write = RowWrite::Forget(id);
-            if !size.takes(&write) {
-                break;
-            }
-            batch.writes.push(write);
-            self.dropping.pop();
-        }
-        if self.changed.is_empty() && self.closing.is_empty() {
-            batch.taken = self.taken();
-        }
-        batch
+        self.fresh = left;
     }
 
     /// Takes in that a batch is durable.
     pub fn written(&mut self, batch: &Batch) {
-        self.writing = false;
-        for key in &batch.keys {
+        for key in &batch.jobs {
             if let Some(job) = self.jobs.get_mut(*key) {
+                job.writing = false;
                 job.stored = true;
             }
         }
         for key in &batch.closed {
             if let Some(job) = self.jobs.get_mut(*key) {
-                job.stored = true;
                 job.shown = true;
                 // The rest is never asked for again, and a day's ended jobs are many.
                 job.rounds = Vec::new();
                 job.spec = std::sync::Arc::default();
             }
         }
-        for (key, number) in &batch.taken {
-            if let Some(vm) = self.vms.get_mut(*key) {
-                vm.durable = vm.durable.max(*number);
+        if let Some(sent) = self.sent.iter_mut().find(|sent| sent.number == batch.number) {
+            sent.done = true;
+        }
+        while self.sent.first().is_some_and(|sent| sent.done) {
+            for (key, number) in self.sent.remove(0).taken {
+                if let Some(vm) = self.vms.get_mut(key) {
+                    vm.durable = vm.durable.max(number);
+                }
             }
         }
         self.dirty = true;
@@ -162,7 +222,7 @@
 
     /// Acknowledges ends that need no row, when no row waits or is on its way.
     pub fn settle_idle(&mut self) {
-        if !self.writing && self.changed.is_empty() && self.closing.is_empty() {
+        if self.sent.is_empty() && self.changed.is_empty() && self.closing.is_empty() {
             for vm in self.vms.values_mut() {
                 vm.durable = vm.taken;
             }
@@ -182,9 +242,9 @@
 }
 
 impl Room {
-    fn takes(&mut self, write: &RowWrite) -> bool {
-        let entries = self.entries + write.entries();
-        let bytes = self.bytes + write.bytes();
+    fn takes(&mut self, writes: &[RowWrite]) -> bool {
+        let entries = self.entries + writes.len();
+        let bytes = self.bytes + writes.iter().map(RowWrite::bytes).sum::<usize>();
         let fits = entries <= MAX_ENTRIES && (bytes <= MAX_BYTES || self.entries == 0);
         if fits {
             self.entries = entries;
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -6,6 +6,9 @@
 use crate::job::Phase;
 use crate::vm::{Report, ReportedRun, RunPhase, VmInfo, VmKey};
 
+/// Beyond the time of a stop: a VM's clock may be slow and its answer late.
+const ABSENT_SLACK: Millis = Millis(150);
+
 impl Cell {
     /// Takes in what a VM says of itself; `sent` is when it was asked.
     ///
@@ -112,9 +115,11 @@
     fn drop_absent(&mut self, key: VmKey, report: &Report, sent: Millis) {
         let mut absent = Vec::new();
         for on in &self.vms[key].runs {
+            // What is being stopped takes room without being listed, for as long as a stop may take.
+            let slack = self.limits.stop + ABSENT_SLACK;
             let sure = match on.phase {
-                RunPhase::Stopping { acked: Some(at) } => at < sent,
-                RunPhase::Running => on.confirmed < sent,
+                RunPhase::Stopping { acked: Some(at) } => at + slack < sent,
+                RunPhase::Running => on.confirmed + slack < sent,
                 _ => false,
             };
             let listed = report
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -157,6 +157,10 @@
     pub end: Option<JobState>,
     /// Set once the end is durable.
     pub shown: bool,
+    /// Set while a transaction with a row of the job is under way.
+    pub writing: bool,
+    /// Set once there may be a row with its progress.
+    pub progressed: bool,
     /// When it ended.
     pub ended: Millis,
     /// Occurrences under way.
@@ -184,6 +188,8 @@
             begun: false,
             end: None,
             shown: false,
+            writing: false,
+            progressed: false,
             ended: Millis::ZERO,
             rounds: Vec::new(),
             next_round: 0,
--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -49,7 +49,16 @@
     pub fails: u8,
 }
 
-/// Takes the place of a job's other rows once it has ended.
+/// The one row that tells what is known of a job; rewritten when the job ends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum JobRow {
+    /// Accepted, and not ended.
+    Open(Box<JobRecord>),
+    /// Ended.
+    Ended(EndRecord),
+}
+
+/// What is kept of a job that has ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndRecord {
     /// How it ended.
--- /dev/null
+++ b/crates/dotterel-cell/tests/capacity.rs
@@ -0,0 +1,63 @@
+//! A VM is never given more than it holds.
+
+mod support;
+
+use dotterel_cell::{How, JobId, StartAnswer};
+use support::{Bench, ended, loose, task};
+
+#[test]
+fn a_run_that_is_being_stopped_keeps_its_room_until_its_end_is_listed() {
+    let mut bench = Bench::new(1);
+    let mut wide = loose(1, 5000);
+    wide.spec.steps[0].size = support::size(30_000, 4096);
+    bench.submit(1, wide.clone());
+    bench.submit(2, wide);
+    bench.store();
+    bench.plan();
+    let started = bench.start_all();
+    let first = started[0].task.job;
+    bench.cell.cancel(first, bench.now);
+    bench.advance(20);
+    bench.cell.stop_answered(bench.vms[0], started[0].task, 1, bench.now);
+    bench.advance(50);
+
+    // It takes room without being listed while it is being stopped.
+    bench.report(0, &[], &[]);
+    bench.plan();
+    let early = bench.take_starts();
+    bench.report(0, &[], &[ended(1, task(first.0, 0), 1, How::Stopped)]);
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
+
+#[test]
+fn an_unanswered_start_takes_room_until_it_is_barred() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, loose(1, 1000));
+    bench.store();
+    bench.plan();
+    let start = bench.take_starts().remove(0);
+    let at = bench.index_of(start.vm);
+
+    bench
+        .cell
+        .start_answered(start.vm, start.task, 1, StartAnswer::Unknown, bench.now);
+    bench.plan();
+    let early = bench.take_starts();
+    let used = bench.vm(at).used;
+    bench.cell.stop_answered(start.vm, start.task, 1, bench.now);
+    bench.advance(800);
+    bench.beat(0);
+    bench.report(at, &[], &[]);
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert!(early.is_empty(), "it may yet be carried out");
+    assert_eq!(used, support::size(2000, 4096));
+    assert_eq!(late.len(), 1);
+    assert_eq!(late[0].run, 2);
+    assert_eq!(late[0].task.job, JobId(1));
+}
--- a/crates/dotterel-cell/tests/takeover.rs
+++ b/crates/dotterel-cell/tests/takeover.rs
@@ -107,3 +107,45 @@
     let indices: Vec<u32> = starts.iter().map(|start| start.task.index).collect();
     assert_eq!(indices, [0, 2]);
 }
+
+#[test]
+fn failed_runs_of_earlier_terms_count_against_the_attempts() {
+    let mut first = Bench::new(2);
+    let mut record = support::gang(2, 1000);
+    record.policy.attempts = 3;
+    first.submit(1, record.clone());
+    first.store();
+    let mut rows = Vec::new();
+    for run in 1..=2 {
+        first.advance(300);
+        first.plan();
+        let starts = first.start_all();
+        assert_eq!(starts.len(), 2);
+        first.advance(300);
+        let at = first.index_of(starts[0].vm);
+        let first_end = u64::from(run * 2 - 1);
+        first.report(at, &[], &[
+            ended(first_end, task(1, 0), run, How::Failed),
+            ended(first_end + 1, task(1, 1), run, How::Broken),
+        ]);
+        first.advance(300);
+        let batch = first.cell.take_batch(first.now);
+        first.cell.written(&batch);
+        rows.extend(batch.writes);
+    }
+    let progress = rows.iter().rev().find_map(|write| match write {
+        RowWrite::Progress(_, bytes) => decode::<Progress>(bytes),
+        _ => None,
+    });
+
+    let mut second = Bench::of_term(2, 2);
+    second.cell.inherit(JobId(1), record, progress.as_ref(), second.now);
+    second.advance(100);
+    second.plan();
+    let starts = second.start_all();
+    let at = second.index_of(starts[0].vm);
+    second.report(at, &[], &[ended(1, task(1, 0), starts[0].run, How::Failed)]);
+    second.store();
+
+    assert_eq!(second.cell.state(JobId(1)), Some(dotterel_cell::JobState::Failed));
+}
--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use dotterel_cell::{JobId, JobRecord, JobSpec};
+use dotterel_cell::record::{self, JobRow};
+use dotterel_cell::{JobId, JobRecord, JobSpec, JobState};
 use dotterel_kernel::{Clock, Millis};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
@@ -233,22 +234,17 @@
     }
 
     /// Reads a job's state from the store; none when the store doesn't answer.
-    async fn stored_state(&self, id: JobId) -> Option<Option<dotterel_cell::JobState>> {
+    async fn stored_state(&self, id: JobId) -> Option<Option<JobState>> {
         let part = self.cell(id).part();
         let key = compact_str::format_compact!("{id}");
-        for table in [Table::Ends, Table::Jobs, Table::Ends] {
-            let page = self.platform.scan(table, &part, &key, 1).await.ok()?;
-            let Some(row) = page.rows.iter().find(|row| row.key == key) else {
-                continue;
-            };
-            if table == Table::Jobs {
-                return Some(Some(dotterel_cell::JobState::Running));
-            }
-            let end: Option<dotterel_cell::record::EndRecord> =
-                dotterel_cell::record::decode(&row.value);
-            return end.map(|end| Some(end.state));
+        let page = self.platform.scan(Table::Jobs, &part, &key, 1).await.ok()?;
+        let Some(row) = page.rows.iter().find(|row| row.key == key) else {
+            return Some(None);
+        };
+        match record::decode::<JobRow>(&row.value)? {
+            JobRow::Open(_) => Some(Some(JobState::Running)),
+            JobRow::Ended(end) => Some(Some(end.state)),
         }
-        Some(None)
     }
 
     async fn pending(&self, route: &Route, deadline: Millis) -> Answer {
--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -17,12 +17,10 @@
 pub enum Table {
     /// Who holds the scheduler's role.
     Role,
-    /// Accepted jobs.
+    /// Jobs.
     Jobs,
     /// Their progress.
     Progress,
-    /// Jobs that have ended.
-    Ends,
 }
 
 /// A row of the store.
@@ -168,7 +166,7 @@
 /// The platform.
 pub trait Platform: 'static {
     /// Carries out a transaction.
-    fn commit(&self, tx: &Tx) -> impl Future<Output = Commit>;
+    fn commit(&self, tx: &Tx, timeout: Millis) -> impl Future<Output = Commit>;
 
     /// Reads rows of a table in a part, in the order of their keys, from a key on,
     /// `limit` rows at most.
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -97,6 +97,12 @@
     lines: RefCell<HashMap<VmKey, mpsc::UnboundedSender<orders::VmOrder>>>,
     plan: Notify,
     write: Notify,
+    /// Since when each lane to the store has been busy.
+    busy: RefCell<[Option<Millis>; crate::seek::LANES]>,
+    /// When rows were last written, which renews the role.
+    renewed: StdCell<Millis>,
+    /// How long the last transaction took.
+    took: StdCell<Millis>,
     /// Since when the store has not taken rows.
     away: StdCell<Option<Millis>>,
     /// Starts wait until the role is confirmed, or until this moment.
@@ -109,7 +115,9 @@
     /// Runs the role until it is lost or given back.
     async fn run(self: Rc<Self>) {
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(Rc::clone(&self).write_rows());
+        for lane in 0..crate::seek::LANES {
+            tasks.spawn_local(Rc::clone(&self).write_rows(lane));
+        }
         tasks.spawn_local(Rc::clone(&self).follow_registry());
         tasks.spawn_local(Rc::clone(&self).plan_runs());
         tasks.spawn_local(Rc::clone(&self).keep_time());
--- a/crates/dotterel-node/src/scheduler/load.rs
+++ b/crates/dotterel-node/src/scheduler/load.rs
@@ -1,7 +1,7 @@
 //! Reading back what earlier terms kept.
 
 use compact_str::CompactString;
-use dotterel_cell::record::{EndRecord, JobRecord, Progress, decode};
+use dotterel_cell::record::{JobRow, Progress, decode};
 use dotterel_cell::JobId;
 use dotterel_kernel::Millis;
 
@@ -14,33 +14,39 @@
 const PAUSE: Millis = Millis(100);
 
 impl<P: Platform> Scheduler<P> {
-    /// Reads jobs, their progress and their ends, for as long as it takes.
+    /// Reads jobs and their progress, for as long as it takes.
     pub(super) async fn load(&self) {
         let began = self.clock.now();
         self.load_vms().await;
         let progress = self.read_table(Table::Progress).await;
         let jobs = self.read_table(Table::Jobs).await;
-        let ends = self.read_table(Table::Ends).await;
         let now = self.clock.now();
         let mut cell = self.cell.borrow_mut();
-        for row in &ends {
-            match (row.key.parse::<JobId>(), decode::<EndRecord>(&row.value)) {
-                (Ok(id), Some(end)) => cell.inherit_end(id, &end, now),
-                _ => log::error!(key = row.key.as_str(), table = "ends"; "row not readable"),
-            }
-        }
+        let mut ended = 0;
         for row in &jobs {
-            let record = decode::<JobRecord>(&row.value);
+            let record = decode::<JobRow>(&row.value);
             let (Ok(id), Some(record)) = (row.key.parse::<JobId>(), record) else {
                 log::error!(key = row.key.as_str(), table = "jobs"; "row not readable");
                 continue;
             };
+            let record = match record {
+                JobRow::Open(record) => *record,
+                JobRow::Ended(end) => {
+                    ended += 1;
+                    cell.inherit_end(id, &end, now);
+                    continue;
+                }
+            };
             let at = progress.binary_search_by(|other| other.key.cmp(&row.key));
-            let progress = at.ok().and_then(|at| decode::<Progress>(&progress[at].value));
+            let written = at.ok().map(|at| &progress[at].value);
+            let progress = written.and_then(|value| decode::<Progress>(value));
+            if written.is_some() && progress.is_none() {
+                log::error!(key = row.key.as_str(), table = "progress"; "row not readable");
+            }
             cell.inherit(id, record, progress.as_ref(), now);
         }
         log::info!(
-            cell = self.no.0, jobs = jobs.len(), ended = ends.len(),
+            cell = self.no.0, jobs = jobs.len(), progress = progress.len(), ended,
             took_ms = now.since(began).0; "cell read back");
     }
 
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -1,7 +1,9 @@
-//! Rows to the store, one transaction at a time.
+//! Rows to the store.
 //!
-//! Each transaction expects the renewal row as the last one left it. So a transaction whose answer
-//! was lost is simply sent again: it is done once, and a copy that is carried out late fails.
+//! Transactions go through lanes. Each expects its lane's row as the lane's last one left it, so a
+//! transaction whose answer was lost is simply sent again: it is done once, and a copy that is
+//! carried out late fails. While the store is quick, one lane does; a slow store gets the others
+//! too, since it takes no more rows in a transaction than a quick one.
 
 use std::rc::Rc;
 
@@ -14,16 +16,24 @@
 use super::Scheduler;
 use crate::link::Reply;
 use crate::platform::{Commit, Platform, Row, Table, Tx};
-use crate::seek::{OWNER, Owner, RENEWAL, Renewal};
+use crate::seek::{OWNER, Owner, Renewal, lane_key};
 
 /// The holder renews at least this often.
 const RENEW_EVERY: Millis = Millis(400);
-/// Pause between transactions, in which further events join the next one.
+/// Pause between transactions of a lane, in which further events join the next one.
 const GATHER: Millis = Millis(12);
+/// A further lane is used when the ones before it have been busy for so long: several times what
+/// a transaction usually takes.
+const LANE_AFTER: Millis = Millis(60);
 /// Pause after a refusal.
 const PAUSE: Millis = Millis(60);
 /// The store counts as away for callers after this time without a transaction.
 pub(super) const AWAY_AFTER: Millis = Millis(700);
+/// A transaction is given up after this many times what the last one took, within bounds: soon,
+/// since a connection may have gone silent, but not before a slow store could have answered.
+const TIMEOUT_FACTOR: u64 = 5;
+const TIMEOUT_MIN: Millis = Millis(600);
+const TIMEOUT_MAX: Millis = Millis(3000);
 
 /// The end of one attempt.
 enum Written {
@@ -33,38 +43,40 @@
 }
 
 impl<P: Platform> Scheduler<P> {
-    pub(super) async fn write_rows(self: Rc<Self>) {
-        // The take-over wrote the renewal row, so its version is the token.
+    /// Carries the transactions of one lane.
+    pub(super) async fn write_rows(self: Rc<Self>, lane: usize) {
+        // The take-over wrote the lanes' rows, so their version is the token.
         let mut version = self.fence;
         let mut count = 0;
-        let mut last = Millis::ZERO;
         loop {
+            self.wait_for_rows(lane).await;
             let now = self.clock.now();
-            let due = now.since(last) >= RENEW_EVERY || self.unsure.get().is_some();
-            let wanted = self.cell.borrow().wants_write(now);
-            if !wanted && !due && !self.releasing.get() {
-                let wait = RENEW_EVERY - now.since(last);
-                // A wake-up and a time-out lead to the same look.
-                let _ = timeout(wait.duration(), self.write.notified()).await;
-                continue;
+            let releasing = self.releasing.get() && lane == 0;
+            if releasing {
+                // The other lanes are let through first, since the release ends them.
+                while self.busy.borrow().iter().skip(1).any(Option::is_some) {
+                    tokio::time::sleep(GATHER.duration()).await;
+                }
             }
-            let releasing = self.releasing.get();
             let batch = self.cell.borrow_mut().take_batch(now);
             count += 1;
-            let tx = self.transaction(&batch, version, count, releasing);
-            let Some(done) = self.commit_surely(&tx, count).await else {
+            self.busy.borrow_mut()[lane] = Some(now);
+            let tx = self.transaction(&batch, lane, version, count, releasing);
+            let done = self.commit_surely(&tx, lane, count).await;
+            self.busy.borrow_mut()[lane] = None;
+            let Some(done) = done else {
                 self.end("another node has taken the role");
                 return;
             };
             version = done;
-            last = self.clock.now();
+            self.renewed.set(self.clock.now());
             if self.unsure.take().is_some() {
                 log::info!(cell = self.no.0; "role confirmed");
             }
             self.cell.borrow_mut().written(&batch);
             self.tell(&batch);
             self.plan.notify_one();
-            if releasing && !self.cell.borrow().wants_write(self.clock.now()) {
+            if releasing {
                 self.end("given back");
                 return;
             }
@@ -72,7 +84,39 @@
         }
     }
 
-    fn transaction(&self, batch: &Batch, version: u64, count: u64, releasing: bool) -> Tx {
+    /// Returns when a lane has something to write.
+    async fn wait_for_rows(&self, lane: usize) {
+        loop {
+            let now = self.clock.now();
+            if lane == 0 {
+                let due = now.since(self.renewed.get()) >= RENEW_EVERY;
+                let rows = self.cell.borrow().wants_write(now);
+                if rows || due || self.unsure.get().is_some() || self.releasing.get() {
+                    return;
+                }
+                let wait = RENEW_EVERY - now.since(self.renewed.get());
+                // A wake-up and a time-out lead to the same look.
+                let _ = timeout(wait.duration(), self.write.notified()).await;
+                continue;
+            }
+            let slow = self.busy.borrow()[..lane]
+                .iter()
+                .all(|since| since.is_some_and(|since| now.since(since) >= LANE_AFTER));
+            if slow && !self.releasing.get() && self.cell.borrow().wants_write(now) {
+                return;
+            }
+            tokio::time::sleep(LANE_AFTER.duration()).await;
+        }
+    }
+
+    fn transaction(
+        &self,
+        batch: &Batch,
+        lane: usize,
+        version: u64,
+        count: u64,
+        releasing: bool,
+    ) -> Tx {
         let renewal = Renewal {
             term: self.term,
             count,
@@ -83,9 +127,9 @@
             part: self.no.part(),
             expect: vec![
                 (Table::Role, OWNER.into(), self.fence),
-                (Table::Role, RENEWAL.into(), version),
+                (Table::Role, lane_key(lane), version),
             ],
-            puts: vec![(Table::Role, RENEWAL.into(), encode(&renewal))],
+            puts: vec![(Table::Role, lane_key(lane), encode(&renewal))],
             removes: Vec::new(),
         };
         if releasing {
@@ -105,20 +149,24 @@
     }
 
     /// Repeats a transaction until its outcome is known; none when the role is lost.
-    async fn commit_surely(&self, tx: &Tx, count: u64) -> Option<u64> {
+    async fn commit_surely(&self, tx: &Tx, lane: usize, count: u64) -> Option<u64> {
         loop {
             let began = self.clock.now();
-            let outcome = self.platform.commit(tx).await;
-            self.metrics.call("commit", self.clock.now().since(began));
+            let took = self.took.get().0 * TIMEOUT_FACTOR;
+            let most = Millis(took.clamp(TIMEOUT_MIN.0, TIMEOUT_MAX.0));
+            let outcome = self.platform.commit(tx, most).await;
+            let now = self.clock.now();
+            self.took.set(now.since(began));
+            self.metrics.call("commit", now.since(began));
             let written = match &outcome {
                 Commit::Done(version) => Written::Done(*version),
-                Commit::Conflict(rows) => self.judge(rows, count),
+                Commit::Conflict(rows) => self.judge(rows, lane, count),
                 Commit::NotDone | Commit::Unknown => Written::Again,
             };
             match written {
                 Written::Done(version) => {
                     if let Some(since) = self.away.take() {
-                        let ms = self.clock.now().since(since).0;
+                        let ms = now.since(since).0;
                         log::info!(cell = self.no.0, ms; "store takes rows again");
                     }
                     return Some(version);
@@ -138,9 +186,9 @@
     }
 
     /// Tells an attempt of ours that was done unheard from another node's take-over.
-    fn judge(&self, rows: &[Row], count: u64) -> Written {
-        let find = |key: &str| rows.iter().find(|row| row.key == key);
-        let renewal = find(RENEWAL);
+    fn judge(&self, rows: &[Row], lane: usize, count: u64) -> Written {
+        let key = lane_key(lane);
+        let renewal = rows.iter().find(|row| row.key == key);
         let own = renewal
             .and_then(|row| decode::<Renewal>(&row.value))
             .is_some_and(|renewal| renewal.term == self.term && renewal.count == count);
@@ -185,11 +233,7 @@
     match write {
         RowWrite::Job(id, value) => tx.puts.push((Table::Jobs, key(id), value.clone())),
         RowWrite::Progress(id, value) => tx.puts.push((Table::Progress, key(id), value.clone())),
-        RowWrite::End(id, value) => {
-            tx.puts.push((Table::Ends, key(id), value.clone()));
-            tx.removes.push((Table::Jobs, key(id)));
-            tx.removes.push((Table::Progress, key(id)));
-        }
-        RowWrite::Forget(id) => tx.removes.push((Table::Ends, key(id))),
+        RowWrite::DropProgress(id) => tx.removes.push((Table::Progress, key(id))),
+        RowWrite::Forget(id) => tx.removes.push((Table::Jobs, key(id))),
     }
 }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -25,11 +25,13 @@
 
 /// The key of the row that names the holder.
 pub const OWNER: &str = "owner";
-/// The key of the row that the holder keeps rewriting.
-pub const RENEWAL: &str = "renewal";
+/// Transactions that a holder may have under way at once.
+pub const LANES: usize = 3;
 
 /// A holder whose renewal stands still for so long is taken to be gone: three renewals and a call.
 const SUSPECT: Millis = Millis(1300);
+/// Time to take the role; a slow store needs most of a second.
+const TAKE_TIMEOUT: Millis = Millis(1500);
 /// Pause between looks at the role's rows.
 const LOOK_EVERY: Millis = Millis(250);
 /// Time to connect to the holder.
@@ -57,8 +59,14 @@
     pub released: bool,
 }
 
-/// Rewritten with each of the holder's transactions, which all expect it as the last one left it,
-/// so that none is carried out after a later one.
+/// Returns the key of the row that the transactions of a lane rewrite.
+#[must_use]
+pub fn lane_key(lane: usize) -> CompactString {
+    compact_str::format_compact!("lane-{lane}")
+}
+
+/// Rewritten with each of the holder's transactions in a lane, which all expect it as the last one
+/// left it, so that none is carried out after a later one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     /// The holder's term.
@@ -89,11 +97,13 @@
                     Some(owner) => role.owner = Some((owner, row.version)),
                     None => role.unreadable = row.version,
                 },
-                RENEWAL => {
-                    let renewal = dotterel_cell::record::decode(&row.value).unwrap_or_default();
-                    role.renewal = Some((renewal, row.version));
+                _ => {
+                    let renewal: Renewal =
+                        dotterel_cell::record::decode(&row.value).unwrap_or_default();
+                    if role.renewal.is_none_or(|(_, version)| version < row.version) {
+                        role.renewal = Some((renewal, row.version));
+                    }
                 }
-                _ => {}
             }
         }
         role
@@ -103,8 +113,9 @@
         self.owner.as_ref().map_or(self.unreadable, |(_, version)| *version)
     }
 
-    fn renewal_version(&self) -> u64 {
-        self.renewal.map_or(0, |(_, version)| version)
+    fn version(&self) -> u64 {
+        let renewal = self.renewal.map_or(0, |(_, version)| version);
+        renewal.max(self.owner_version())
     }
 }
 
@@ -209,7 +220,7 @@
         loop {
             if let Ok(role) = self.look().await {
                 let now = self.clock.now();
-                let version = role.renewal_version().max(role.owner_version());
+                let version = role.version();
                 match first {
                     Some((seen, since)) if seen == version => {
                         if now.since(since) >= SUSPECT {
@@ -258,19 +269,17 @@
             at: self.clock.now(),
         };
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
+        let mut puts = vec![put(OWNER, dotterel_cell::record::encode(&owner))];
+        for lane in 0..LANES {
+            puts.push(put(&lane_key(lane), dotterel_cell::record::encode(&renewal)));
+        }
         let tx = Tx {
             part: self.cell.part(),
-            expect: vec![
-                (Table::Role, OWNER.into(), role.owner_version()),
-                (Table::Role, RENEWAL.into(), role.renewal_version()),
-            ],
-            puts: vec![
-                put(OWNER, dotterel_cell::record::encode(&owner)),
-                put(RENEWAL, dotterel_cell::record::encode(&renewal)),
-            ],
+            expect: vec![(Table::Role, OWNER.into(), role.owner_version())],
+            puts,
             removes: Vec::new(),
         };
-        match self.platform.commit(&tx).await {
+        match self.platform.commit(&tx, TAKE_TIMEOUT).await {
             Commit::Done(version) => {
                 log::info!(cell = self.cell.0, term, fence = version, reason; "role taken");
                 let before = role.renewal.map(|(renewal, _)| renewal);
