--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -9,6 +9,9 @@
 /// Beyond the time of a stop: a VM's clock may be slow and its answer late.
 const ABSENT_SLACK: Millis = Millis(150);
 
+/// A VM silent for so long is not asked for a longer lease: one question and its wait have passed.
+const LEASE_SILENT: Millis = Millis(1400);
+
 impl Cell {
     /// Takes in what a VM says of itself; `sent` is when it was asked.
     ///
@@ -52,11 +55,14 @@
         self.drop_absent(key, report, sent);
     }
 
-    /// Returns the end of the lease to ask a VM for, on its clock; none before its first answer.
+    /// Returns the end of the lease to ask a VM for, on its clock.
+    ///
+    /// None before its first answer, and while it is silent: it may take in what it doesn't answer,
+    /// and then its lease would never surely run out.
     pub fn name_lease(&mut self, key: VmKey, now: Millis) -> Option<Millis> {
         let lease = self.limits.lease;
         let vm = self.vms.get_mut(key)?;
-        if vm.clock == Millis::ZERO {
+        if !vm.fenced || now.since(vm.answered) > LEASE_SILENT {
             return None;
         }
         vm.lease = vm.lease.max(vm.clock_at(now) + lease);
--- a/crates/dotterel-cell/tests/takeover.rs
+++ b/crates/dotterel-cell/tests/takeover.rs
@@ -149,3 +149,26 @@
 
     assert_eq!(second.cell.state(JobId(1)), Some(dotterel_cell::JobState::Failed));
 }
+
+#[test]
+fn the_lease_of_a_silent_vm_runs_out_although_it_is_still_asked() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, loose(1, 60_000));
+    bench.store();
+    bench.plan();
+    let start = bench.start_all().remove(0);
+    let silent = bench.index_of(start.vm);
+    let mut starts = Vec::new();
+
+    for _ in 0..16 {
+        bench.advance(500);
+        bench.report(1 - silent, &[], &[]);
+        bench.cell.name_lease(bench.vms[silent], bench.now);
+        bench.cell.tick(bench.now);
+        bench.plan();
+        starts.extend(bench.take_starts());
+    }
+
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].vm, start.vm);
+}
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -119,7 +119,11 @@
             };
             let now = self.clock.now();
             let Some(lease) = self.cell.borrow_mut().name_lease(key, now) else {
-                return;
+                // Nothing is sent to a VM that has gone silent; an earlier copy may yet arrive.
+                if attempt == 0 {
+                    answer = StartAnswer::Unhealthy;
+                }
+                break;
             };
             start.lease = lease;
             answer = self.platform.start(&target, &start).await;
