Bound the calls for advice that wait, count failed runs by number

A call is now made only when a node is free soon, and a quarter of the nodes is kept free of long calls.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -6,6 +6,7 @@
 use dotterel_kernel::{Millis, Size};
 use slotmap::{SecondaryMap, SlotMap};
 
+use crate::plan::advice::Adviser;
 use crate::job::{Job, JobKey, JobState, Phase, StepRef};
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, TaskName};
@@ -58,6 +59,8 @@
     pub vms: Vec<VmKey>,
     /// What the call is expected to take.
     pub cost: Millis,
+    /// Who makes the call.
+    pub adviser: u64,
 }
 
 /// What the scheduler orders.
@@ -148,6 +151,7 @@
     batches: u64,
     pub(crate) dirty: bool,
     pub(crate) good: Vec<(CompactString, f32)>,
+    pub(crate) advisers: Vec<Adviser>,
     pub(crate) held: SecondaryMap<VmKey, Size>,
 }
 
@@ -178,6 +182,7 @@
             batches: 0,
             dirty: true,
             good: Vec::new(),
+            advisers: Vec::new(),
             held: SecondaryMap::new(),
         }
     }
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -24,7 +24,7 @@
         let current = task.run == end.run && task.phase == Phase::Placed(vm);
         // A run of an earlier term, or one that was given up while the VM was silent. Its end
         // counts only as long as the task has not been started again.
-        let late = !own && task.phase == Phase::Waiting;
+        let late = !own && task.phase == Phase::Waiting && !task.failed.contains(&end.run);
         if !current && !late {
             return;
         }
@@ -117,24 +117,23 @@
         gang: bool,
         now: Millis,
     ) {
-        let attempts = self.jobs[key].policy.attempts.max(1);
+        let attempts = usize::from(self.jobs[key].policy.attempts.max(1));
         let Some(round) = self.jobs[key].round_mut(end.task.round) else {
             return;
         };
         let step = &mut round.steps[usize::from(end.task.step)];
         let task = &mut step.tasks[end.task.index as usize];
-        task.fails = task.fails.saturating_add(1);
+        task.failed.push(end.run);
         task.phase = Phase::Waiting;
         if !task.avoid.contains(&vm) {
             task.avoid.push(vm);
         }
-        let mut fails = task.fails;
+        let mut fails = task.failed.len();
         if gang {
-            if step.failed_run != end.run {
-                step.failed_run = end.run;
-                step.fails = step.fails.saturating_add(1);
+            if !step.failed.contains(&end.run) {
+                step.failed.push(end.run);
             }
-            fails = step.fails;
+            fails = step.failed.len();
         }
         self.touch(key, now);
         if fails >= attempts {
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::record::{JobRecord, Progress, RoundProgress, StepProgress};
+use crate::record::{JobRecord, Progress, RoundProgress, StepProgress, TaskMark};
 use crate::spec::{JobId, JobSpec, Policy, Step};
 use crate::vm::VmKey;
 
@@ -68,8 +68,8 @@
     pub phase: Phase,
     /// The highest run number used.
     pub run: u32,
-    /// Failed runs.
-    pub fails: u8,
+    /// Failed runs, by number.
+    pub failed: Vec<u32>,
     /// The state to resume from; empty for none.
     pub saved: CompactString,
     /// VMs on which it failed or stalled.
@@ -113,10 +113,8 @@
     pub open: bool,
     /// When it opened.
     pub opened: Millis,
-    /// Failed runs of the gang.
-    pub fails: u8,
-    /// The gang's run that already counted as failed.
-    pub failed_run: u32,
+    /// Failed runs of the gang, by number.
+    pub failed: Vec<u32>,
     /// Which VMs may run it.
     pub advice: Advice,
     /// Since when the step has waited for room that is being made for it.
@@ -306,7 +304,7 @@
         let task = Task {
             phase: Phase::Waiting,
             run: 0,
-            fails: 0,
+            failed: Vec::new(),
             saved: CompactString::default(),
             avoid: Vec::new(),
         };
@@ -315,8 +313,7 @@
             left: step.count,
             open: false,
             opened: now,
-            fails: 0,
-            failed_run: 0,
+            failed: Vec::new(),
             advice: Advice::default(),
             reserved: None,
         }
@@ -334,20 +331,24 @@
         for (index, task) in self.tasks.iter().enumerate() {
             if task.phase == Phase::Done {
                 done[index / 8] |= 1 << (index % 8);
-            } else if task.fails > 0 || !task.saved.is_empty() {
-                let index = u32::try_from(index).unwrap_or(u32::MAX);
-                marks.push((index, task.fails, task.run, task.saved.clone()));
+            } else if !task.failed.is_empty() || !task.saved.is_empty() {
+                marks.push(TaskMark {
+                    index: u32::try_from(index).unwrap_or(u32::MAX),
+                    failed: task.failed.clone(),
+                    run: task.run,
+                    saved: task.saved.clone(),
+                });
             }
         }
         StepProgress {
             done,
             marks,
-            fails: self.fails,
+            failed: self.failed.clone(),
         }
     }
 
     fn restore(&mut self, saved: &StepProgress) {
-        self.fails = saved.fails;
+        self.failed = saved.failed.clone();
         for (index, task) in self.tasks.iter_mut().enumerate() {
             let bits = saved.done.get(index / 8).copied().unwrap_or_default();
             if bits & (1 << (index % 8)) != 0 {
@@ -355,11 +356,11 @@
                 self.left -= 1;
             }
         }
-        for (index, fails, run, state) in &saved.marks {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.fails = *fails;
-                task.run = *run;
-                task.saved = state.clone();
+        for mark in &saved.marks {
+            if let Some(task) = self.tasks.get_mut(mark.index as usize) {
+                task.failed = mark.failed.clone();
+                task.run = mark.run;
+                task.saved = mark.saved.clone();
             }
         }
     }
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -28,6 +28,23 @@
 const ASK_AGAIN: Millis = Millis(150);
 /// A call without an answer is given up after its own duration and this time.
 const ASK_TIMEOUT: Millis = Millis(2500);
+/// A call up to this long is short: those of urgent queues, whose whole work takes half a second.
+const SHORT_CALL: Millis = Millis(60);
+/// A call isn't given to a node that is busy for longer than this. Calls that wait in line bring
+/// tickets that have run out or VMs that are full by then, and are made again: under overload the
+/// service would do nothing else.
+const SHORT_WAIT: Millis = Millis(250);
+const LONG_WAIT: Millis = Millis(100);
+/// One in so many nodes is kept free of long calls, so that short ones find one.
+const RESERVED_PART: usize = 4;
+
+/// A node that makes calls for advice, one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Adviser {
+    id: u64,
+    busy: Millis,
+    calls: u32,
+}
 
 impl Cell {
     /// Asks about a step whose job isn't durable yet.
@@ -54,12 +71,18 @@
         if waits || now < run.advice.not_before {
             return;
         }
+        if !self.advisers.iter().any(|adviser| adviser.busy <= now + SHORT_WAIT) {
+            return;
+        }
         let vms = self.worth_asking(at, step, left, self.good_share(&queue), now);
         if vms.is_empty() {
             return;
         }
         let named = u32::try_from(vms.len()).unwrap_or(u32::MAX);
         let cost = terms.base + Millis(u64::from(terms.each_us) * u64::from(named) / 1000);
+        let Some(adviser) = self.take_adviser(cost, now) else {
+            return;
+        };
         if let Some(run) = self.step_run_mut(at) {
             run.advice.pending = Some(now);
         }
@@ -68,9 +91,54 @@
             job: id,
             vms,
             cost,
+            adviser,
         }));
     }
 
+    /// Returns the node that is through soonest, if it is soon enough for a call.
+    fn take_adviser(&mut self, cost: Millis, now: Millis) -> Option<u64> {
+        let mut wait = SHORT_WAIT;
+        if cost > SHORT_CALL {
+            wait = LONG_WAIT;
+            let free = self.advisers.iter().filter(|adviser| adviser.busy <= now);
+            if self.advisers.len() > 1 && free.count() <= self.advisers.len() / RESERVED_PART {
+                return None;
+            }
+        }
+        let first = self.advisers.iter_mut().min_by_key(|adviser| adviser.busy)?;
+        if first.busy > now + wait {
+            return None;
+        }
+        first.busy = first.busy.max(now) + cost;
+        first.calls += 1;
+        Some(first.id)
+    }
+
+    /// Takes in a node that can make calls for advice.
+    pub fn adviser_joined(&mut self, id: u64) {
+        self.advisers.push(Adviser {
+            id,
+            busy: Millis::ZERO,
+            calls: 0,
+        });
+    }
+
+    /// Takes in that a node can't make calls any more.
+    pub fn adviser_left(&mut self, id: u64) {
+        self.advisers.retain(|adviser| adviser.id != id);
+    }
+
+    /// Takes in that a node is through with a call, whatever came of it.
+    pub fn adviser_through(&mut self, id: u64, now: Millis) {
+        if let Some(adviser) = self.advisers.iter_mut().find(|adviser| adviser.id == id) {
+            adviser.calls = adviser.calls.saturating_sub(1);
+            if adviser.calls == 0 {
+                adviser.busy = now;
+            }
+        }
+        self.dirty = true;
+    }
+
     fn worth_asking(
         &self,
         at: StepRef,
--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -43,10 +43,23 @@
 pub struct StepProgress {
     /// Tasks that are done, one bit each, lowest bit first.
     pub done: Vec<u8>,
-    /// Tasks that failed or ended early: number, failed runs, highest run, saved state.
-    pub marks: Vec<(u32, u8, u32, CompactString)>,
+    /// Tasks of which a run has ended without being done.
+    pub marks: Vec<TaskMark>,
     /// Failed runs of the gang.
-    pub fails: u8,
+    pub failed: Vec<u32>,
+}
+
+/// What is kept of a task that isn't done.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskMark {
+    /// Its number.
+    pub index: u32,
+    /// Failed runs, by number: VMs may list the same end again, and list ends in any order.
+    pub failed: Vec<u32>,
+    /// The highest run.
+    pub run: u32,
+    /// The state to resume from.
+    pub saved: CompactString,
 }
 
 /// The one row that tells what is known of a job; rewritten when the job ends.
--- a/crates/dotterel-cell/tests/takeover.rs
+++ b/crates/dotterel-cell/tests/takeover.rs
@@ -172,3 +172,32 @@
     assert_eq!(starts.len(), 1);
     assert_ne!(starts[0].vm, start.vm);
 }
+
+#[test]
+fn an_end_that_is_listed_again_counts_once() {
+    let mut first = Bench::new(1);
+    let mut record = loose(1, 1000);
+    record.policy.attempts = 2;
+    first.submit(1, record.clone());
+    first.store();
+    first.plan();
+    first.start_all();
+    let end = ended(1, task(1, 0), 1, How::Failed);
+    first.report(0, &[], std::slice::from_ref(&end));
+    first.advance(300);
+    let batch = first.cell.take_batch(first.now);
+    let progress = batch.writes.iter().find_map(|write| match write {
+        RowWrite::Progress(_, bytes) => decode::<Progress>(bytes),
+        _ => None,
+    });
+
+    let mut second = Bench::of_term(0, 2);
+    let key = second.cell.vm_listed(support::info(0), second.now);
+    second.vms.push(key);
+    second.cell.inherit(JobId(1), record, progress.as_ref(), second.now);
+    second.advance(10);
+    second.report(0, &[], &[end]);
+    second.store();
+
+    assert_eq!(second.cell.state(JobId(1)), Some(dotterel_cell::JobState::Running));
+}
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -66,8 +66,6 @@
     id: u64,
     node: CompactString,
     down: mpsc::Sender<Down>,
-    /// When the calls for advice that it makes for this scheduler are through.
-    busy: Millis,
 }
 
 /// A call for advice under way.
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -17,7 +17,7 @@
 /// Times that an unanswered start is sent before the run is barred.
 const START_TRIES: u32 = 2;
 /// A call for advice takes its own time and a way across regions and back, and waits for its turn.
-const ADVICE_SLACK: Millis = Millis(400);
+const ADVICE_SLACK: Millis = Millis(700);
 /// The part of a ticket's time that may pass on the way of the answer.
 const ANSWER_AGE: Millis = Millis(60);
 
@@ -170,7 +170,7 @@
         }
     }
 
-    /// Has the front that is through soonest make a call for advice.
+    /// Has a front make a call for advice.
     fn ask(&self, ask: Ask, now: Millis) {
         let names: Vec<CompactString> = {
             let cell = self.cell.borrow();
@@ -178,28 +178,18 @@
             ids.map(|vm| vm.info.id.clone()).collect()
         };
         let call = self.number();
-        let mut peers = self.peers.borrow_mut();
-        let Some(peer) = peers.iter_mut().min_by_key(|peer| peer.busy.max(now)) else {
-            drop(peers);
-            self.cell.borrow_mut().not_advised(ask.step, now);
-            return;
-        };
-        let through = peer.busy.max(now) + ask.cost;
-        peer.busy = through;
-        let timeout = through.since(now) + ADVICE_SLACK;
+        let timeout = ask.cost + ADVICE_SLACK;
         log::info!(
-            job:% = ask.job, step = ask.step.step, vms = names.len(), front = peer.node.as_str(),
-            expected_ms = through.since(now).0; "advice asked");
+            job:% = ask.job, step = ask.step.step, vms = names.len(), peer = ask.adviser,
+            cost_ms = ask.cost.0; "advice asked");
         let message = Down::Advise {
             call,
             step: (ask.job, ask.step.round, ask.step.step),
             vms: names,
             timeout,
         };
-        let sent = peer.down.try_send(message).is_ok();
-        let id = peer.id;
-        drop(peers);
-        if !sent {
+        let id = ask.adviser;
+        if !self.send_down(id, message) {
             self.cell.borrow_mut().not_advised(ask.step, now);
             return;
         }
@@ -227,6 +217,7 @@
         };
         let now = self.clock.now();
         let mut cell = self.cell.borrow_mut();
+        cell.adviser_through(call.peer, now);
         match good {
             Some(good) => {
                 log::info!(
@@ -256,6 +247,14 @@
     /// Gives up calls whose answers no longer come.
     pub(super) fn expire_calls(&self, now: Millis) {
         const CALL_MAX: Millis = Millis(4000);
-        self.calls.borrow_mut().retain(|_, call| now.since(call.began) < CALL_MAX);
+        let mut cell = self.cell.borrow_mut();
+        self.calls.borrow_mut().retain(|_, call| {
+            let kept = now.since(call.began) < CALL_MAX;
+            if !kept {
+                cell.adviser_through(call.peer, now);
+                cell.not_advised(call.step, now);
+            }
+            kept
+        });
     }
 }
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -33,8 +33,8 @@
             id,
             node: node.clone(),
             down,
-            busy: Millis::ZERO,
         });
+        self.cell.borrow_mut().adviser_joined(id);
         self.plan.notify_one();
         let mut over = self.over.subscribe();
         let served = async {
@@ -51,6 +51,7 @@
         }
         log::info!(cell = self.no.0, front = node.as_str(), peer = id; "front gone");
         self.peers.borrow_mut().retain(|peer| peer.id != id);
+        self.cell.borrow_mut().adviser_left(id);
         self.fail_calls(id);
     }
 
@@ -130,14 +131,17 @@
         self.send_down(peer, Down::Reply(number, reply));
     }
 
-    pub(super) fn send_down(&self, peer: u64, message: Down) {
+    /// Sends a message to a front; returns false when it can't be.
+    pub(super) fn send_down(&self, peer: u64, message: Down) -> bool {
         let peers = self.peers.borrow();
         let Some(to) = peers.iter().find(|known| known.id == peer) else {
-            return;
+            return false;
         };
-        if to.down.try_send(message).is_err() {
+        let sent = to.down.try_send(message).is_ok();
+        if !sent {
             // The front asks again over its next link.
             log::warn!(front = to.node.as_str(), peer; "front doesn't read");
         }
+        sent
     }
 }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -377,8 +377,10 @@
                     let calls = Rc::clone(&self.advice);
                     let (metrics, clock) = (Rc::clone(&self.metrics), self.clock);
                     tokio::task::spawn_local(async move {
+                        let came = clock.now();
                         let Ok(_turn) = calls.acquire().await else { return };
                         let began = clock.now();
+                        let timeout = timeout - began.since(came);
                         let good = platform.advise(step, &vms, timeout).await;
                         metrics.call("advise", clock.now().since(began));
                         if let Err(fault) = good {
