--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -22,10 +22,12 @@
             return;
         };
         let current = task.run == end.run && task.phase == Phase::Placed(vm);
-        // A run of an earlier term, or one that was given up while the VM was silent. Its end
-        // counts only as long as the task has not been started again.
-        let late = !own && task.phase == Phase::Waiting && !task.failed.contains(&end.run);
-        if !current && !late {
+        // A run of an earlier term, or one that was given up while the VM was silent. A failure
+        // always counts against the attempts, other ends only while the task has not been started
+        // again.
+        let known = task.failed.contains(&end.run);
+        let late = !own && task.phase == Phase::Waiting;
+        if known || !(current || late || end.how == How::Failed) {
             return;
         }
         task.run = task.run.max(end.run);
@@ -33,7 +35,7 @@
         let Some(step) = spec.steps.get(usize::from(end.task.step)) else {
             return;
         };
-        if step.checkpoint && !end.saved.is_empty() {
+        if step.checkpoint && !end.saved.is_empty() && (current || late) {
             self.save_state(key, end, step.gang);
             self.touch(key, now);
         }
@@ -49,7 +51,7 @@
             }
             _ => self.task_waits(vm, end.task, current),
         }
-        if step.gang && end.how != How::Done {
+        if step.gang && end.how != How::Done && (current || late) {
             self.void_gang(end.task, end.run);
         }
     }
@@ -124,7 +126,9 @@
         let step = &mut round.steps[usize::from(end.task.step)];
         let task = &mut step.tasks[end.task.index as usize];
         task.failed.push(end.run);
-        task.phase = Phase::Waiting;
+        if task.phase == Phase::Placed(vm) && task.run == end.run {
+            task.phase = Phase::Waiting;
+        }
         if !task.avoid.contains(&vm) {
             task.avoid.push(vm);
         }
@@ -138,7 +142,7 @@
         self.touch(key, now);
         if fails >= attempts {
             self.finish(key, JobState::Failed, now);
-        } else {
+        } else if self.task_mut(end.task).is_some_and(|task| task.phase == Phase::Waiting) {
             self.requeue(end.task);
         }
     }
--- a/crates/dotterel-cell/tests/takeover.rs
+++ b/crates/dotterel-cell/tests/takeover.rs
@@ -201,3 +201,24 @@
 
     assert_eq!(second.cell.state(JobId(1)), Some(dotterel_cell::JobState::Running));
 }
+
+#[test]
+fn a_failure_of_an_earlier_run_counts_although_the_next_run_was_found_first() {
+    let mut bench = Bench::of_term(0, 2);
+    for index in 0..2 {
+        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        bench.vms.push(key);
+    }
+    let mut record = loose(1, 1000);
+    record.policy.attempts = 2;
+    bench.cell.inherit(JobId(1), record, None, bench.now);
+    bench.advance(10);
+
+    bench.report(0, &[running(task(1, 0), 2, 30)], &[]);
+    bench.report(1, &[], &[ended(1, task(1, 0), 1, How::Failed)]);
+    bench.advance(500);
+    bench.report(0, &[], &[ended(1, task(1, 0), 2, How::Failed)]);
+    bench.store();
+
+    assert_eq!(bench.cell.state(JobId(1)), Some(dotterel_cell::JobState::Failed));
+}
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -99,8 +99,6 @@
     busy: RefCell<[Option<Millis>; crate::seek::LANES]>,
     /// When rows were last written, which renews the role.
     renewed: StdCell<Millis>,
-    /// How long the last transaction took.
-    took: StdCell<Millis>,
     /// Since when the store has not taken rows.
     away: StdCell<Option<Millis>>,
     /// Starts wait until the role is confirmed, or until this moment.
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -61,8 +61,19 @@
         !self.roles.borrow().is_empty()
     }
 
+    /// Returns true when this node holds the role of a cell.
+    #[must_use]
+    pub fn holds(&self, cell: CellNo) -> bool {
+        self.roles.borrow().iter().any(|role| role.no == cell)
+    }
+
     /// Begins a term of a role.
     pub fn begin(self: Rc<Self>, takeover: Takeover) {
+        for role in self.roles.borrow().iter() {
+            if role.no == takeover.cell {
+                role.end("taken anew by this node");
+            }
+        }
         let now = self.clock.now();
         let lease = self.settings.limits.lease + LEASE_SLACK;
         let mut cell = Cell::new(self.settings.limits, takeover.term, now, now + lease);
@@ -91,7 +102,6 @@
             write: Notify::new(),
             busy: RefCell::default(),
             renewed: StdCell::new(now),
-            took: StdCell::new(Millis::ZERO),
             away: StdCell::new(None),
             unsure: StdCell::new(None),
             releasing: StdCell::new(false),
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -28,12 +28,12 @@
 /// Pause after a refusal.
 const PAUSE: Millis = Millis(60);
 /// The store counts as away for callers after this time without a transaction.
-pub(super) const AWAY_AFTER: Millis = Millis(700);
-/// A transaction is given up after this many times what the last one took, within bounds: soon,
-/// since a connection may have gone silent, but not before a slow store could have answered.
-const TIMEOUT_FACTOR: u64 = 5;
+pub(super) const AWAY_AFTER: Millis = Millis(500);
+/// A transaction is given up after this time, many times what it usually takes, since its
+/// connection may have gone silent; a slow store gets longer with the next attempt, which also
+/// tells whether the first was done.
 const TIMEOUT_MIN: Millis = Millis(600);
-const TIMEOUT_MAX: Millis = Millis(3000);
+const TIMEOUT_MAX: Millis = Millis(1300);
 
 /// The end of one attempt.
 enum Written {
@@ -150,13 +150,11 @@
 
     /// Repeats a transaction until its outcome is known; none when the role is lost.
     async fn commit_surely(&self, tx: &Tx, lane: usize, count: u64) -> Option<u64> {
+        let mut most = TIMEOUT_MIN;
         loop {
             let began = self.clock.now();
-            let took = self.took.get().0 * TIMEOUT_FACTOR;
-            let most = Millis(took.clamp(TIMEOUT_MIN.0, TIMEOUT_MAX.0));
             let outcome = self.platform.commit(tx, most).await;
             let now = self.clock.now();
-            self.took.set(now.since(began));
             self.metrics.call("commit", now.since(began));
             let written = match &outcome {
                 Commit::Done(version) => Written::Done(*version),
@@ -179,6 +177,7 @@
                             cell = self.no.0, outcome:? = outcome, rows = tx.puts.len();
                             "store takes no rows");
                     }
+                    most = TIMEOUT_MAX;
                     tokio::time::sleep(PAUSE.duration()).await;
                 }
             }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -32,6 +32,10 @@
 const SUSPECT: Millis = Millis(1300);
 /// Time to take the role; a slow store needs most of a second.
 const TAKE_TIMEOUT: Millis = Millis(1500);
+/// A holder that lives but can't write for so long is replaced, if others can.
+const STORE_AWAY: Millis = Millis(900);
+/// After an outage that others saw too, a holder has this long to get a transaction through.
+const OUTAGE_OVER: Millis = Millis(2400);
 /// Pause between looks at the role's rows.
 const LOOK_EVERY: Millis = Millis(250);
 /// Time to connect to the holder.
@@ -201,7 +205,7 @@
                 }
                 Break::Closed => self.pause(Millis(10)).await,
                 Break::Silent => {
-                    self.watch().await;
+                    self.watch(SUSPECT).await;
                 }
                 Break::StoreAway => {}
             }
@@ -215,15 +219,21 @@
     }
 
     /// Takes the role over if its renewal stands still; returns true when it tried.
-    async fn watch(&self) -> bool {
+    async fn watch(&self, most: Millis) -> bool {
         let mut first: Option<(u64, Millis)> = None;
+        let mut most = most;
         loop {
-            if let Ok(role) = self.look().await {
+            let looked = self.look().await;
+            if looked.is_err() {
+                // The store is away for this node as well, so the holder may be as well as any.
+                most = most.max(OUTAGE_OVER);
+            }
+            if let Ok(role) = looked {
                 let now = self.clock.now();
                 let version = role.version();
                 match first {
                     Some((seen, since)) if seen == version => {
-                        if now.since(since) >= SUSPECT {
+                        if now.since(since) >= most {
                             self.take(&role, "the holder has stopped renewing").await;
                             return true;
                         }
@@ -394,8 +404,8 @@
                 Down::Pong { storing: false } => {
                     // The holder goes on with what it has. If others reach the store, one of
                     // them takes the role; if nobody does, nobody could.
-                    if watch.is_none() {
-                        watch = Some(Box::pin(self.watch()));
+                    if watch.is_none() && !self.host.holds(self.cell) {
+                        watch = Some(Box::pin(self.watch(STORE_AWAY)));
                     }
                 }
             }
