--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -113,7 +113,9 @@
         let mut stalled = Vec::new();
         for (key, vm) in &self.vms {
             for on in &vm.runs {
-                if on.phase != RunPhase::Running || now.since(on.moved) < STALL_MIN {
+                // A member of a gang that is through with its part waits for the others.
+                let through = on.percent >= 100;
+                if on.phase != RunPhase::Running || through || now.since(on.moved) < STALL_MIN {
                     continue;
                 }
                 // A hundredth of the work may itself take long, and estimates are often far off.
--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -79,6 +79,8 @@
         node: CompactString,
         /// The cell it wants.
         cell: CellNo,
+        /// Thousandths of a processor core that it has.
+        milli_cores: u32,
     },
     /// A request; replies carry its number.
     Ask(u64, Request),
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::link::{CellNo, Down};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, VmTarget};
+use crate::seek::is_small;
 use crate::settings::Settings;
 
 pub mod host;
@@ -49,6 +50,8 @@
 const TICK: Millis = Millis(150);
 /// A tick that comes this much late tells that the process stood still.
 const STANDSTILL: Millis = Millis(900);
+/// A small node keeps the role for so long at least, so that it doesn't pass on what is in flight.
+const SETTLED: Millis = Millis::secs(3);
 /// After a standstill nothing is started until the role is confirmed, but not for longer, so that
 /// an outage of the store doesn't stop a holder that nobody can replace.
 const CONFIRM_MAX: Millis = Millis(3000);
@@ -65,6 +68,7 @@
 struct Peer {
     id: u64,
     node: CompactString,
+    milli_cores: u32,
     down: mpsc::Sender<Down>,
 }
 
@@ -97,6 +101,10 @@
     write: Notify,
     /// Since when each lane to the store has been busy.
     busy: RefCell<[Option<Millis>; crate::seek::LANES]>,
+    /// When the role was taken.
+    began: Millis,
+    /// Thousandths of a core of the largest node known.
+    largest: StdCell<u32>,
     /// When rows were last written, which renews the role.
     renewed: StdCell<Millis>,
     /// Since when the store has not taken rows.
@@ -164,6 +172,7 @@
             }
             last = now;
             self.cell.borrow_mut().tick(now);
+            self.give_way(now);
             self.expire_calls(now);
             self.measure();
             self.plan.notify_one();
@@ -171,6 +180,18 @@
         }
     }
 
+    /// Gives the role back when a much larger node could have it.
+    fn give_way(&self, now: Millis) {
+        let largest = self.peers.borrow().iter().map(|peer| peer.milli_cores).max();
+        let small = largest.is_some_and(|most| is_small(self.settings.milli_cores, most));
+        if small && now.since(self.began) > SETTLED && !self.releasing.get() {
+            log::info!(cell = self.no.0, largest; "role given up for a larger node");
+            self.largest.set(largest.unwrap_or_default());
+            self.releasing.set(true);
+            self.write.notify_one();
+        }
+    }
+
     fn is_unsure(&self) -> bool {
         self.unsure.get().is_some_and(|until| self.clock.now() < until)
     }
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -101,6 +101,8 @@
             plan: Notify::new(),
             write: Notify::new(),
             busy: RefCell::default(),
+            began: now,
+            largest: StdCell::new(self.settings.milli_cores),
             renewed: StdCell::new(now),
             away: StdCell::new(None),
             unsure: StdCell::new(None),
@@ -143,7 +145,12 @@
         let (from, mut to) = stream.into_split();
         let mut from = BufReader::new(from);
         let hello = timeout(HELLO_TIMEOUT.duration(), link::read::<Up, _>(&mut from)).await;
-        let Ok(Ok(Up::Hello { node, cell })) = hello else {
+        let Ok(Ok(Up::Hello {
+            node,
+            cell,
+            milli_cores,
+        })) = hello
+        else {
             return;
         };
         let (down, mut queue) = mpsc::channel(link::QUEUE);
@@ -156,7 +163,7 @@
                         let _ = link::write_queue(&mut to, &mut queue).await;
                         let _ = to.shutdown().await;
                     });
-                    role.serve_peer(node, from, down).await;
+                    role.serve_peer(node, milli_cores, from, down).await;
                 }
             }
             None => {
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -69,7 +69,12 @@
                     run,
                     reason,
                 } => {
-                    log::info!(task:% = task, run, reason; "stop ordered");
+                    let cell = self.cell.borrow();
+                    let on = cell.vm(vm).and_then(|on| Some(&on.runs[on.find(task, run)?]));
+                    log::info!(
+                        task:% = task, run, reason, percent = on.map_or(0, |on| on.percent),
+                        ran_ms = on.map_or(0, |on| now.since(on.confirmed).0); "stop ordered");
+                    drop(cell);
                     self.send_order(vm, VmOrder::Stop(task, run));
                 }
                 Order::Ask(ask) => self.ask(ask, now),
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -24,6 +24,7 @@
     pub(super) async fn serve_peer(
         self: &Rc<Self>,
         node: CompactString,
+        milli_cores: u32,
         mut from: BufReader<OwnedReadHalf>,
         down: mpsc::Sender<Down>,
     ) {
@@ -32,6 +33,7 @@
         self.peers.borrow_mut().push(Peer {
             id,
             node: node.clone(),
+            milli_cores,
             down,
         });
         self.cell.borrow_mut().adviser_joined(id);
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -139,6 +139,7 @@
                 address: format_compact!("{}", self.settings.peer),
                 term: self.term,
                 released: true,
+                largest: self.largest.get(),
             };
             tx.puts.push((Table::Role, OWNER.into(), encode(&owner)));
         }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -45,6 +45,11 @@
 const SPREAD: Millis = Millis(90);
 /// Nodes that hold a role already leave the next one to others for so long.
 const HOLDER_SPREAD: Millis = Millis(250);
+/// Small nodes leave the role to larger ones for so long, in proportion: the scheduler's work takes
+/// a quarter of a core at 350 VMs.
+const SMALL_SPREAD: Millis = Millis(300);
+/// Until a node has held the role, nodes compare themselves with this many thousandths of a core.
+const FULL_SIZE: u32 = 500;
 /// Calls for advice that a node has under way; the service takes a node's calls in turn.
 const ADVICE_CALLS: usize = 2;
 
@@ -61,6 +66,14 @@
     pub term: u32,
     /// Set when it has given the role back.
     pub released: bool,
+    /// Thousandths of a core of the largest node that has held the role.
+    pub largest: u32,
+}
+
+/// Returns true when a node is so much smaller than another that the role belongs there.
+#[must_use]
+pub const fn is_small(milli_cores: u32, largest: u32) -> bool {
+    milli_cores * 5 < largest * 3
 }
 
 /// Returns the key of the row that the transactions of a lane rewrite.
@@ -257,9 +270,16 @@
             role.owner_version() ^ u64::from(self.cell.0),
         ) % SPREAD.0;
         let holder = if self.host.holds_any() { HOLDER_SPREAD } else { Millis::ZERO };
+        let own_size = self.settings.milli_cores;
+        let largest = role.owner.as_ref().map_or(FULL_SIZE, |(owner, _)| owner.largest);
+        let small = if is_small(own_size, largest) {
+            Millis(SMALL_SPREAD.0 * u64::from(largest - own_size) / u64::from(largest))
+        } else {
+            Millis::ZERO
+        };
         let own = role.owner.as_ref().is_some_and(|(owner, _)| owner.node == self.settings.node);
         if !own {
-            self.pause(Millis(spread) + holder).await;
+            self.pause(Millis(spread) + holder + small).await;
         }
         if self.stopping.get() {
             return;
@@ -271,6 +291,7 @@
             address: compact_str::format_compact!("{}", self.settings.peer),
             term,
             released: false,
+            largest: if role.owner.is_some() { largest.max(own_size) } else { own_size },
         };
         let renewal = Renewal {
             term,
@@ -324,6 +345,7 @@
         let hello = Up::Hello {
             node: self.settings.node.clone(),
             cell: self.cell,
+            milli_cores: self.settings.milli_cores,
         };
         if up.try_send(hello).is_err() {
             return Break::Closed;
--- a/crates/dotterel-node/src/settings.rs
+++ b/crates/dotterel-node/src/settings.rs
@@ -42,6 +42,9 @@
     /// The level of the log.
     #[serde(default)]
     pub log: Option<CompactString>,
+    /// The share of a processor core that the node has.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
     /// The platform's services.
     pub platform: RawPlatform,
     /// The platform's figures.
@@ -93,6 +96,8 @@
     pub metrics: Option<SocketAddr>,
     /// The level of the log.
     pub log: log::LevelFilter,
+    /// Thousandths of a processor core that the node has.
+    pub milli_cores: u32,
     /// The store's address.
     pub store: CompactString,
     /// The advice service's address; empty for none.
@@ -185,6 +190,10 @@
             log: level
                 .parse()
                 .map_err(|_| SettingsError(format_compact!("log: {level} is no level")))?,
+            milli_cores: to_millis("cpu_share", raw.cpu_share.unwrap_or(1.0))?
+                .0
+                .try_into()
+                .unwrap_or(u32::MAX),
             store: raw.platform.store,
             advice: raw.platform.advice,
             limits,
