--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -96,8 +96,10 @@
     pub asked: Vec<VmKey>,
     /// Those of them that may run the step, sorted by VM.
     pub allowed: Vec<Allowed>,
-    /// Set while a call is under way: when it was made.
-    pub pending: Option<Millis>,
+    /// Calls under way.
+    pub calls: u8,
+    /// When the last of them was made.
+    pub made: Millis,
     /// No further call before this moment.
     pub not_before: Millis,
 }
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -16,6 +16,8 @@
 
 /// VMs that one call may name.
 const MAX_NAMED: usize = 100;
+/// VMs that a call names when nodes are free to share them.
+const NAMES_A_CALL: usize = 30;
 /// VMs that a first call names at least.
 const MIN_NAMED: usize = 6;
 /// Room asked about, in multiples of the room needed, since others take some of it meanwhile.
@@ -67,7 +69,7 @@
         let Some(run) = self.step_run(at) else {
             return;
         };
-        let waits = run.advice.pending.is_some_and(|since| now.since(since) < ASK_TIMEOUT);
+        let waits = run.advice.calls > 0 && now.since(run.advice.made) < ASK_TIMEOUT;
         if waits || now < run.advice.not_before {
             return;
         }
@@ -75,24 +77,37 @@
             return;
         }
         let vms = self.worth_asking(at, step, left, self.good_share(&queue), now);
-        if vms.is_empty() {
-            return;
+        let mut calls = 0;
+        for part in vms.chunks(self.names_a_call(vms.len(), now)) {
+            let named = u32::try_from(part.len()).unwrap_or(u32::MAX);
+            let cost = terms.base + Millis(u64::from(terms.each_us) * u64::from(named) / 1000);
+            let Some(adviser) = self.take_adviser(cost, now) else {
+                break;
+            };
+            calls += 1;
+            self.orders.push(Order::Ask(Ask {
+                step: at,
+                job: id,
+                vms: part.to_vec(),
+                cost,
+                adviser,
+            }));
         }
-        let named = u32::try_from(vms.len()).unwrap_or(u32::MAX);
-        let cost = terms.base + Millis(u64::from(terms.each_us) * u64::from(named) / 1000);
-        let Some(adviser) = self.take_adviser(cost, now) else {
-            return;
-        };
-        if let Some(run) = self.step_run_mut(at) {
-            run.advice.pending = Some(now);
+        if calls > 0
+            && let Some(run) = self.step_run_mut(at)
+        {
+            run.advice.calls = calls;
+            run.advice.made = now;
         }
-        self.orders.push(Order::Ask(Ask {
-            step: at,
-            job: id,
-            vms,
-            cost,
-            adviser,
-        }));
+    }
+
+    /// Returns how many VMs to name in each call: many names make a call long, and further calls
+    /// cost the time of further nodes.
+    fn names_a_call(&self, names: usize, now: Millis) -> usize {
+        let free = self.advisers.iter().filter(|adviser| adviser.busy <= now).count();
+        let spare = free.saturating_sub(self.advisers.len() / 2);
+        let calls = names.div_ceil(NAMES_A_CALL).min(1 + spare);
+        names.div_ceil(calls.max(1)).clamp(1, MAX_NAMED)
     }
 
     /// Returns the node that is through soonest, if it is soon enough for a call.
@@ -158,13 +173,10 @@
         let mut valid = 0;
         let avoid = self.avoided(at, step);
         for (key, vm) in &self.vms {
-            if !self.usable(vm, &job.policy.service, step, now) {
+            if !self.usable(vm, &job.policy.service, step, now) || avoid.contains(&key) {
                 continue;
             }
-            if avoid.contains(&key) {
-                continue;
-            }
-            let slots = self.room(key, vm).count(&size);
+            let slots = self.room(key, vm).count(&size).min(step.count);
             let known = run.advice.asked.binary_search(&key).is_ok();
             let allowed = run.advice.allowed.iter().find(|entry| entry.vm == key);
             match allowed {
@@ -185,16 +197,26 @@
         }
         let mut sum: f32 = to_f32(valid);
         let need = to_f32(left) * SURPLUS;
-        expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
-        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        let renewed: u32 = expired.iter().map(|(slots, _)| *slots).sum();
         let mut named = Vec::new();
-        for (slots, key) in expired {
-            if sum >= need || named.len() >= MAX_NAMED {
-                break;
+        // A gang's tickets are of use only together.
+        if !step.gang || valid + renewed >= left {
+            expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+            for (slots, key) in expired {
+                if sum >= need || named.len() >= MAX_NAMED {
+                    break;
+                }
+                sum += to_f32(slots);
+                named.push(key);
             }
-            sum += to_f32(slots);
-            named.push(key);
         }
+        if step.gang && !named.is_empty() {
+            return named;
+        }
+        if step.gang {
+            sum = to_f32(valid + renewed);
+        }
+        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
         let first = run.advice.asked.is_empty();
         for (slots, key) in fresh {
             let enough = sum >= need && (!first || named.len() >= MIN_NAMED);
@@ -253,7 +275,7 @@
             return;
         };
         let advice = &mut run.advice;
-        advice.pending = None;
+        advice.calls = advice.calls.saturating_sub(1);
         for key in asked {
             if let Err(place) = advice.asked.binary_search(key) {
                 advice.asked.insert(place, *key);
@@ -267,7 +289,7 @@
     /// Takes in that the advice service gave no answer.
     pub fn not_advised(&mut self, at: StepRef, now: Millis) {
         if let Some(run) = self.step_run_mut(at) {
-            run.advice.pending = None;
+            run.advice.calls = run.advice.calls.saturating_sub(1);
             run.advice.not_before = now + ASK_AGAIN;
         }
     }
--- a/crates/dotterel-cell/src/plan/order.rs
+++ b/crates/dotterel-cell/src/plan/order.rs
@@ -1,8 +1,8 @@
 //! The order of the queue.
 //!
 //! Answers the pattern "urgent counts behind long simulations": priority goes first, and among
-//! equals the job whose objective ends first. Work whose value has run out waits behind work that
-//! can still be on time, so that a backlog does not make everything late.
+//! equals the job whose objective ends first. Work that can't be on time any more waits behind work
+//! that can, so that a backlog does not make everything late.
 
 use dotterel_kernel::Millis;
 
@@ -17,6 +17,7 @@
 pub struct Rank {
     worthless: bool,
     priority: u8,
+    missed: bool,
     due: Millis,
 }
 
@@ -34,10 +35,13 @@
             };
             let objective = job.objective();
             let lasts = job.spec.lasts();
+            let due = begin + objective;
+            let left = job.spec.chain_from(at.step);
             let rank = Rank {
                 worthless: !lasts && now > begin + Millis(objective.0 * WORTHLESS_AFTER),
                 priority: job.policy.priority,
-                due: begin + objective,
+                missed: !lasts && now + left > due,
+                due,
             };
             queue.push((rank, *at));
         }
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -273,6 +273,23 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns the estimate of the longest chain of steps that begins with a step.
+    #[must_use]
+    pub fn chain_from(&self, step: u16) -> Millis {
+        let first = usize::from(step);
+        // How long after the beginning of `step` each step that follows it ends.
+        let mut ends: Vec<Option<Millis>> = vec![None; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate().skip(first) {
+            let begin = if number == first {
+                Some(Millis::ZERO)
+            } else {
+                step.after.iter().filter_map(|before| ends[usize::from(*before)]).max()
+            };
+            ends[number] = begin.map(|begin| begin + step.estimate);
+        }
+        ends.into_iter().flatten().max().unwrap_or_default()
+    }
+
     /// Returns true when some tasks run until the job is cancelled.
     #[must_use]
     pub fn lasts(&self) -> bool {
