--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -115,12 +115,16 @@
     fn take_progress(&mut self, batch: &mut Batch, room: &mut Room) {
         /// Rows of a batch that progress may take; the rest is for those who wait.
         const SHARE: usize = 40;
+        /// The same while more rows wait than a batch holds.
+        const SHARE_FULL: usize = 12;
+        let waiting = self.fresh.len() + self.closing.len() * 2;
+        let share = if waiting > MAX_ENTRIES - SHARE { SHARE_FULL } else { SHARE };
         let mut left = Vec::new();
         for key in std::mem::take(&mut self.changed) {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            if job.writing || batch.writes.len() >= SHARE {
+            if job.writing || batch.writes.len() >= share {
                 left.push(key);
                 continue;
             }
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -22,6 +22,8 @@
 const MIN_NAMED: usize = 6;
 /// Room asked about, in multiples of the room needed, since others take some of it meanwhile.
 const SURPLUS: f32 = 2.0;
+/// The same for gangs, whose tickets are of no use when one member's room is gone meanwhile.
+const GANG_SURPLUS: f32 = 2.5;
 /// The share of VMs that are allowed, before anything has been learnt of a queue.
 const GOOD_SHARE: f32 = 0.45;
 /// How much the latest answer counts in that share.
@@ -213,11 +215,18 @@
         if step.gang && !named.is_empty() {
             return named;
         }
+        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        let first = run.advice.asked.is_empty();
+        let mut need = need;
         if step.gang {
             sum = to_f32(valid + renewed);
+            need = to_f32(left) * GANG_SURPLUS;
+            // A call that can't complete the gang waits until more VMs have room.
+            let hoped: u32 = fresh.iter().map(|(slots, _)| *slots).sum();
+            if !first && sum + to_f32(hoped) * share < to_f32(left) {
+                return named;
+            }
         }
-        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
-        let first = run.advice.asked.is_empty();
         for (slots, key) in fresh {
             let enough = sum >= need && (!first || named.len() >= MIN_NAMED);
             // VMs without room are only worth a call when there is no better choice.
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -12,7 +12,8 @@
 use crate::spec::{Step, TaskName};
 use crate::vm::{RunPhase, Vm, VmKey};
 
-/// Steps for which room is made or held in one pass; more would leave VMs idle.
+/// Steps for which room is made or held in one pass; more leave VMs idle (29 instead of 4 cost a
+/// twentieth of the worth at 350 VMs).
 pub(crate) const MAX_MAKERS: u32 = 4;
 /// A step waits this long for runs to end by themselves before others are stopped for it.
 const PATIENCE: Millis = Millis(100);
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -101,6 +101,8 @@
     write: Notify,
     /// Since when each lane to the store has been busy.
     busy: RefCell<[Option<Millis>; crate::seek::LANES]>,
+    /// How long the last transaction took, with its repetitions.
+    took: StdCell<Millis>,
     /// When the role was taken.
     began: Millis,
     /// Thousandths of a core of the largest node known.
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -101,6 +101,7 @@
             plan: Notify::new(),
             write: Notify::new(),
             busy: RefCell::default(),
+            took: StdCell::new(Millis::ZERO),
             began: now,
             largest: StdCell::new(self.settings.milli_cores),
             renewed: StdCell::new(now),
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -34,6 +34,10 @@
 /// tells whether the first was done.
 const TIMEOUT_MIN: Millis = Millis(600);
 const TIMEOUT_MAX: Millis = Millis(1300);
+/// While the store is slow, as the last transaction showed, a transaction isn't sent again before
+/// so many times what that one took, since each copy makes the line at the store longer.
+const SLOW_FACTOR: u64 = 3;
+const SLOW_TIMEOUT_MAX: Millis = Millis(3000);
 
 /// The end of one attempt.
 enum Written {
@@ -151,7 +155,9 @@
 
     /// Repeats a transaction until its outcome is known; none when the role is lost.
     async fn commit_surely(&self, tx: &Tx, lane: usize, count: u64) -> Option<u64> {
-        let mut most = TIMEOUT_MIN;
+        let first = self.clock.now();
+        let slow = Millis(self.took.get().0 * SLOW_FACTOR).min(SLOW_TIMEOUT_MAX);
+        let mut most = TIMEOUT_MIN.max(slow);
         loop {
             let began = self.clock.now();
             let outcome = self.platform.commit(tx, most).await;
@@ -164,6 +170,7 @@
             };
             match written {
                 Written::Done(version) => {
+                    self.took.set(now.since(first));
                     if let Some(since) = self.away.take() {
                         let ms = now.since(since).0;
                         log::info!(cell = self.no.0, ms; "store takes rows again");
@@ -178,7 +185,7 @@
                             cell = self.no.0, outcome:? = outcome, rows = tx.puts.len();
                             "store takes no rows");
                     }
-                    most = TIMEOUT_MAX;
+                    most = TIMEOUT_MAX.max(slow);
                     tokio::time::sleep(PAUSE.duration()).await;
                 }
             }
