--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -6,8 +6,8 @@
 use dotterel_kernel::{Millis, Size};
 use slotmap::{SecondaryMap, SlotMap};
 
-use crate::plan::advice::Adviser;
 use crate::job::{Job, JobKey, JobState, Phase, StepRef};
+use crate::plan::advice::Adviser;
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, TaskName};
 use crate::vm::{RunOn, RunPhase, Vm, VmInfo, VmKey};
@@ -273,7 +273,10 @@
     /// Returns the number of VMs that run something but have gone from the registry.
     #[must_use]
     pub fn unlisted_busy(&self) -> usize {
-        let busy = self.vms.values().filter(|vm| !vm.listed && !vm.runs.is_empty());
+        let busy = self
+            .vms
+            .values()
+            .filter(|vm| !vm.listed && !vm.runs.is_empty());
         busy.count()
     }
 
@@ -330,7 +333,9 @@
     /// Finds a VM.
     #[must_use]
     pub fn vm_by_id(&self, id: &str) -> Option<VmKey> {
-        let at = self.vm_ids.binary_search_by(|(known, _)| known.as_str().cmp(id));
+        let at = self
+            .vm_ids
+            .binary_search_by(|(known, _)| known.as_str().cmp(id));
         at.ok().map(|at| self.vm_ids[at].1)
     }
 
@@ -380,7 +385,11 @@
         let numbers: Vec<u32> = job.rounds.iter().map(|round| round.number).collect();
         for round in numbers {
             for step in job.open_steps(round, now) {
-                self.open.push(StepRef { job: key, round, step });
+                self.open.push(StepRef {
+                    job: key,
+                    round,
+                    step,
+                });
             }
         }
         self.dirty = true;
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -76,7 +76,11 @@
         let idle = |key: &&JobKey| self.jobs.get(**key).is_some_and(|job| !job.writing);
         let urgent = self.closing.iter().chain(&self.fresh).filter(idle).count();
         let due = now.since(self.changed_at) >= PROGRESS_DELAY;
-        let progress = if due { self.changed.iter().filter(idle).count() } else { 0 };
+        let progress = if due {
+            self.changed.iter().filter(idle).count()
+        } else {
+            0
+        };
         urgent + progress
     }
 
@@ -118,7 +122,11 @@
         /// The same while more rows wait than a batch holds.
         const SHARE_FULL: usize = 12;
         let waiting = self.fresh.len() + self.closing.len() * 2;
-        let share = if waiting > MAX_ENTRIES - SHARE { SHARE_FULL } else { SHARE };
+        let share = if waiting > MAX_ENTRIES - SHARE {
+            SHARE_FULL
+        } else {
+            SHARE
+        };
         let mut left = Vec::new();
         for key in std::mem::take(&mut self.changed) {
             let Some(job) = self.jobs.get_mut(key) else {
@@ -211,7 +219,11 @@
                 job.spec = std::sync::Arc::default();
             }
         }
-        if let Some(sent) = self.sent.iter_mut().find(|sent| sent.number == batch.number) {
+        if let Some(sent) = self
+            .sent
+            .iter_mut()
+            .find(|sent| sent.number == batch.number)
+        {
             sent.done = true;
         }
         while self.sent.first().is_some_and(|sent| sent.done) {
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -101,7 +101,9 @@
         let round_done = round.is_done();
         self.touch(key, now);
         if round_done {
-            self.jobs[key].rounds.retain(|round| round.number != name.round);
+            self.jobs[key]
+                .rounds
+                .retain(|round| round.number != name.round);
             let job = &self.jobs[key];
             if job.rounds.is_empty() && job.next_round >= job.spec.repeats.max(1) {
                 self.finish(key, JobState::Completed, now);
@@ -111,14 +113,7 @@
         }
     }
 
-    fn task_failed(
-        &mut self,
-        vm: VmKey,
-        key: JobKey,
-        end: &ReportedEnd,
-        gang: bool,
-        now: Millis,
-    ) {
+    fn task_failed(&mut self, vm: VmKey, key: JobKey, end: &ReportedEnd, gang: bool, now: Millis) {
         let attempts = usize::from(self.jobs[key].policy.attempts.max(1));
         let Some(round) = self.jobs[key].round_mut(end.task.round) else {
             return;
@@ -142,7 +137,10 @@
         self.touch(key, now);
         if fails >= attempts {
             self.finish(key, JobState::Failed, now);
-        } else if self.task_mut(end.task).is_some_and(|task| task.phase == Phase::Waiting) {
+        } else if self
+            .task_mut(end.task)
+            .is_some_and(|task| task.phase == Phase::Waiting)
+        {
             self.requeue(end.task);
         }
     }
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -9,13 +9,7 @@
 
 impl Cell {
     /// Orders a run to stop, once.
-    pub(crate) fn order_stop(
-        &mut self,
-        vm: VmKey,
-        task: TaskName,
-        run: u32,
-        reason: &'static str,
-    ) {
+    pub(crate) fn order_stop(&mut self, vm: VmKey, task: TaskName, run: u32, reason: &'static str) {
         let Some(on) = self.vms.get_mut(vm) else {
             return;
         };
@@ -24,7 +18,12 @@
         };
         if !matches!(on.runs[at].phase, RunPhase::Stopping { .. }) {
             on.runs[at].phase = RunPhase::Stopping { acked: None };
-            self.orders.push(Order::Stop { vm, task, run, reason });
+            self.orders.push(Order::Stop {
+                vm,
+                task,
+                run,
+                reason,
+            });
         }
     }
 
@@ -132,7 +131,11 @@
             return;
         };
         let job = &self.jobs[key];
-        let gang = job.spec.steps.get(usize::from(task.step)).is_some_and(|step| step.gang);
+        let gang = job
+            .spec
+            .steps
+            .get(usize::from(task.step))
+            .is_some_and(|step| step.gang);
         let Some(round) = job.round(task.round).filter(|_| gang) else {
             return;
         };
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -6,6 +6,8 @@
 use crate::job::Phase;
 use crate::vm::{Report, ReportedRun, RunPhase, VmInfo, VmKey};
 
+/// Beyond the time of a stop ordered by a former scheduler: its order may have been on its way.
+const STOP_SLACK: Millis = Millis(60);
 /// Beyond the time of a stop: a VM's clock may be slow and its answer late.
 const ABSENT_SLACK: Millis = Millis(150);
 
@@ -39,6 +41,9 @@
             self.dirty = true;
             // A former scheduler may have asked for a lease up to this moment.
             vm.lease = vm.lease.max(report.clock + self.limits.lease);
+            if self.term > 1 {
+                vm.room_from = now + self.limits.stop + STOP_SLACK;
+            }
         }
         if report.clock >= vm.clock {
             vm.clock = report.clock;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -125,7 +125,8 @@
                     continue;
                 };
                 let hundredth = Millis(step.estimate.0 / 5);
-                if now.since(on.moved) >= STALL_MIN.max(hundredth) && now.since(vm.answered) < STALL_MIN
+                if now.since(on.moved) >= STALL_MIN.max(hundredth)
+                    && now.since(vm.answered) < STALL_MIN
                 {
                     stalled.push((key, on.task, on.run, step.gang));
                 }
@@ -176,12 +177,16 @@
         }
         let mut partial = Vec::new();
         for at in &self.open {
-            let Some(job) = self.jobs.get(at.job) else { continue };
+            let Some(job) = self.jobs.get(at.job) else {
+                continue;
+            };
             let step = usize::from(at.step);
             if !job.spec.steps.get(step).is_some_and(|step| step.gang) {
                 continue;
             }
-            let Some(round) = job.round(at.round) else { continue };
+            let Some(round) = job.round(at.round) else {
+                continue;
+            };
             let tasks = &round.steps[step].tasks;
             if !tasks.iter().any(|task| task.phase == Phase::Waiting) {
                 continue;
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -87,7 +87,9 @@
         let mut refused = false;
         for index in waiting {
             // The tasks of a step are alike but for the VMs that they avoid.
-            let picky = self.step_run(at).is_some_and(|run| !run.tasks[index as usize].avoid.is_empty());
+            let picky = self
+                .step_run(at)
+                .is_some_and(|run| !run.tasks[index as usize].avoid.is_empty());
             if refused && !picky {
                 continue;
             }
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -53,7 +53,9 @@
 impl Cell {
     /// Asks about a step whose job isn't durable yet.
     pub(crate) fn ask_early(&mut self, at: StepRef, step: &Step, now: Millis) {
-        let asked = self.step_run(at).is_some_and(|run| !run.advice.asked.is_empty());
+        let asked = self
+            .step_run(at)
+            .is_some_and(|run| !run.advice.asked.is_empty());
         if !asked {
             self.ask_more(at, step, step.count, now);
         }
@@ -75,7 +77,11 @@
         if waits || now < run.advice.not_before {
             return;
         }
-        if !self.advisers.iter().any(|adviser| adviser.busy <= now + SHORT_WAIT) {
+        if !self
+            .advisers
+            .iter()
+            .any(|adviser| adviser.busy <= now + SHORT_WAIT)
+        {
             return;
         }
         let vms = self.worth_asking(at, step, left, self.good_share(&queue), now);
@@ -106,7 +112,11 @@
     /// Returns how many VMs to name in each call: many names make a call long, and further calls
     /// cost the time of further nodes.
     fn names_a_call(&self, names: usize, now: Millis) -> usize {
-        let free = self.advisers.iter().filter(|adviser| adviser.busy <= now).count();
+        let free = self
+            .advisers
+            .iter()
+            .filter(|adviser| adviser.busy <= now)
+            .count();
         let spare = free.saturating_sub(self.advisers.len() / 2);
         let calls = names.div_ceil(NAMES_A_CALL).min(1 + spare);
         names.div_ceil(calls.max(1)).clamp(1, MAX_NAMED)
@@ -122,7 +132,10 @@
                 return None;
             }
         }
-        let first = self.advisers.iter_mut().min_by_key(|adviser| adviser.busy)?;
+        let first = self
+            .advisers
+            .iter_mut()
+            .min_by_key(|adviser| adviser.busy)?;
         if first.busy > now + wait {
             return None;
         }
@@ -247,7 +260,9 @@
             return Vec::new();
         };
         let waiting = || run.tasks.iter().filter(|task| task.phase == Phase::Waiting);
-        let mut all: Vec<VmKey> = waiting().flat_map(|task| task.avoid.iter().copied()).collect();
+        let mut all: Vec<VmKey> = waiting()
+            .flat_map(|task| task.avoid.iter().copied())
+            .collect();
         all.sort_unstable();
         all.dedup();
         if !step.gang {
@@ -312,11 +327,13 @@
         if asked == 0 {
             return;
         }
-        let seen = to_f32(u32::try_from(good).unwrap_or(0))
-            / to_f32(u32::try_from(asked).unwrap_or(1));
+        let seen =
+            to_f32(u32::try_from(good).unwrap_or(0)) / to_f32(u32::try_from(asked).unwrap_or(1));
         match self.good.iter_mut().find(|(name, _)| *name == queue) {
             Some((_, share)) => *share += (seen - *share) * GOOD_WEIGHT,
-            None => self.good.push((queue, GOOD_SHARE + (seen - GOOD_SHARE) * GOOD_WEIGHT)),
+            None => self
+                .good
+                .push((queue, GOOD_SHARE + (seen - GOOD_SHARE) * GOOD_WEIGHT)),
         }
     }
 }
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -23,6 +23,7 @@
         vm.fenced
             && vm.listed
             && !vm.info.draining
+            && now >= vm.room_from
             && now.since(vm.answered) < SILENT
             && vm.info.service == service
             && (step.label.is_empty() || vm.info.labels.contains(&step.label))
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -32,7 +32,9 @@
         let Some(priority) = self.jobs.get(at.job).map(|job| job.policy.priority) else {
             return false;
         };
-        let waited = self.step_run(at).map_or(Millis::ZERO, |run| now.since(run.opened));
+        let waited = self
+            .step_run(at)
+            .map_or(Millis::ZERO, |run| now.since(run.opened));
         if waited < PATIENCE {
             return false;
         }
@@ -75,7 +77,11 @@
             for on in coming {
                 room = room.plus(&on.size);
             }
-            let most = if step.per_vm > 0 { step.per_vm } else { step.count };
+            let most = if step.per_vm > 0 {
+                step.per_vm
+            } else {
+                step.count
+            };
             let mut slots = room.count(&size).min(most);
             let mut victims = Vec::new();
             if slots < most {
@@ -105,26 +111,24 @@
                 }
             }
             if slots > 0 {
-                offers.push(Offer { vm: key, slots, victims });
+                offers.push(Offer {
+                    vm: key,
+                    slots,
+                    victims,
+                });
             }
         }
         offers
     }
 
     /// Returns the usable VMs that the advice service allows, whether or not tickets still hold.
-    pub(crate) fn allowed_vms(
-        &self,
-        at: StepRef,
-        step: &Step,
-        now: Millis,
-    ) -> Vec<(VmKey, &Vm)> {
+    pub(crate) fn allowed_vms(&self, at: StepRef, step: &Step, now: Millis) -> Vec<(VmKey, &Vm)> {
         let Some(job) = self.jobs.get(at.job) else {
             return Vec::new();
         };
         let service = job.policy.service.as_str();
-        let usable = |vm: &Vm| {
-            self.usable(vm, service, step, now) && now.since(vm.answered) < SILENT
-        };
+        let usable =
+            |vm: &Vm| self.usable(vm, service, step, now) && now.since(vm.answered) < SILENT;
         if job.policy.advice.is_none() {
             return self.vms.iter().filter(|(_, vm)| usable(vm)).collect();
         }
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -57,7 +57,11 @@
 
 impl fmt::Display for TaskName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}.{}.{}", self.job, self.round, self.step, self.index)
+        write!(
+            f,
+            "{}.{}.{}.{}",
+            self.job, self.round, self.step, self.index
+        )
     }
 }
 
@@ -283,7 +287,10 @@
             let begin = if number == first {
                 Some(Millis::ZERO)
             } else {
-                step.after.iter().filter_map(|before| ends[usize::from(*before)]).max()
+                step.after
+                    .iter()
+                    .filter_map(|before| ends[usize::from(*before)])
+                    .max()
             };
             ends[number] = begin.map(|begin| begin + step.estimate);
         }
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -177,6 +177,9 @@
     pub unlisted: Millis,
     /// Set once it has answered this scheduler's token.
     pub fenced: bool,
+    /// Nothing is started before this moment: what a former scheduler has ordered to stop takes
+    /// room without being listed, until its end is.
+    pub room_from: Millis,
     /// The room that its runs take.
     pub used: Size,
     /// Its runs.
@@ -204,6 +207,7 @@
             listed: true,
             unlisted: Millis::ZERO,
             fenced: false,
+            room_from: Millis::ZERO,
             used: Size::ZERO,
             runs: Vec::new(),
             taken: 0,
--- a/crates/dotterel-cell/tests/advice.rs
+++ b/crates/dotterel-cell/tests/cell/advice.rs
@@ -1,10 +1,8 @@
 //! Load pattern: a backlog of jobs, each of which needs a call to a slow advice service.
 
-mod support;
-
+use crate::support::{Bench, advised, loose};
 use dotterel_cell::{Ask, Order};
 use dotterel_kernel::Millis;
-use support::{Bench, advised, loose};
 
 fn asks(bench: &mut Bench) -> Vec<Ask> {
     let orders = bench.cell.take_orders();
--- /dev/null
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -0,0 +1,8 @@
+//! A cell's decisions, without a network.
+
+mod advice;
+mod capacity;
+mod durable;
+mod stall;
+mod support;
+mod takeover;
--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -131,7 +131,10 @@
         let Some(route) = config.find(host, path) else {
             return Answer::new(StatusCode::NOT_FOUND, "no such queue");
         };
-        let patience = self.platform.patience(request.headers()).unwrap_or(PATIENCE);
+        let patience = self
+            .platform
+            .patience(request.headers())
+            .unwrap_or(PATIENCE);
         let deadline = began + patience.min(route.timeout) - ANSWER_MARGIN;
         let name = &path[route.prefix.len()..];
         if name.is_empty() && request.method() == Method::GET {
@@ -143,7 +146,8 @@
         match *request.method() {
             Method::POST => {
                 let bound = config.bounds.body;
-                self.submit(route, id, request, bound, began, deadline).await
+                self.submit(route, id, request, bound, began, deadline)
+                    .await
             }
             Method::DELETE => self.cancel(id, deadline).await,
             Method::GET => self.state(id, deadline).await,
@@ -195,25 +199,29 @@
                 Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no scheduler in reach")
                     .retry(NO_SCHEDULER_RETRY)
             }
-            Outcome::Reply(_) | Outcome::NoReply => {
-                Answer::new(StatusCode::GATEWAY_TIMEOUT, "not known to be durable in time")
-            }
+            Outcome::Reply(_) | Outcome::NoReply => Answer::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "not known to be durable in time",
+            ),
         }
     }
 
     async fn cancel(&self, id: JobId, deadline: Millis) -> Answer {
-        match self.relay(id).ask(&link::Request::Cancel(id), deadline).await {
+        match self
+            .relay(id)
+            .ask(&link::Request::Cancel(id), deadline)
+            .await
+        {
             Outcome::Reply(Reply::Cancelled(true)) => Answer::new(StatusCode::OK, "cancelled"),
-            Outcome::Reply(Reply::Cancelled(false)) => {
-                Answer::new(StatusCode::GONE, "no such job")
-            }
+            Outcome::Reply(Reply::Cancelled(false)) => Answer::new(StatusCode::GONE, "no such job"),
             Outcome::NotSent => {
                 Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no scheduler in reach")
                     .retry(NO_SCHEDULER_RETRY)
             }
-            Outcome::Reply(_) | Outcome::NoReply => {
-                Answer::new(StatusCode::GATEWAY_TIMEOUT, "not known to be durable in time")
-            }
+            Outcome::Reply(_) | Outcome::NoReply => Answer::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "not known to be durable in time",
+            ),
         }
     }
 
@@ -229,7 +237,10 @@
                 Answer::new(StatusCode::OK, "state").body(self.platform.write_state(state))
             }
             Some(None) => Answer::new(StatusCode::GONE, "no such job"),
-            None => Answer::new(StatusCode::GATEWAY_TIMEOUT, "neither scheduler nor store answers"),
+            None => Answer::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "neither scheduler nor store answers",
+            ),
         }
     }
 
--- a/crates/dotterel-node/src/front/relay.rs
+++ b/crates/dotterel-node/src/front/relay.rs
@@ -86,8 +86,15 @@
             let left = deadline.since(self.clock.now());
             let link = self.link.borrow().clone();
             let Some(link) = link else {
-                if timeout(left.duration(), self.linked.notified()).await.is_err() {
-                    return if sent { Outcome::NoReply } else { Outcome::NotSent };
+                if timeout(left.duration(), self.linked.notified())
+                    .await
+                    .is_err()
+                {
+                    return if sent {
+                        Outcome::NoReply
+                    } else {
+                        Outcome::NotSent
+                    };
                 }
                 continue;
             };
@@ -100,7 +107,11 @@
                 self.waiting.borrow_mut().remove(&number);
                 tokio::time::sleep(Millis(20).duration()).await;
                 if left == Millis::ZERO {
-                    return if sent { Outcome::NoReply } else { Outcome::NotSent };
+                    return if sent {
+                        Outcome::NoReply
+                    } else {
+                        Outcome::NotSent
+                    };
                 }
                 continue;
             }
--- a/crates/dotterel-node/src/http/server.rs
+++ b/crates/dotterel-node/src/http/server.rs
@@ -48,11 +48,7 @@
 }
 
 /// Serves until `stop` turns true; connections then end after the request under way.
-pub async fn serve<S: Service>(
-    listener: TcpListener,
-    service: Rc<S>,
-    stop: watch::Receiver<bool>,
-) {
+pub async fn serve<S: Service>(listener: TcpListener, service: Rc<S>, stop: watch::Receiver<bool>) {
     let mut ending = stop.clone();
     loop {
         let accepted = tokio::select! {
--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -136,8 +136,7 @@
     }
     let mut frame = vec![0; size as usize];
     from.read_exact(&mut frame).await?;
-    postcard::from_bytes(&frame)
-        .map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))
+    postcard::from_bytes(&frame).map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))
 }
 
 /// Writes what comes through a queue, as many messages to a write as there are.
--- a/crates/dotterel-node/src/logging.rs
+++ b/crates/dotterel-node/src/logging.rs
@@ -55,7 +55,11 @@
         let mut line = String::with_capacity(200);
         let level = record.level().name();
         // Writing into a string can't fail.
-        let _ = write!(line, "{{\"ms\":{},\"level\":\"{level}\",\"event\":", time.as_millis());
+        let _ = write!(
+            line,
+            "{{\"ms\":{},\"level\":\"{level}\",\"event\":",
+            time.as_millis()
+        );
         quote(&mut line, &record.payload().to_string());
         record.key_values().visit(&mut Fields(&mut line))?;
         line.push_str("}\n");
@@ -111,7 +115,11 @@
             reported = lost;
         }
         let mut out = std::io::stdout().lock();
-        if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
+        if out
+            .write_all(text.as_bytes())
+            .and_then(|()| out.flush())
+            .is_err()
+        {
             DROPPED.fetch_add(count, Ordering::Relaxed);
         }
     }
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -45,7 +45,11 @@
     async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
         let linked = self.cells.iter().all(|relay| relay.is_linked(LINK_GRACE));
         let ready = linked && self.config.borrow().is_some() && !self.stopping.get();
-        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
         answer(status, bytes::Bytes::new())
     }
 }
@@ -71,7 +75,9 @@
     reload: impl Fn(&P) + 'static,
 ) -> anyhow::Result<()> {
     let clock = Clock::system();
-    let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let life = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let life = u64::try_from(life.as_micros()).unwrap_or_default();
     let settings = Rc::new(settings);
     let platform = Rc::new(platform);
@@ -196,7 +202,9 @@
                 }
                 away = false;
                 after = Some(change.version);
-                let Some(newest) = change.newest else { continue };
+                let Some(newest) = change.newest else {
+                    continue;
+                };
                 let known = config.borrow().as_ref().map_or(0, |config| config.version);
                 if newest.version > known {
                     log::info!(
--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -13,9 +13,10 @@
 use crate::routes::Configuration;
 
 /// A table of the cell in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Table {
     /// Who holds the scheduler's role.
+    #[default]
     Role,
     /// Jobs.
     Jobs,
@@ -60,12 +61,6 @@
     pub removes: Vec<(Table, CompactString)>,
 }
 
-impl Default for Table {
-    fn default() -> Self {
-        Self::Role
-    }
-}
-
 /// What became of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
@@ -187,8 +182,7 @@
     /// # Errors
     ///
     /// Returns an error when the store doesn't answer or has lost its history.
-    fn config(&self, after: Option<u64>)
-    -> impl Future<Output = Result<ConfigChange, StoreError>>;
+    fn config(&self, after: Option<u64>) -> impl Future<Output = Result<ConfigChange, StoreError>>;
 
     /// Reads changes of the registry after a version, without waiting; all of it when none is given.
     ///
--- a/crates/dotterel-node/src/routes.rs
+++ b/crates/dotterel-node/src/routes.rs
@@ -70,7 +70,11 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, port)| {
-            if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
+            if port.bytes().all(|b| b.is_ascii_digit()) {
+                name
+            } else {
+                host
+            }
         });
         self.routes
             .iter()
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -168,7 +168,7 @@
             tokio::time::sleep(TICK.duration()).await;
             let now = self.clock.now();
             if now.since(last) > STANDSTILL {
-                log::warn!(cell = self.no.0, ms = now.since(last).0; "process stood still");
+                log::warn!(cell = self.no.0, gap_ms = now.since(last).0; "process stood still");
                 self.unsure.set(Some(now + CONFIRM_MAX));
                 self.write.notify_one();
             }
@@ -184,7 +184,12 @@
 
     /// Gives the role back when a much larger node could have it.
     fn give_way(&self, now: Millis) {
-        let largest = self.peers.borrow().iter().map(|peer| peer.milli_cores).max();
+        let largest = self
+            .peers
+            .borrow()
+            .iter()
+            .map(|peer| peer.milli_cores)
+            .max();
         let small = largest.is_some_and(|most| is_small(self.settings.milli_cores, most));
         if small && now.since(self.began) > SETTLED && !self.releasing.get() {
             log::info!(cell = self.no.0, largest; "role given up for a larger node");
@@ -195,14 +200,17 @@
     }
 
     fn is_unsure(&self) -> bool {
-        self.unsure.get().is_some_and(|until| self.clock.now() < until)
+        self.unsure
+            .get()
+            .is_some_and(|until| self.clock.now() < until)
     }
 
     fn measure(&self) {
         let cell = self.cell.borrow();
         self.metrics.gauge("jobs", cell.jobs().count());
         self.metrics.gauge("vms", cell.vms().count());
-        self.metrics.gauge("runs", cell.vms().map(|(_, vm)| vm.runs.len()).sum());
+        self.metrics
+            .gauge("runs", cell.vms().map(|(_, vm)| vm.runs.len()).sum());
         self.metrics.gauge("fronts", self.peers.borrow().len());
     }
 
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -77,9 +77,9 @@
         let now = self.clock.now();
         let lease = self.settings.limits.lease + LEASE_SLACK;
         let mut cell = Cell::new(self.settings.limits, takeover.term, now, now + lease);
-        let doubtful = takeover.before.is_some_and(|before| {
-            before.unlisted > 0 || now.since(before.at) > LONG_SILENCE
-        });
+        let doubtful = takeover
+            .before
+            .is_some_and(|before| before.unlisted > 0 || now.since(before.at) > LONG_SILENCE);
         if doubtful {
             cell.distrust_registry();
         }
--- a/crates/dotterel-node/src/scheduler/load.rs
+++ b/crates/dotterel-node/src/scheduler/load.rs
@@ -1,8 +1,8 @@
 //! Reading back what earlier terms kept.
 
 use compact_str::CompactString;
-use dotterel_cell::record::{JobRow, Progress, decode};
 use dotterel_cell::JobId;
+use dotterel_cell::record::{JobRow, Progress, decode};
 use dotterel_kernel::Millis;
 
 use super::Scheduler;
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -70,7 +70,9 @@
                     reason,
                 } => {
                     let cell = self.cell.borrow();
-                    let on = cell.vm(vm).and_then(|on| Some(&on.runs[on.find(task, run)?]));
+                    let on = cell
+                        .vm(vm)
+                        .and_then(|on| Some(&on.runs[on.find(task, run)?]));
                     log::info!(
                         task:% = task, run, reason, percent = on.map_or(0, |on| on.percent),
                         ran_ms = on.map_or(0, |on| now.since(on.confirmed).0); "stop ordered");
@@ -163,7 +165,8 @@
             return;
         };
         let outcome = self.platform.stop(&target, task, run).await;
-        self.metrics.order("stop", if outcome.is_ok() { "done" } else { "no answer" });
+        self.metrics
+            .order("stop", if outcome.is_ok() { "done" } else { "no answer" });
         match outcome {
             Ok(()) => {
                 let now = self.clock.now();
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use dotterel_cell::cell::Cancelled;
 use dotterel_cell::Submitted;
+use dotterel_cell::cell::Cancelled;
 use dotterel_kernel::Millis;
 use tokio::io::BufReader;
 use tokio::net::tcp::OwnedReadHalf;
@@ -74,7 +74,10 @@
         let now = self.clock.now();
         match request {
             Request::Submit(id, record) => {
-                let away = self.away.get().filter(|since| now.since(*since) >= AWAY_AFTER);
+                let away = self
+                    .away
+                    .get()
+                    .filter(|since| now.since(*since) >= AWAY_AFTER);
                 if away.is_some() && self.cell.borrow().job(id).is_none() {
                     log::info!(job:% = id, retry_ms = AWAY_RETRY.0, reason = "store away"; "job refused");
                     self.send(peer, number, Reply::Refused(AWAY_RETRY));
@@ -125,7 +128,11 @@
             number,
             cancel,
         };
-        self.waiters.borrow_mut().entry(id).or_default().push(waiter);
+        self.waiters
+            .borrow_mut()
+            .entry(id)
+            .or_default()
+            .push(waiter);
         self.write.notify_one();
     }
 
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -1,5 +1,6 @@
 //! The registry of VMs, and one watcher for each VM.
 
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 
 use dotterel_cell::VmKey;
@@ -99,9 +100,9 @@
         let mut lines = self.lines.borrow_mut();
         lines.retain(|key, _| keys.contains(key));
         for key in keys {
-            if !lines.contains_key(&key) {
+            if let Entry::Vacant(place) = lines.entry(key) {
                 let (line, orders) = mpsc::unbounded_channel();
-                lines.insert(key, line);
+                place.insert(line);
                 tokio::task::spawn_local(Rc::clone(self).carry_orders(key, orders));
                 tokio::task::spawn_local(Rc::clone(self).watch_vm(key));
             }
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -172,8 +172,8 @@
                 Written::Done(version) => {
                     self.took.set(now.since(first));
                     if let Some(since) = self.away.take() {
-                        let ms = now.since(since).0;
-                        log::info!(cell = self.no.0, ms; "store takes rows again");
+                        let away_ms = now.since(since).0;
+                        log::info!(cell = self.no.0, away_ms; "store takes rows again");
                     }
                     return Some(version);
                 }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -117,7 +117,10 @@
                 _ => {
                     let renewal: Renewal =
                         dotterel_cell::record::decode(&row.value).unwrap_or_default();
-                    if role.renewal.is_none_or(|(_, version)| version < row.version) {
+                    if role
+                        .renewal
+                        .is_none_or(|(_, version)| version < row.version)
+                    {
                         role.renewal = Some((renewal, row.version));
                     }
                 }
@@ -127,7 +130,9 @@
     }
 
     fn owner_version(&self) -> u64 {
-        self.owner.as_ref().map_or(self.unreadable, |(_, version)| *version)
+        self.owner
+            .as_ref()
+            .map_or(self.unreadable, |(_, version)| *version)
     }
 
     fn version(&self) -> u64 {
@@ -201,7 +206,8 @@
                 continue;
             };
             if owner.node == self.settings.node && owner.life != self.life {
-                self.take(&role, "held by an earlier life of this node").await;
+                self.take(&role, "held by an earlier life of this node")
+                    .await;
                 continue;
             }
             if owner.released {
@@ -269,15 +275,25 @@
             self.settings.node.as_bytes(),
             role.owner_version() ^ u64::from(self.cell.0),
         ) % SPREAD.0;
-        let holder = if self.host.holds_any() { HOLDER_SPREAD } else { Millis::ZERO };
+        let holder = if self.host.holds_any() {
+            HOLDER_SPREAD
+        } else {
+            Millis::ZERO
+        };
         let own_size = self.settings.milli_cores;
-        let largest = role.owner.as_ref().map_or(FULL_SIZE, |(owner, _)| owner.largest);
+        let largest = role
+            .owner
+            .as_ref()
+            .map_or(FULL_SIZE, |(owner, _)| owner.largest);
         let small = if is_small(own_size, largest) {
             Millis(SMALL_SPREAD.0 * u64::from(largest - own_size) / u64::from(largest))
         } else {
             Millis::ZERO
         };
-        let own = role.owner.as_ref().is_some_and(|(owner, _)| owner.node == self.settings.node);
+        let own = role
+            .owner
+            .as_ref()
+            .is_some_and(|(owner, _)| owner.node == self.settings.node);
         if !own {
             self.pause(Millis(spread) + holder + small).await;
         }
@@ -291,7 +307,11 @@
             address: compact_str::format_compact!("{}", self.settings.peer),
             term,
             released: false,
-            largest: if role.owner.is_some() { largest.max(own_size) } else { own_size },
+            largest: if role.owner.is_some() {
+                largest.max(own_size)
+            } else {
+                own_size
+            },
         };
         let renewal = Renewal {
             term,
@@ -302,7 +322,10 @@
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
         let mut puts = vec![put(OWNER, dotterel_cell::record::encode(&owner))];
         for lane in 0..LANES {
-            puts.push(put(&lane_key(lane), dotterel_cell::record::encode(&renewal)));
+            puts.push(put(
+                &lane_key(lane),
+                dotterel_cell::record::encode(&renewal),
+            ));
         }
         let tx = Tx {
             part: self.cell.part(),
@@ -403,14 +426,21 @@
                 }
                 Down::NotHolder => break Break::NotHolder,
                 Down::Reply(number, reply) => self.relay.reply(number, reply),
-                Down::Advise { call, step, vms, timeout } => {
+                Down::Advise {
+                    call,
+                    step,
+                    vms,
+                    timeout,
+                } => {
                     let platform = Rc::clone(&self.platform);
                     let up = up.clone();
                     let calls = Rc::clone(&self.advice);
                     let (metrics, clock) = (Rc::clone(&self.metrics), self.clock);
                     tokio::task::spawn_local(async move {
                         let came = clock.now();
-                        let Ok(_turn) = calls.acquire().await else { return };
+                        let Ok(_turn) = calls.acquire().await else {
+                            return;
+                        };
                         let began = clock.now();
                         let timeout = timeout - began.since(came);
                         let good = platform.advise(step, &vms, timeout).await;
--- a/crates/dotterel-node/src/settings.rs
+++ b/crates/dotterel-node/src/settings.rs
@@ -186,7 +186,10 @@
             peer: SocketAddr::new(ip, raw.peer_port),
             front: address("front", &raw.front)?,
             ready: address("ready", &raw.ready)?,
-            metrics: raw.metrics.map(|text| address("metrics", &text)).transpose()?,
+            metrics: raw
+                .metrics
+                .map(|text| address("metrics", &text))
+                .transpose()?,
             log: level
                 .parse()
                 .map_err(|_| SettingsError(format_compact!("log: {level} is no level")))?,
@@ -204,7 +207,9 @@
 
 fn address(field: &str, text: &str) -> Result<SocketAddr, SettingsError> {
     text.parse().map_err(|_| {
-        SettingsError(format_compact!("{field}: {text} is not an address with a port"))
+        SettingsError(format_compact!(
+            "{field}: {text} is not an address with a port"
+        ))
     })
 }
 
@@ -215,7 +220,9 @@
 )]
 fn to_millis(field: &str, seconds: f64) -> Result<Millis, SettingsError> {
     if !(0.0..=86_400.0).contains(&seconds) {
-        return Err(SettingsError(format_compact!("{field}: {seconds} is out of range")));
+        return Err(SettingsError(format_compact!(
+            "{field}: {seconds} is out of range"
+        )));
     }
     Ok(Millis((seconds * 1000.0) as u64))
 }
