--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -449,13 +449,15 @@
         Some((Arc::clone(&job.spec), usize::from(at.step)))
     }
 
-    pub(crate) fn run_on(&self, name: TaskName, run: u32, now: Millis) -> RunOn {
+    /// Returns the entry of a run on a VM. Where the job has ended, nobody knows any more how much
+    /// room the run takes, and `unknown` is assumed.
+    pub(crate) fn run_on(&self, name: TaskName, run: u32, unknown: Size, now: Millis) -> RunOn {
         let job = self.find(name.job).map(|key| &self.jobs[key]);
         let step = job.and_then(|job| job.spec.steps.get(usize::from(name.step)));
         RunOn {
             task: name,
             run,
-            size: step.map_or(Size::ZERO, crate::plan::room_for),
+            size: step.map_or(unknown, crate::plan::room_for),
             priority: job.map_or(0, |job| job.policy.priority),
             checkpoint: step.is_some_and(|step| step.checkpoint && !step.gang && !step.service),
             phase: RunPhase::Starting,
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -91,7 +91,8 @@
             }
             return;
         }
-        let mut run = self.run_on(seen.task, seen.run, now);
+        let whole = vm.info.capacity;
+        let mut run = self.run_on(seen.task, seen.run, whole, now);
         run.percent = seen.percent;
         let wanted = self
             .find(seen.task.job)
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -133,7 +133,7 @@
         entry.phase = Phase::Placed(vm);
         let run = entry.run;
         let saved = entry.saved.clone();
-        let on = self.run_on(task, run, now);
+        let on = self.run_on(task, run, Size::ZERO, now);
         self.vms[vm].add(on);
         self.orders.push(Order::Start {
             vm,
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -1,5 +1,9 @@
 //! A VM is never given more than it holds.
 
+use dotterel_cell::JobState;
+use dotterel_cell::record::EndRecord;
+use dotterel_kernel::Millis;
+
 use crate::support::{self, Bench, ended, loose, task};
 use dotterel_cell::{How, JobId, StartAnswer};
 
@@ -61,3 +65,32 @@
     assert_eq!(late[0].run, 2);
     assert_eq!(late[0].task.job, JobId(1));
 }
+
+#[test]
+fn a_run_of_an_ended_job_takes_room_that_nobody_knows() {
+    let mut bench = Bench::of_term(0, 2);
+    let key = bench.cell.vm_listed(info(0), bench.now);
+    bench.vms.push(key);
+    let end = EndRecord {
+        state: JobState::Cancelled,
+        at: Millis(1),
+        queue: "queue-1".into(),
+    };
+    bench.cell.inherit_end(JobId(9), &end, bench.now);
+    bench.submit(1, loose(1, 1000));
+    bench.store();
+    bench.advance(10);
+    let stray = running(task(9, 0), 1, 40);
+    bench.report(0, std::slice::from_ref(&stray), &[]);
+    bench.advance(600);
+    bench.report(0, &[stray], &[]);
+
+    bench.plan();
+    let early = bench.take_starts();
+    bench.report(0, &[], &[ended(1, task(9, 0), 1, How::Stopped)]);
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
