--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -309,8 +309,16 @@
             if born > info.born {
                 return key;
             }
+            let unseen = self.take_unseen(key);
             self.lose_vm(key, now);
+            let key = self.add_vm(info);
+            self.bar_runs(key, unseen);
+            return key;
         }
+        self.add_vm(info)
+    }
+
+    fn add_vm(&mut self, info: VmInfo) -> VmKey {
         self.dirty = true;
         let id = info.id.clone();
         let key = self.vms.insert(Vm::new(info));
@@ -319,6 +327,37 @@
         key
     }
 
+    /// Takes the runs off a VM that its former life may never have had: their orders may have
+    /// reached the new life.
+    fn take_unseen(&mut self, key: VmKey) -> Vec<RunOn> {
+        let vm = &mut self.vms[key];
+        let unseen: Vec<RunOn> = vm.runs.iter().filter(|on| !on.seen).cloned().collect();
+        for on in &unseen {
+            vm.remove(on.task, on.run);
+        }
+        unseen
+    }
+
+    /// Has a VM's new life stop runs that it may have been ordered to start.
+    fn bar_runs(&mut self, key: VmKey, runs: Vec<RunOn>) {
+        for mut on in runs {
+            on.phase = RunPhase::Stopping { acked: None };
+            if let Some(task) = self.task_mut(on.task)
+                && task.run == on.run
+                && matches!(task.phase, Phase::Placed(_))
+            {
+                task.phase = Phase::Placed(key);
+            }
+            self.orders.push(Order::Stop {
+                vm: key,
+                task: on.task,
+                run: on.run,
+                reason: "VM has started anew",
+            });
+            self.vms[key].add(on);
+        }
+    }
+
     /// Takes in that an entry has gone from the registry.
     pub fn vm_unlisted(&mut self, id: &str, now: Millis) {
         if let Some(key) = self.vm_by_id(id) {
@@ -462,6 +501,7 @@
             checkpoint: step.is_some_and(|step| step.checkpoint && !step.gang && !step.service),
             phase: RunPhase::Starting,
             ordered: now,
+            seen: false,
             confirmed: now,
             percent: 0,
             moved: now,
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -78,6 +78,7 @@
         let vm = &mut self.vms[key];
         if let Some(at) = vm.find(seen.task, seen.run) {
             let on = &mut vm.runs[at];
+            on.seen = true;
             if on.phase == RunPhase::Starting {
                 on.phase = RunPhase::Running;
                 on.confirmed = now;
@@ -94,6 +95,7 @@
         let whole = vm.info.capacity;
         let mut run = self.run_on(seen.task, seen.run, whole, now);
         run.percent = seen.percent;
+        run.seen = true;
         let wanted = self
             .find(seen.task.job)
             .is_some_and(|job| self.jobs[job].end.is_none());
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -158,6 +158,8 @@
     pub phase: RunPhase,
     /// When it was ordered.
     pub ordered: Millis,
+    /// A report of this life of the VM has listed it.
+    pub seen: bool,
     /// When its start was confirmed.
     pub confirmed: Millis,
     /// How far its work is.
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -4,7 +4,7 @@
 use dotterel_cell::record::EndRecord;
 use dotterel_kernel::Millis;
 
-use crate::support::{self, Bench, ended, loose, task};
+use crate::support::{self, Bench, ended, info, loose, running, task};
 use dotterel_cell::{How, JobId, StartAnswer};
 
 #[test]
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -282,3 +282,60 @@
     );
     assert_eq!(late.len(), 1);
 }
+
+#[test]
+fn an_order_that_may_have_reached_a_vms_new_life_is_barred_there() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, loose(1, 1000));
+    bench.store();
+    bench.plan();
+    let start = bench.take_starts().remove(0);
+    let at = bench.index_of(start.vm);
+    let mut reborn = support::info(at);
+    reborn.born += 1;
+
+    let key = bench.cell.vm_listed(reborn, bench.now);
+    bench.plan();
+    let orders = bench.cell.take_orders();
+    bench.vms[at] = key;
+    bench.cell.stop_answered(key, start.task, 1, bench.now);
+    bench.advance(800);
+    bench.beat(0);
+    let report = dotterel_cell::Report {
+        born: 8,
+        clock: Millis(900),
+        ..dotterel_cell::Report::default()
+    };
+    bench.cell.report(key, &report, bench.now, bench.now);
+    bench.plan();
+    let again = bench.take_starts();
+
+    assert!(
+        support::starts(&orders).is_empty(),
+        "the new life may run it"
+    );
+    assert!(
+        orders
+            .iter()
+            .any(|order| matches!(order, dotterel_cell::Order::Stop { vm, .. } if *vm == key))
+    );
+    assert_eq!(again.len(), 1);
+}
+
+#[test]
+fn runs_that_a_vms_former_life_reported_are_over_at_once() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, loose(1, 1000));
+    bench.store();
+    bench.plan();
+    let start = bench.start_all().remove(0);
+    let at = bench.index_of(start.vm);
+    bench.beat(10);
+    let mut reborn = support::info(at);
+    reborn.born += 1;
+
+    bench.cell.vm_listed(reborn, bench.now);
+    bench.plan();
+
+    assert_eq!(bench.take_starts().len(), 1);
+}
