--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -28,12 +28,8 @@
     pub lease: Millis,
     /// How long a stop may take.
     pub stop: Millis,
-    /// How long members of a gang wait for the others.
-    pub gang: Millis,
     /// How long the state of an ended job can be asked for.
     pub keep: Millis,
-    /// How many times as long a task takes away from its data, in hundredths.
-    pub far_pct: u32,
 }
 
 impl Default for Limits {
@@ -41,9 +37,7 @@
         Self {
             lease: Millis(4000),
             stop: Millis(400),
-            gang: Millis(3000),
             keep: Millis::secs(120),
-            far_pct: 150,
         }
     }
 }
--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    /// Tells what a request without a fitting reply has come to.
+    const fn unanswered(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::NotSent => Self::new(StatusCode::SERVICE_UNAVAILABLE, "no scheduler in reach")
+                .retry(NO_SCHEDULER_RETRY),
+            Outcome::Reply(_) | Outcome::NoReply => Self::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "not known to be durable in time",
+            ),
+        }
+    }
+
     fn body(mut self, body: Bytes) -> Self {
         self.body = body;
         self
@@ -195,14 +207,7 @@
                 Answer::new(StatusCode::SERVICE_UNAVAILABLE, "refused by the scheduler")
                     .retry(retry)
             }
-            Outcome::NotSent => {
-                Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no scheduler in reach")
-                    .retry(NO_SCHEDULER_RETRY)
-            }
-            Outcome::Reply(_) | Outcome::NoReply => Answer::new(
-                StatusCode::GATEWAY_TIMEOUT,
-                "not known to be durable in time",
-            ),
+            other => Answer::unanswered(&other),
         }
     }
 
@@ -214,14 +219,7 @@
         {
             Outcome::Reply(Reply::Cancelled(true)) => Answer::new(StatusCode::OK, "cancelled"),
             Outcome::Reply(Reply::Cancelled(false)) => Answer::new(StatusCode::GONE, "no such job"),
-            Outcome::NotSent => {
-                Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no scheduler in reach")
-                    .retry(NO_SCHEDULER_RETRY)
-            }
-            Outcome::Reply(_) | Outcome::NoReply => Answer::new(
-                StatusCode::GATEWAY_TIMEOUT,
-                "not known to be durable in time",
-            ),
+            other => Answer::unanswered(&other),
         }
     }
 
--- a/crates/dotterel-node/src/routes.rs
+++ b/crates/dotterel-node/src/routes.rs
@@ -24,21 +24,15 @@
 pub struct Bounds {
     /// Bytes of a body.
     pub body: usize,
-    /// Bytes of the headers.
-    pub header: usize,
     /// Time for the headers to arrive.
     pub header_wait: Millis,
-    /// Time that a connection may stay idle.
-    pub idle: Millis,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
         Self {
             body: 256 * 1024,
-            header: 16 * 1024,
             header_wait: Millis::secs(3),
-            idle: Millis::secs(15),
         }
     }
 }
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use dotterel_cell::JobId;
 use dotterel_kernel::{Clock, Millis};
-use serde::{Deserialize, Serialize};
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
@@ -19,14 +19,14 @@
 use crate::front::Relay;
 use crate::link::{self, CellNo, Down, PING_EVERY, SILENT, Up};
 use crate::metrics::Metrics;
-use crate::platform::{Commit, Platform, Row, StoreError, Table, Tx};
+use crate::platform::{Commit, Platform, StoreError, Table, Tx};
 use crate::scheduler::{Host, Takeover};
 use crate::settings::Settings;
 
-/// The key of the row that names the holder.
-pub const OWNER: &str = "owner";
-/// Transactions that a holder may have under way at once.
-pub const LANES: usize = 3;
+mod role;
+
+use role::Role;
+pub use role::{LANES, OWNER, Owner, Renewal, is_small, lane_key};
 
 /// A holder whose renewal stands still for so long is taken to be gone: three renewals and a call.
 const SUSPECT: Millis = Millis(1300);
@@ -53,94 +53,6 @@
 /// Calls for advice that a node has under way; the service takes a node's calls in turn.
 const ADVICE_CALLS: usize = 2;
 
-/// Says who holds the role.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Owner {
-    /// The node.
-    pub node: CompactString,
-    /// One life of it.
-    pub life: u64,
-    /// Where its peers reach it.
-    pub address: CompactString,
-    /// Counts holders.
-    pub term: u32,
-    /// Set when it has given the role back.
-    pub released: bool,
-    /// Thousandths of a core of the largest node that has held the role.
-    pub largest: u32,
-}
-
-/// Returns true when a node is so much smaller than another that the role belongs there.
-#[must_use]
-pub const fn is_small(milli_cores: u32, largest: u32) -> bool {
-    milli_cores * 5 < largest * 3
-}
-
-/// Returns the key of the row that the transactions of a lane rewrite.
-#[must_use]
-pub fn lane_key(lane: usize) -> CompactString {
-    compact_str::format_compact!("lane-{lane}")
-}
-
-/// Rewritten with each of the holder's transactions in a lane, which all expect it as the last one
-/// left it, so that none is carried out after a later one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Renewal {
-    /// The holder's term.
-    pub term: u32,
-    /// Counts its transactions.
-    pub count: u64,
-    /// VMs that run something but have gone from the registry: a successor can't know of them.
-    pub unlisted: u32,
-    /// The holder's wall time.
-    pub at: Millis,
-}
-
-/// The role's rows as read.
-#[derive(Clone, Debug, Default)]
-struct Role {
-    owner: Option<(Owner, u64)>,
-    renewal: Option<(Renewal, u64)>,
-    /// Version of a row that can't be read, so that it can be replaced.
-    unreadable: u64,
-}
-
-impl Role {
-    fn read(rows: &[Row]) -> Self {
-        let mut role = Self::default();
-        for row in rows {
-            match row.key.as_str() {
-                OWNER => match dotterel_cell::record::decode(&row.value) {
-                    Some(owner) => role.owner = Some((owner, row.version)),
-                    None => role.unreadable = row.version,
-                },
-                _ => {
-                    let renewal: Renewal =
-                        dotterel_cell::record::decode(&row.value).unwrap_or_default();
-                    if role
-                        .renewal
-                        .is_none_or(|(_, version)| version < row.version)
-                    {
-                        role.renewal = Some((renewal, row.version));
-                    }
-                }
-            }
-        }
-        role
-    }
-
-    fn owner_version(&self) -> u64 {
-        self.owner
-            .as_ref()
-            .map_or(self.unreadable, |(_, version)| *version)
-    }
-
-    fn version(&self) -> u64 {
-        let renewal = self.renewal.map_or(0, |(_, version)| version);
-        renewal.max(self.owner_version())
-    }
-}
-
 /// Why a link has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Break {
@@ -431,27 +343,7 @@
                     step,
                     vms,
                     timeout,
-                } => {
-                    let platform = Rc::clone(&self.platform);
-                    let up = up.clone();
-                    let calls = Rc::clone(&self.advice);
-                    let (metrics, clock) = (Rc::clone(&self.metrics), self.clock);
-                    tokio::task::spawn_local(async move {
-                        let came = clock.now();
-                        let Ok(_turn) = calls.acquire().await else {
-                            return;
-                        };
-                        let began = clock.now();
-                        let timeout = timeout - began.since(came);
-                        let good = platform.advise(step, &vms, timeout).await;
-                        metrics.call("advise", clock.now().since(began));
-                        if let Err(fault) = good {
-                            log::info!(job:% = step.0, step = step.2, fault:? = fault; "no advice");
-                        }
-                        // The scheduler asks again when this answer doesn't reach it.
-                        let _ = up.send(Up::Advised(call, good.ok())).await;
-                    });
-                }
+                } => self.advise(&up, call, step, vms, timeout),
                 Down::Pong { storing: true } => watch = None,
                 Down::Pong { storing: false } => {
                     // The holder goes on with what it has. If others reach the store, one of
@@ -466,6 +358,36 @@
         broken
     }
 
+    /// Makes a call for advice for the scheduler.
+    fn advise(
+        &self,
+        up: &mpsc::Sender<Up>,
+        call: u64,
+        step: (JobId, u32, u16),
+        vms: Vec<CompactString>,
+        timeout: Millis,
+    ) {
+        let platform = Rc::clone(&self.platform);
+        let up = up.clone();
+        let calls = Rc::clone(&self.advice);
+        let (metrics, clock) = (Rc::clone(&self.metrics), self.clock);
+        tokio::task::spawn_local(async move {
+            let came = clock.now();
+            let Ok(_turn) = calls.acquire().await else {
+                return;
+            };
+            let began = clock.now();
+            let timeout = timeout - began.since(came);
+            let good = platform.advise(step, &vms, timeout).await;
+            metrics.call("advise", clock.now().since(began));
+            if let Err(fault) = good {
+                log::info!(job:% = step.0, step = step.2, fault:? = fault; "no advice");
+            }
+            // The scheduler asks again when this answer doesn't reach it.
+            let _ = up.send(Up::Advised(call, good.ok())).await;
+        });
+    }
+
     async fn pause(&self, span: Millis) {
         tokio::time::sleep(span.duration()).await;
     }
--- a/crates/dotterel-node/src/settings.rs
+++ b/crates/dotterel-node/src/settings.rs
@@ -71,12 +71,8 @@
     pub lease_max_ms: Option<u64>,
     /// How long a stop may take, in ms.
     pub stop_ms: Option<u64>,
-    /// How long members of a gang wait, in ms.
-    pub gang_ms: Option<u64>,
     /// How long the state of an ended job is kept, in s.
     pub status_s: Option<u64>,
-    /// How many times as long a task takes away from its data.
-    pub far_factor: Option<f64>,
     /// Time from SIGTERM to SIGKILL, in s.
     pub grace_s: Option<f64>,
 }
@@ -173,13 +169,7 @@
         let limits = dotterel_cell::Limits {
             lease: LEASE.min(lease_max),
             stop: bounds.stop_ms.map_or(defaults.stop, Millis),
-            gang: bounds.gang_ms.map_or(defaults.gang, Millis),
             keep: bounds.status_s.map_or(defaults.keep, Millis::secs),
-            far_pct: to_millis("bounds.far_factor", bounds.far_factor.unwrap_or(1.0))?
-                .0
-                .div_ceil(10)
-                .try_into()
-                .unwrap_or(u32::MAX),
         };
         Ok(Self {
             node: raw.node,
