--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -15,8 +15,8 @@
 
 /// How often a front makes itself heard.
 pub const PING_EVERY: Millis = Millis(300);
-/// A link that brings nothing for so long is broken: three pings and a round trip.
-pub const SILENT: Millis = Millis(1000);
+/// A link that brings nothing for so long is broken: two pings and a round trip.
+pub const SILENT: Millis = Millis(700);
 /// Messages that wait for a peer which doesn't read; the link is given up when there are more.
 pub const QUEUE: usize = 4096;
 /// Bytes of a message at most: a job with its text and steps, or the names of a call for advice.
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -28,8 +28,8 @@
 use role::Role;
 pub use role::{LANES, OWNER, Owner, Renewal, is_small, lane_key};
 
-/// A holder whose renewal stands still for so long is taken to be gone: three renewals and a call.
-const SUSPECT: Millis = Millis(1300);
+/// A holder whose renewal stands still for so long is taken to be gone: two renewals and a call.
+const SUSPECT: Millis = Millis(900);
 /// Time to take the role; a slow store needs most of a second.
 const TAKE_TIMEOUT: Millis = Millis(1500);
 /// A holder that lives but can't write for so long is replaced, if others can.
