Remove what the cell no longer needs: a field nobody reads, checks made twice

A step's reservation time was only ever cleared; the allowed VMs were checked for silence twice; a job read back opened its steps twice; a VM was looked up by its id beside the method that does so. Behaviour stays as it is.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -209,7 +209,6 @@
         }
         let key = self.insert(job);
         self.begin_due(key, now);
-        self.reopen(key, now);
     }
 
     /// Takes in the end of a job that an earlier term kept.
@@ -286,12 +285,8 @@
     }
 
     /// Takes in an entry of the registry.
-    pub fn vm_listed(&mut self, info: VmInfo, now: Millis) -> VmKey {
-        let at = self
-            .vm_ids
-            .binary_search_by(|(id, _)| id.as_str().cmp(&info.id));
-        if let Ok(at) = at {
-            let key = self.vm_ids[at].1;
+    pub fn vm_listed(&mut self, info: VmInfo) -> VmKey {
+        if let Some(key) = self.vm_by_id(&info.id) {
             let born = self.vms[key].info.born;
             if born == info.born {
                 let vm = &mut self.vms[key];
@@ -304,7 +299,7 @@
                 return key;
             }
             let unseen = self.take_unseen(key);
-            self.lose_vm(key, now);
+            self.lose_vm(key);
             let key = self.add_vm(info);
             self.bar_runs(key, unseen);
             return key;
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -28,7 +28,7 @@
                 born: report.born,
                 ..vm.info.clone()
             };
-            let key = self.vm_listed(info, now);
+            let key = self.vm_listed(info);
             self.report(key, report, sent, now);
             return;
         }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -72,12 +72,12 @@
             self.void_gang(task, run);
         }
         for key in empty {
-            self.lose_vm(key, now);
+            self.lose_vm(key);
         }
     }
 
     /// Drops a VM that is known to be gone, with all that ran on it.
-    pub(crate) fn lose_vm(&mut self, key: VmKey, _now: Millis) {
+    pub(crate) fn lose_vm(&mut self, key: VmKey) {
         let runs: Vec<(TaskName, u32)> = match self.vms.get(key) {
             Some(vm) => vm.runs.iter().map(|on| (on.task, on.run)).collect(),
             None => return,
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -119,8 +119,6 @@
     pub failed: Vec<u32>,
     /// Which VMs may run it.
     pub advice: Advice,
-    /// Since when the step has waited for room that is being made for it.
-    pub reserved: Option<Millis>,
 }
 
 /// One occurrence of a job's steps.
@@ -317,7 +315,6 @@
             opened: now,
             failed: Vec::new(),
             advice: Advice::default(),
-            reserved: None,
         }
     }
 
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -60,8 +60,6 @@
                 if makers > 0 && self.make_room(at, step, left, now) {
                     makers -= 1;
                 }
-            } else if let Some(run) = self.step_run_mut(at) {
-                run.reserved = None;
             }
         }
     }
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -8,7 +8,7 @@
 
 use crate::cell::Cell;
 use crate::job::StepRef;
-use crate::plan::{SILENT, room_for};
+use crate::plan::room_for;
 use crate::spec::{Step, TaskName};
 use crate::vm::{RunPhase, Vm, VmKey};
 
@@ -127,8 +127,7 @@
             return Vec::new();
         };
         let service = job.policy.service.as_str();
-        let usable =
-            |vm: &Vm| self.usable(vm, service, step, now) && now.since(vm.answered) < SILENT;
+        let usable = |vm: &Vm| self.usable(vm, service, step, now);
         if job.policy.advice.is_none() {
             return self.vms.iter().filter(|(_, vm)| usable(vm)).collect();
         }
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -69,7 +69,7 @@
 #[test]
 fn a_run_of_an_ended_job_takes_room_that_nobody_knows() {
     let mut bench = Bench::of_term(0, 2);
-    let key = bench.cell.vm_listed(info(0), bench.now);
+    let key = bench.cell.vm_listed(info(0));
     bench.vms.push(key);
     let end = EndRecord {
         state: JobState::Cancelled,
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -39,7 +39,7 @@
             vms: Vec::new(),
         };
         for index in 0..vms {
-            let key = bench.cell.vm_listed(info(index), now);
+            let key = bench.cell.vm_listed(info(index));
             bench.vms.push(key);
         }
         bench.advance(1);
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_run_of_an_earlier_term_is_taken_over_not_repeated() {
     let mut bench = Bench::of_term(0, 2);
-    let key = bench.cell.vm_listed(support::info(0), bench.now);
+    let key = bench.cell.vm_listed(support::info(0));
     bench.vms.push(key);
     bench
         .cell
@@ -34,7 +34,7 @@
 fn an_earlier_terms_tasks_wait_until_every_vm_has_answered() {
     let mut bench = Bench::of_term(0, 2);
     for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        let key = bench.cell.vm_listed(support::info(index));
         bench.vms.push(key);
     }
     bench
@@ -76,7 +76,7 @@
 fn a_silent_vm_holds_an_earlier_terms_tasks_back_only_for_a_lease() {
     let mut bench = Bench::of_term(0, 2);
     for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        let key = bench.cell.vm_listed(support::info(index));
         bench.vms.push(key);
     }
     bench
@@ -224,7 +224,7 @@
     });
 
     let mut second = Bench::of_term(0, 2);
-    let key = second.cell.vm_listed(support::info(0), second.now);
+    let key = second.cell.vm_listed(support::info(0));
     second.vms.push(key);
     second
         .cell
@@ -243,7 +243,7 @@
 fn a_failure_of_an_earlier_run_counts_although_the_next_run_was_found_first() {
     let mut bench = Bench::of_term(0, 2);
     for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index), bench.now);
+        let key = bench.cell.vm_listed(support::info(index));
         bench.vms.push(key);
     }
     let mut record = loose(1, 1000);
@@ -294,7 +294,7 @@
     let mut reborn = support::info(at);
     reborn.born += 1;
 
-    let key = bench.cell.vm_listed(reborn, bench.now);
+    let key = bench.cell.vm_listed(reborn);
     bench.plan();
     let orders = bench.cell.take_orders();
     bench.vms[at] = key;
@@ -334,7 +334,7 @@
     let mut reborn = support::info(at);
     reborn.born += 1;
 
-    bench.cell.vm_listed(reborn, bench.now);
+    bench.cell.vm_listed(reborn);
     bench.plan();
 
     assert_eq!(bench.take_starts().len(), 1);
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -79,7 +79,7 @@
         }
         for info in listed {
             if self.is_mine(&info.id) {
-                cell.vm_listed(info, now);
+                cell.vm_listed(info);
             }
         }
         for id in gone {
