--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -141,10 +141,10 @@
     changed: Vec<JobKey>,
     changed_at: Millis,
     closing: Vec<JobKey>,
-    dropping: Vec<JobId>,
-    /// Batches on their way to the store, oldest first.
-    sent: Vec<batch::Sent>,
-    batches: u64,
+    /// Ended jobs whose rows go, and the lanes that wrote them.
+    dropping: Vec<(JobId, u8)>,
+    /// Counts changes of jobs that have to be written.
+    seq: u64,
     pub(crate) dirty: bool,
     pub(crate) good: Vec<(CompactString, f32)>,
     pub(crate) advisers: Vec<Adviser>,
@@ -177,8 +177,7 @@
             changed_at: Millis::ZERO,
             closing: Vec::new(),
             dropping: Vec::new(),
-            sent: Vec::new(),
-            batches: 0,
+            seq: 0,
             dirty: true,
             good: Vec::new(),
             advisers: Vec::new(),
@@ -193,18 +192,20 @@
         &self.limits
     }
 
-    /// Takes in a job that an earlier term kept.
+    /// Takes in a job that an earlier term kept, from the rows of a lane.
     pub fn inherit(
         &mut self,
         id: JobId,
         record: JobRecord,
         progress: Option<&Progress>,
+        lane: u8,
         now: Millis,
     ) {
         if self.find(id).is_some() {
             return;
         }
         let mut job = Job::new(id, record, now);
+        job.lane = Some(lane);
         job.since = job.arrived.min(now);
         job.stored = true;
         job.inherited = true;
@@ -217,12 +218,13 @@
         self.begin_due(key, now);
     }
 
-    /// Takes in the end of a job that an earlier term kept.
-    pub fn inherit_end(&mut self, id: JobId, end: &EndRecord, now: Millis) {
+    /// Takes in the end of a job that an earlier term kept, from the rows of a lane.
+    pub fn inherit_end(&mut self, id: JobId, end: &EndRecord, lane: u8, now: Millis) {
         if self.find(id).is_some() {
             return;
         }
         let mut job = Job::new(id, JobRecord::default(), now);
+        job.lane = Some(lane);
         job.policy.queue = end.queue.clone();
         job.stored = true;
         job.end = Some(end.state);
@@ -430,6 +432,7 @@
     }
 
     fn touch(&mut self, key: JobKey, now: Millis) {
+        self.seq += 1;
         if let Err(at) = self.changed.binary_search(&key) {
             if self.changed.is_empty() {
                 self.changed_at = now;
@@ -444,6 +447,7 @@
         if job.end.is_some() {
             return;
         }
+        self.seq += 1;
         job.end = Some(state);
         job.ended = now;
         let id = job.id;
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -1,8 +1,9 @@
 //! Rows to write, many events to a transaction.
 //!
 //! Ends are acknowledged to VMs, and jobs shown as ended, only after the rows that say so are
-//! durable. Until then a successor reads the ends back from the VMs. Several batches may be under
-//! way at once; no two of them hold rows of the same job, so they may be done in any order.
+//! durable. Until then a successor reads the ends back from the VMs. Batches go through lanes, one
+//! at a time in each. A job keeps to the lane that first wrote it, so batches under way at once may
+//! be done in any order.
 
 use dotterel_kernel::Millis;
 
@@ -10,7 +11,6 @@
 use crate::job::{JobKey, JobState};
 use crate::record::{EndRecord, JobRecord, JobRow, encode};
 use crate::spec::JobId;
-use crate::vm::VmKey;
 
 /// Rows of one transaction at most; the store takes 100 entries, some are the writer's own.
 const MAX_ENTRIES: usize = 94;
@@ -50,73 +50,68 @@
     pub accepted: Vec<JobId>,
     /// Jobs whose end it makes durable.
     pub ended: Vec<JobId>,
-    number: u64,
+    /// Changes up to this one are in it, as far as its jobs are concerned.
+    seq: u64,
     jobs: Vec<JobKey>,
     closed: Vec<JobKey>,
 }
 
-/// A batch under way: the ends that may be acknowledged once it and all before it are durable.
-#[derive(Debug)]
-pub(super) struct Sent {
-    number: u64,
-    done: bool,
-    taken: Vec<(VmKey, u64)>,
-}
-
 impl Cell {
-    /// Returns true when callers wait for rows.
+    /// Returns true when a lane has rows to write that no other lane may write.
     #[must_use]
-    pub fn wants_write(&self, now: Millis) -> bool {
-        self.rows_waiting(now) > 0
+    pub fn has_rows(&self, lane: u8, now: Millis) -> bool {
+        let due = now.since(self.changed_at) >= PROGRESS_DELAY;
+        let own = |key: &JobKey| {
+            self.jobs
+                .get(*key)
+                .is_some_and(|job| job.lane == Some(lane))
+        };
+        self.closing.iter().any(own)
+            || (due && self.changed.iter().any(own))
+            || self.dropping.iter().any(|(_, at)| *at == lane)
     }
 
-    /// Returns how many jobs have rows that should be written now.
+    /// Returns true when there are rows that any lane may write.
     #[must_use]
-    pub fn rows_waiting(&self, now: Millis) -> usize {
-        let idle = |key: &&JobKey| self.jobs.get(**key).is_some_and(|job| !job.writing);
-        let urgent = self.closing.iter().chain(&self.fresh).filter(idle).count();
-        let due = now.since(self.changed_at) >= PROGRESS_DELAY;
-        let progress = if due {
-            self.changed.iter().filter(idle).count()
-        } else {
-            0
-        };
-        urgent + progress
+    pub fn has_new_rows(&self) -> bool {
+        let free = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.lane.is_none());
+        !self.fresh.is_empty() || self.closing.iter().any(free)
     }
 
-    /// Takes the rows to write next.
-    pub fn take_batch(&mut self, now: Millis) -> Batch {
-        let mut batch = Batch::default();
+    /// Takes the rows that a lane writes next.
+    pub fn take_batch(&mut self, lane: u8, now: Millis) -> Batch {
+        let mut batch = Batch {
+            seq: self.seq,
+            ..Batch::default()
+        };
         let mut room = Room::default();
         // Progress goes first when it is due, since it waits least often and ends stay on VMs,
         // which list no more than 500 of them, until it is written.
         if now.since(self.changed_at) >= PROGRESS_DELAY {
-            self.take_progress(&mut batch, &mut room);
+            self.take_progress(lane, &mut batch, &mut room);
         }
-        self.take_ends(&mut batch, &mut room, now);
+        self.take_ends(lane, &mut batch, &mut room, now);
         self.take_fresh(&mut batch, &mut room);
-        while let Some(id) = self.dropping.last().copied() {
-            if !room.takes(&[RowWrite::Forget(id)]) {
-                break;
-            }
-            batch.writes.push(RowWrite::Forget(id));
-            self.dropping.pop();
-        }
+        self.take_forgotten(lane, &mut batch, &mut room);
         for key in &batch.jobs {
-            self.jobs[*key].writing = true;
+            self.jobs[*key].lane = Some(lane);
         }
-        self.batches += 1;
-        batch.number = self.batches;
-        let all = self.changed.is_empty() && self.closing.is_empty();
-        self.sent.push(Sent {
-            number: batch.number,
-            done: false,
-            taken: if all { self.taken() } else { Vec::new() },
-        });
         batch
     }
 
-    fn take_progress(&mut self, batch: &mut Batch, room: &mut Room) {
+    fn take_forgotten(&mut self, lane: u8, batch: &mut Batch, room: &mut Room) {
+        let mut left = Vec::new();
+        for (id, at) in std::mem::take(&mut self.dropping) {
+            if at == lane && room.takes(&[RowWrite::Forget(id)]) {
+                batch.writes.push(RowWrite::Forget(id));
+            } else {
+                left.push((id, at));
+            }
+        }
+        self.dropping = left;
+    }
+
+    fn take_progress(&mut self, lane: u8, batch: &mut Batch, room: &mut Room) {
         /// Rows of a batch that progress may take; the rest is for those who wait.
         const SHARE: usize = 40;
         /// The same while more rows wait than a batch holds.
@@ -132,7 +127,7 @@
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            if job.writing || batch.writes.len() >= share {
+            if !job.takes_lane(lane) || batch.writes.len() >= share {
                 left.push(key);
                 continue;
             }
@@ -148,7 +143,7 @@
         self.changed = left;
     }
 
-    fn take_ends(&mut self, batch: &mut Batch, room: &mut Room, now: Millis) {
+    fn take_ends(&mut self, lane: u8, batch: &mut Batch, room: &mut Room, now: Millis) {
         let mut left = Vec::new();
         for key in std::mem::take(&mut self.closing) {
             let Some(job) = self.jobs.get(key) else {
@@ -163,7 +158,7 @@
             if job.progressed {
                 writes.push(RowWrite::DropProgress(job.id));
             }
-            if job.writing || !room.takes(&writes) {
+            if !job.takes_lane(lane) || !room.takes(&writes) {
                 left.push(key);
                 continue;
             }
@@ -207,8 +202,8 @@
     pub fn written(&mut self, batch: &Batch) {
         for key in &batch.jobs {
             if let Some(job) = self.jobs.get_mut(*key) {
-                job.writing = false;
                 job.stored = true;
+                job.durable = batch.seq;
             }
         }
         for key in &batch.closed {
@@ -219,36 +214,11 @@
                 job.spec = std::sync::Arc::default();
             }
         }
-        if let Some(sent) = self
-            .sent
-            .iter_mut()
-            .find(|sent| sent.number == batch.number)
-        {
-            sent.done = true;
-        }
-        while self.sent.first().is_some_and(|sent| sent.done) {
-            for (key, number) in self.sent.remove(0).taken {
-                if let Some(vm) = self.vms.get_mut(key) {
-                    vm.durable = vm.durable.max(number);
-                }
-            }
+        for vm in self.vms.values_mut() {
+            vm.settle_acks(&self.jobs);
         }
         self.dirty = true;
     }
-
-    /// Acknowledges ends that need no row, when no row waits or is on its way.
-    pub fn settle_idle(&mut self) {
-        if self.sent.is_empty() && self.changed.is_empty() && self.closing.is_empty() {
-            for vm in self.vms.values_mut() {
-                vm.durable = vm.taken;
-            }
-        }
-    }
-
-    fn taken(&self) -> Vec<(VmKey, u64)> {
-        let moved = self.vms.iter().filter(|(_, vm)| vm.taken > vm.durable);
-        moved.map(|(key, vm)| (key, vm.taken)).collect()
-    }
 }
 
 #[derive(Default)]
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -4,7 +4,7 @@
 
 use super::{Cell, Order};
 use crate::job::Phase;
-use crate::vm::{Report, ReportedRun, RunPhase, VmInfo, VmKey};
+use crate::vm::{Report, ReportedEnd, ReportedRun, RunPhase, Unsettled, VmInfo, VmKey};
 
 /// Beyond the time of a stop ordered by a former scheduler: its order may have been on its way.
 const STOP_SLACK: Millis = Millis(60);
@@ -51,15 +51,37 @@
         }
         let taken = vm.taken;
         for end in report.ended.iter().filter(|end| end.number > taken) {
+            let before = self.seq;
             self.run_ended(key, end, now);
-            self.vms[key].taken = end.number;
+            self.note_end(key, end, before);
         }
+        self.vms[key].settle_acks(&self.jobs);
         for run in &report.running {
             self.run_listed(key, run, now);
         }
         self.drop_absent(key, report, sent);
     }
 
+    /// Notes what has to be durable before an end is acknowledged.
+    fn note_end(&mut self, key: VmKey, end: &ReportedEnd, before: u64) {
+        let job = self.find(end.task.job);
+        let closing = job.is_some_and(|job| {
+            let job = &self.jobs[job];
+            job.end.is_some() && !job.shown
+        });
+        // Of a job that is ending, a successor that doesn't see the end needs all the others.
+        let seq = if closing { u64::MAX } else { self.seq };
+        let vm = &mut self.vms[key];
+        vm.taken = end.number;
+        if let Some(job) = job.filter(|_| closing || self.seq > before) {
+            vm.unsettled.push_back(Unsettled {
+                number: end.number,
+                job,
+                seq,
+            });
+        }
+    }
+
     /// Returns the end of the lease to ask a VM for, on its clock.
     ///
     /// None before its first answer, and while it is silent: it may take in what it doesn't answer,
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -222,16 +222,16 @@
 
     fn forget_ended(&mut self, now: Millis) {
         let keep = self.limits.keep;
-        let old: Vec<(JobKey, crate::spec::JobId)> = self
+        let old: Vec<(JobKey, crate::spec::JobId, u8)> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.shown && now.since(job.ended) > keep + Millis::secs(10))
-            .map(|(key, job)| (key, job.id))
+            .map(|(key, job)| (key, job.id, job.lane.unwrap_or_default()))
             .collect();
-        for (key, id) in old {
+        for (key, id, lane) in old {
             self.jobs.remove(key);
             self.index.retain(|(known, _)| *known != id);
-            self.dropping.push(id);
+            self.dropping.push((id, lane));
         }
     }
 
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -134,6 +134,8 @@
     pub advice: Advice,
     /// Where room is set aside for it.
     pub reserve: Reserve,
+    /// When its tasks last found no room.
+    pub looked: Millis,
 }
 
 /// One occurrence of a job's steps.
@@ -156,6 +158,10 @@
     pub spec: Arc<JobSpec>,
     /// How its queue is treated.
     pub policy: Policy,
+    /// The time by which it should be completed, from when it was handed in or came due.
+    pub objective: Millis,
+    /// Estimates of what is left when each of its steps begins.
+    pub left: Vec<Millis>,
     /// When the first request for it came in, on the wall clock.
     pub arrived: Millis,
     /// The same on the scheduler's clock.
@@ -170,8 +176,10 @@
     pub end: Option<JobState>,
     /// Set once the end is durable.
     pub shown: bool,
-    /// Set while a transaction with a row of the job is under way.
-    pub writing: bool,
+    /// The lane to the store that writes its rows, once one has begun to.
+    pub lane: Option<u8>,
+    /// The number of the last change that is durable.
+    pub durable: u64,
     /// Set once there may be a row with its progress.
     pub progressed: bool,
     /// When it ended.
@@ -190,8 +198,12 @@
     /// Returns a job that has just come in, or was read back.
     #[must_use]
     pub fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
+        let chain = record.spec.chain().0 * u64::from(record.policy.stretch_pct) / 100;
+        let steps = 0u16..u16::try_from(record.spec.steps.len()).unwrap_or(u16::MAX);
         Self {
             id,
+            objective: Millis(chain) + record.policy.allowance,
+            left: steps.map(|step| record.spec.chain_from(step)).collect(),
             arrived: record.arrived,
             spec: Arc::new(record.spec),
             policy: record.policy,
@@ -201,7 +213,8 @@
             begun: false,
             end: None,
             shown: false,
-            writing: false,
+            lane: None,
+            durable: 0,
             progressed: false,
             ended: Millis::ZERO,
             rounds: Vec::new(),
@@ -211,6 +224,12 @@
         }
     }
 
+    /// Returns true when a lane may write its rows.
+    #[must_use]
+    pub fn takes_lane(&self, lane: u8) -> bool {
+        self.lane.is_none_or(|own| own == lane)
+    }
+
     /// Returns what callers are told.
     #[must_use]
     pub fn state(&self) -> JobState {
@@ -221,11 +240,22 @@
         }
     }
 
-    /// Returns the moment by which the job should be completed, on the scheduler's clock.
+    /// Returns when an occurrence was handed in or came due, on the scheduler's clock.
+    #[must_use]
+    pub fn began(&self, round: u32) -> Millis {
+        match self.round(round) {
+            Some(round) if self.spec.repeats > 0 => round.due,
+            _ => self.since,
+        }
+    }
+
+    /// Returns the estimate of what is left when a step begins.
     #[must_use]
-    pub fn objective(&self) -> Millis {
-        let chain = self.spec.chain().0 * u64::from(self.policy.stretch_pct) / 100;
-        Millis(chain) + self.policy.allowance
+    pub fn left_from(&self, step: u16) -> Millis {
+        self.left
+            .get(usize::from(step))
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Finds an occurrence.
@@ -331,6 +361,7 @@
             failed: Vec::new(),
             advice: Advice::default(),
             reserve: Reserve::default(),
+            looked: Millis::ZERO,
         }
     }
 
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -22,6 +22,11 @@
 /// A VM that hasn't answered for this long gets nothing new. Twice the interval of questions.
 pub(crate) const SILENT: Millis = Millis(2000);
 
+/// Steps that wait in a backlog: each look at one goes through all VMs that it may use.
+const BACKLOG: usize = 100;
+/// In a backlog, a step that found no room is looked at again after this time, or when advice comes.
+const LOOK_EVERY: Millis = Millis(15);
+
 /// Returns the room that a task takes on a VM.
 #[must_use]
 pub(crate) fn room_for(step: &Step) -> Size {
@@ -41,6 +46,7 @@
         self.note_reserved(now);
         let mut queue = self.queue(now);
         queue.sort_unstable();
+        let backlog = queue.len() > BACKLOG;
         let mut makers = preempt::MAX_MAKERS;
         let mut gangs = gang::Place::default();
         for (rank, at) in queue {
@@ -59,6 +65,9 @@
             if gangs.are_short(rank.priority()) && self.has_slack(at, now) {
                 continue;
             }
+            if self.looked_lately(at, now) && backlog {
+                continue;
+            }
             let left = self.place_loose(at, step, now);
             if left > 0 {
                 self.ask_more(at, step, left, now);
@@ -69,6 +78,18 @@
         }
     }
 
+    /// Returns true when a step found no room a moment ago, and notes the look otherwise.
+    fn looked_lately(&mut self, at: StepRef, now: Millis) -> bool {
+        let Some(run) = self.step_run_mut(at) else {
+            return true;
+        };
+        if now.since(run.looked) < LOOK_EVERY {
+            return true;
+        }
+        run.looked = now;
+        false
+    }
+
     fn may_start(&self, at: StepRef) -> bool {
         let Some(job) = self.jobs.get(at.job) else {
             return false;
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -11,7 +11,7 @@
 use crate::job::{Allowed, Phase, StepRef};
 use crate::plan::fit::TICKET_MARGIN;
 use crate::plan::room_for;
-use crate::spec::Step;
+use crate::spec::{AdviceTerms, Step};
 use crate::vm::VmKey;
 
 /// VMs that one call may name.
@@ -22,8 +22,8 @@
 const MIN_NAMED: usize = 6;
 /// Room asked about, in multiples of the room needed, since others take some of it meanwhile.
 const SURPLUS: f32 = 2.0;
-/// The same for gangs, whose tickets are of no use when one member's room is gone meanwhile.
-const GANG_SURPLUS: f32 = 2.5;
+/// The names of a call may add one part in so many to its fixed time, whatever they are good for.
+const COMPANY_PART: u64 = 2;
 /// The share of VMs that are allowed, before anything has been learnt of a queue.
 const GOOD_SHARE: f32 = 0.45;
 /// How much the latest answer counts in that share.
@@ -209,6 +209,9 @@
         let Some(job) = self.jobs.get(at.job) else {
             return Vec::new();
         };
+        let Some(terms) = job.policy.advice else {
+            return Vec::new();
+        };
         let size = room_for(step);
         let (mut expired, mut fresh) = (Vec::new(), Vec::new());
         let mut valid = 0;
@@ -236,45 +239,30 @@
         if valid >= left {
             return Vec::new();
         }
-        let mut sum: f32 = to_f32(valid);
         let need = to_f32(left) * SURPLUS;
-        let renewed: u32 = expired.iter().map(|(slots, _)| *slots).sum();
-        let mut named = Vec::new();
-        // A gang's tickets are of use only together.
-        if !step.gang || valid + renewed >= left {
-            expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
-            for (slots, key) in expired {
-                if sum >= need || named.len() >= MAX_NAMED {
-                    break;
-                }
-                sum += to_f32(slots);
-                named.push(key);
-            }
-        }
-        if step.gang && !named.is_empty() {
-            return named;
-        }
-        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
         let first = run.advice.asked.is_empty();
-        let mut need = need;
-        if step.gang {
-            sum = to_f32(valid + renewed);
-            need = to_f32(left) * GANG_SURPLUS;
-            // A call that can't complete the gang waits until more VMs have room.
-            let hoped: u32 = fresh.iter().map(|(slots, _)| *slots).sum();
-            if !first && sum + to_f32(hoped) * share < to_f32(left) {
-                return named;
-            }
-        }
-        for (slots, key) in fresh {
+        expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        fresh.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        let mut sum: f32 = to_f32(valid);
+        let mut named = Vec::new();
+        let chances = expired.iter().map(|(slots, key)| (*slots, *key, 1.0));
+        let chances = chances.chain(fresh.iter().map(|(slots, key)| (*slots, *key, share)));
+        for (slots, key, chance) in chances {
             let enough = sum >= need && (!first || named.len() >= MIN_NAMED);
-            // VMs without room are only worth a call when there is no better choice.
-            let full = slots == 0 && (!named.is_empty() || !first);
-            if enough || full || named.len() >= MAX_NAMED {
+            if enough || named.len() >= MAX_NAMED {
                 break;
             }
-            sum += to_f32(slots) * share;
-            named.push(key);
+            // VMs without room are only worth a call when there is no better choice.
+            if slots > 0 || (named.is_empty() && first) {
+                sum += to_f32(slots) * chance;
+                named.push(key);
+            }
+        }
+        let full = company(&terms, left).min(MAX_NAMED);
+        if !named.is_empty() && named.len() < full {
+            let rest = expired.iter().chain(&fresh).map(|(_, key)| *key);
+            let rest: Vec<VmKey> = rest.filter(|key| !named.contains(key)).collect();
+            named.extend(rest.into_iter().take(full - named.len()));
         }
         named
     }
@@ -334,6 +322,7 @@
         }
         advice.allowed.extend(allowed);
         run.reserve.looked = Millis::ZERO;
+        run.looked = Millis::ZERO;
         self.dirty = true;
     }
 
@@ -365,6 +354,16 @@
     }
 }
 
+/// Returns how many VMs a call should name for its fixed part to be worth while.
+///
+/// Answers the pattern "a backlog renews tickets for a few VMs at a time": naming the VMs that may
+/// come free soon adds little to a call, and saves the next one.
+fn company(terms: &AdviceTerms, left: u32) -> usize {
+    let fixed = terms.base.0 * 1000 / u64::from(terms.each_us.max(1));
+    let cheap = usize::try_from(fixed / COMPANY_PART).unwrap_or(usize::MAX);
+    cheap.min(left.saturating_mul(2) as usize)
+}
+
 /// Counts of VMs and tasks are far below the point where precision is lost.
 #[expect(clippy::cast_precision_loss, reason = "counts are small")]
 pub(crate) fn to_f32(count: u32) -> f32 {
--- a/crates/dotterel-cell/src/plan/order.rs
+++ b/crates/dotterel-cell/src/plan/order.rs
@@ -37,13 +37,9 @@
         let Some(job) = self.jobs.get(at.job) else {
             return false;
         };
-        let begin = match job.round(at.round) {
-            Some(round) if job.spec.repeats > 0 => round.due,
-            _ => job.since,
-        };
-        let objective = job.objective();
-        let slack = (begin + objective).since(now + job.spec.chain_from(at.step));
-        !job.spec.lasts() && slack.0 * 100 > objective.0 * SLACK_PCT
+        let due = job.began(at.round) + job.objective;
+        let slack = due.since(now + job.left_from(at.step));
+        !job.spec.lasts() && slack.0 * 100 > job.objective.0 * SLACK_PCT
     }
 
     /// Returns the queued steps with their ranks.
@@ -53,16 +49,12 @@
             let Some(job) = self.jobs.get(at.job) else {
                 continue;
             };
-            let begin = match job.round(at.round) {
-                Some(round) if job.spec.repeats > 0 => round.due,
-                _ => job.since,
-            };
-            let objective = job.objective();
+            let begin = job.began(at.round);
             let lasts = job.spec.lasts();
-            let due = begin + objective;
-            let left = job.spec.chain_from(at.step);
+            let due = begin + job.objective;
+            let left = job.left_from(at.step);
             let rank = Rank {
-                worthless: !lasts && now > begin + Millis(objective.0 * WORTHLESS_AFTER),
+                worthless: !lasts && now > begin + Millis(job.objective.0 * WORTHLESS_AFTER),
                 priority: job.policy.priority,
                 missed: !lasts && now + left > due,
                 due,
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -1,9 +1,12 @@
 //! VMs, what runs on them and how long their leases last.
 
+use std::collections::VecDeque;
+
 use compact_str::CompactString;
 use dotterel_kernel::{Millis, Size};
-use slotmap::new_key_type;
+use slotmap::{SlotMap, new_key_type};
 
+use crate::job::{Job, JobKey};
 use crate::spec::TaskName;
 use crate::suspect::Standing;
 
@@ -168,6 +171,17 @@
     pub moved: Millis,
 }
 
+/// An end that isn't acknowledged before its job's rows tell of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Unsettled {
+    /// Its number.
+    pub number: u64,
+    /// Its job.
+    pub job: JobKey,
+    /// The change of the job that it brought about.
+    pub seq: u64,
+}
+
 /// A VM as the scheduler sees it.
 #[derive(Clone, Debug)]
 pub struct Vm {
@@ -188,8 +202,10 @@
     pub runs: Vec<RunOn>,
     /// The number of the last end taken in.
     pub taken: u64,
-    /// Ends up to this number are durable.
+    /// Ends up to this number are durable, or need no row.
     pub durable: u64,
+    /// Ends that aren't, oldest first.
+    pub unsettled: VecDeque<Unsettled>,
     /// Its clock at the last answer.
     pub clock: Millis,
     /// When the last answer came.
@@ -214,6 +230,7 @@
             runs: Vec::new(),
             taken: 0,
             durable: 0,
+            unsettled: VecDeque::new(),
             clock: Millis::ZERO,
             answered: Millis::ZERO,
             lease: Millis::ZERO,
@@ -242,6 +259,19 @@
         self.answered + Millis(slow) + LAPSE_SLACK
     }
 
+    /// Finds out up to which number ends are durable.
+    pub fn settle_acks(&mut self, jobs: &SlotMap<JobKey, Job>) {
+        while let Some(first) = self.unsettled.front() {
+            let job = jobs.get(first.job);
+            if job.is_some_and(|job| !job.shown && job.durable < first.seq) {
+                self.durable = self.durable.max(first.number - 1);
+                return;
+            }
+            self.unsettled.pop_front();
+        }
+        self.durable = self.taken;
+    }
+
     /// Adds a run and takes its room.
     pub fn add(&mut self, run: RunOn) {
         self.used = self.used.plus(&run.size);
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -76,7 +76,7 @@
         at: Millis(1),
         queue: "queue-1".into(),
     };
-    bench.cell.inherit_end(JobId(9), &end, bench.now);
+    bench.cell.inherit_end(JobId(9), &end, 0, bench.now);
     bench.submit(1, loose(1, 1000));
     bench.store();
     bench.advance(10);
--- a/crates/dotterel-cell/tests/cell/durable.rs
+++ b/crates/dotterel-cell/tests/cell/durable.rs
@@ -15,8 +15,8 @@
     bench.report(0, &[], &[ended(1, task(1, 0), 1, How::Done)]);
     bench.advance(300);
 
-    let batch = bench.cell.take_batch(bench.now);
-    bench.cell.settle_idle();
+    let batch = bench.cell.take_batch(0, bench.now);
+    bench.report(0, &[], &[]);
 
     assert_eq!(bench.vm(0).durable, 0, "the row is not durable yet");
     bench.cell.written(&batch);
@@ -36,7 +36,7 @@
     }
     bench.advance(700);
 
-    let batch = bench.cell.take_batch(bench.now);
+    let batch = bench.cell.take_batch(0, bench.now);
 
     let progress = batch
         .writes
@@ -49,9 +49,9 @@
 fn batches_under_way_together_hold_no_rows_of_the_same_job() {
     let mut bench = Bench::new(1);
     bench.submit(1, support::loose(1, 1000));
-    let first = bench.cell.take_batch(bench.now);
+    let first = bench.cell.take_batch(0, bench.now);
     bench.cell.cancel(JobId(1), bench.now);
-    let second = bench.cell.take_batch(bench.now);
+    let second = bench.cell.take_batch(1, bench.now);
 
     assert_eq!(first.accepted, [JobId(1)]);
     assert!(
@@ -59,22 +59,24 @@
         "the first may yet be done after the second"
     );
     bench.cell.written(&first);
-    let third = bench.cell.take_batch(bench.now);
+    let third = bench.cell.take_batch(0, bench.now);
     assert_eq!(third.ended, [JobId(1)]);
 }
 
 #[test]
 fn ends_are_acknowledged_in_the_order_of_their_batches() {
     let mut bench = Bench::new(1);
-    bench.submit(1, support::loose(1, 1000));
-    bench.submit(2, support::loose(1, 1000));
-    bench.store();
+    for lane in 0..2 {
+        bench.submit(1 + u64::from(lane), support::loose(1, 1000));
+        let accepted = bench.cell.take_batch(lane, bench.now);
+        bench.cell.written(&accepted);
+    }
     bench.plan();
     bench.start_all();
     bench.report(0, &[], &[ended(1, task(1, 0), 1, How::Done)]);
-    let first = bench.cell.take_batch(bench.now);
+    let first = bench.cell.take_batch(0, bench.now);
     bench.report(0, &[], &[ended(2, task(2, 0), 1, How::Done)]);
-    let second = bench.cell.take_batch(bench.now);
+    let second = bench.cell.take_batch(1, bench.now);
 
     bench.cell.written(&second);
     let early = bench.vm(0).durable;
@@ -82,3 +84,42 @@
 
     assert_eq!((early, bench.vm(0).durable), (0, 2));
 }
+
+#[test]
+fn a_lane_that_stands_still_holds_up_no_jobs_of_the_others() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, support::loose(1, 1000));
+    let stuck = bench.cell.take_batch(0, bench.now);
+    bench.submit(2, support::loose(1, 1000));
+    let quick = bench.cell.take_batch(1, bench.now);
+    bench.cell.written(&quick);
+    bench.plan();
+    let started = bench.start_all();
+    let at = bench.index_of(started[0].vm);
+    bench.report(at, &[], &[ended(1, task(2, 0), 1, How::Done)]);
+
+    let done = bench.cell.take_batch(1, bench.now);
+    bench.cell.written(&done);
+
+    assert_eq!(stuck.accepted, [JobId(1)]);
+    assert_eq!(done.ended, [JobId(2)]);
+    assert_eq!(bench.vm(at).durable, 1);
+}
+
+#[test]
+fn the_lane_of_a_job_wants_its_rows_and_no_other_does() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, support::loose(1, 1000));
+    let accepted = bench.cell.take_batch(3, bench.now);
+    bench.cell.written(&accepted);
+    bench.plan();
+    bench.start_all();
+
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, How::Done)]);
+
+    let wants: Vec<u8> = (0..6)
+        .filter(|lane| bench.cell.has_rows(*lane, bench.now))
+        .collect();
+    assert_eq!(wants, [3]);
+    assert!(!bench.cell.has_new_rows(), "no lane needs to be waited for");
+}
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -60,8 +60,8 @@
 
     /// Makes all that waits durable.
     pub(crate) fn store(&mut self) {
-        while self.cell.wants_write(self.now) {
-            let batch = self.cell.take_batch(self.now);
+        while self.cell.has_new_rows() || self.cell.has_rows(0, self.now) {
+            let batch = self.cell.take_batch(0, self.now);
             self.cell.written(&batch);
         }
     }
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -12,7 +12,7 @@
     bench.vms.push(key);
     bench
         .cell
-        .inherit(JobId(1), loose(1, 1000), None, bench.now);
+        .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
     bench.advance(10);
 
     bench.report(0, &[running(task(1, 0), 1, 30)], &[]);
@@ -39,7 +39,7 @@
     }
     bench
         .cell
-        .inherit(JobId(1), loose(1, 1000), None, bench.now);
+        .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
     bench.submit(2, loose(1, 1000));
     bench.store();
     bench.advance(10);
@@ -81,7 +81,7 @@
     }
     bench
         .cell
-        .inherit(JobId(1), loose(1, 1000), None, bench.now);
+        .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
     let lease = bench.cell.limits().lease;
 
     bench.advance(lease.0 - 100);
@@ -109,7 +109,7 @@
     first.advance(300);
     first.report(0, &[], &[ended(1, task(1, 1), 1, How::Done)]);
     first.advance(300);
-    let batch = first.cell.take_batch(first.now);
+    let batch = first.cell.take_batch(0, first.now);
     let progress = batch.writes.iter().find_map(|write| match write {
         RowWrite::Progress(_, bytes) => decode::<Progress>(bytes),
         _ => None,
@@ -118,7 +118,7 @@
     let mut second = Bench::of_term(1, 2);
     second
         .cell
-        .inherit(JobId(1), loose(3, 1000), progress.as_ref(), second.now);
+        .inherit(JobId(1), loose(3, 1000), progress.as_ref(), 0, second.now);
     second.advance(Millis::secs(5).0);
     second.beat(0);
     second.advance(600);
@@ -156,7 +156,7 @@
             ],
         );
         first.advance(300);
-        let batch = first.cell.take_batch(first.now);
+        let batch = first.cell.take_batch(0, first.now);
         first.cell.written(&batch);
         rows.extend(batch.writes);
     }
@@ -168,7 +168,7 @@
     let mut second = Bench::of_term(2, 2);
     second
         .cell
-        .inherit(JobId(1), record, progress.as_ref(), second.now);
+        .inherit(JobId(1), record, progress.as_ref(), 0, second.now);
     second.advance(600);
     second.plan();
     let starts = second.start_all();
@@ -217,7 +217,7 @@
     let end = ended(1, task(1, 0), 1, How::Failed);
     first.report(0, &[], std::slice::from_ref(&end));
     first.advance(300);
-    let batch = first.cell.take_batch(first.now);
+    let batch = first.cell.take_batch(0, first.now);
     let progress = batch.writes.iter().find_map(|write| match write {
         RowWrite::Progress(_, bytes) => decode::<Progress>(bytes),
         _ => None,
@@ -228,7 +228,7 @@
     second.vms.push(key);
     second
         .cell
-        .inherit(JobId(1), record, progress.as_ref(), second.now);
+        .inherit(JobId(1), record, progress.as_ref(), 0, second.now);
     second.advance(10);
     second.report(0, &[], &[end]);
     second.store();
@@ -248,7 +248,7 @@
     }
     let mut record = loose(1, 1000);
     record.policy.attempts = 2;
-    bench.cell.inherit(JobId(1), record, None, bench.now);
+    bench.cell.inherit(JobId(1), record, None, 0, bench.now);
     bench.advance(10);
 
     bench.report(0, &[running(task(1, 0), 2, 30)], &[]);
--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -7,6 +7,7 @@
 use dotterel_cell::record::{self, JobRow};
 use dotterel_cell::{JobId, JobRecord, JobSpec, JobState};
 use dotterel_kernel::{Clock, Millis};
+use futures_util::future::join_all;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table};
 use crate::routes::{Configuration, Route};
+use crate::seek::LANES;
 
 mod relay;
 
@@ -244,16 +246,23 @@
 
     /// Reads a job's state from the store; none when the store doesn't answer.
     async fn stored_state(&self, id: JobId) -> Option<Option<JobState>> {
-        let part = self.cell(id).part();
         let key = compact_str::format_compact!("{id}");
-        let page = self.platform.scan(Table::Jobs, &part, &key, 1).await.ok()?;
-        let Some(row) = page.rows.iter().find(|row| row.key == key) else {
-            return Some(None);
-        };
-        match record::decode::<JobRow>(&row.value)? {
-            JobRow::Open(_) => Some(Some(JobState::Running)),
-            JobRow::Ended(end) => Some(Some(end.state)),
+        let cell = self.cell(id);
+        let parts = (0..LANES).map(|lane| cell.part(lane));
+        let pages = join_all(parts.map(|part| {
+            let key = key.clone();
+            async move { self.platform.scan(Table::Jobs, &part, &key, 1).await }
+        }));
+        for page in pages.await {
+            let page = page.ok()?;
+            if let Some(row) = page.rows.iter().find(|row| row.key == key) {
+                return match record::decode::<JobRow>(&row.value)? {
+                    JobRow::Open(_) => Some(Some(JobState::Running)),
+                    JobRow::Ended(end) => Some(Some(end.state)),
+                };
+            }
         }
+        Some(None)
     }
 
     async fn pending(&self, route: &Route, deadline: Millis) -> Answer {
--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -35,10 +35,13 @@
         Self(u16::try_from(number).unwrap_or_default())
     }
 
-    /// Returns the part of the store that holds the cell's rows.
+    /// Returns the part of the store that holds the rows of one of the cell's lanes.
     #[must_use]
-    pub fn part(self) -> CompactString {
-        compact_str::format_compact!("c{}", self.0)
+    pub fn part(self, lane: u8) -> CompactString {
+        match lane {
+            0 => compact_str::format_compact!("c{}", self.0),
+            _ => compact_str::format_compact!("c{}-{lane}", self.0),
+        }
     }
 }
 
--- a/crates/dotterel-node/src/metrics.rs
+++ b/crates/dotterel-node/src/metrics.rs
@@ -1,14 +1,22 @@
 //! Counters and latency histograms, in the text format of Prometheus.
 
+use std::time::Duration;
+
 use dotterel_kernel::Millis;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 const SECONDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
 
+/// Plans take microseconds on a calm day and milliseconds with a backlog.
+const PLAN_SECONDS: [f64; 9] = [
+    0.000_05, 0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.05,
+];
+
 /// What one process counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -17,6 +25,7 @@
     latency: HistogramVec,
     orders: IntCounterVec,
     calls: HistogramVec,
+    plans: Histogram,
     gauges: IntGaugeVec,
 }
 
@@ -60,7 +69,14 @@
         registry
             .register(Box::new(gauges.clone()))
             .expect("the names differ");
+        let opts = HistogramOpts::new("dotterel_plan_seconds", "Time to decide what runs next.");
+        let plans = Histogram::with_opts(opts.buckets(PLAN_SECONDS.to_vec()))
+            .expect("the name is well formed");
+        registry
+            .register(Box::new(plans.clone()))
+            .expect("the names differ");
         Self {
+            plans,
             requests: counter(
                 "dotterel_job_requests_total",
                 "Callers' requests, by action and status.",
@@ -107,6 +123,11 @@
             .observe(took.duration().as_secs_f64());
     }
 
+    /// Counts a plan of the scheduler.
+    pub fn planned(&self, took: Duration) {
+        self.plans.observe(took.as_secs_f64());
+    }
+
     /// Sets a gauge.
     pub fn gauge(&self, name: &str, value: usize) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -90,7 +90,6 @@
         Rc::clone(&settings),
         Rc::clone(&metrics),
         clock,
-        life,
     ));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell as StdCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use dotterel_cell::{Cell, JobId, StepRef, VmKey};
@@ -19,7 +20,7 @@
 use crate::link::{CellNo, Down};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, VmTarget};
-use crate::seek::is_small;
+use crate::seek::{LANES, Owner, is_small};
 use crate::settings::Settings;
 
 pub mod host;
@@ -32,12 +33,12 @@
 pub use host::Host;
 
 /// How this node came to the role.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Takeover {
     /// The cell.
     pub cell: CellNo,
-    /// Counts holders.
-    pub term: u32,
+    /// The row by which it was taken.
+    pub owner: Owner,
     /// The fencing token.
     pub fence: u64,
     /// The renewal that the former holder left.
@@ -46,6 +47,8 @@
 
 /// Events within this time share one plan, since a plan looks at every waiting step.
 const PLAN_DELAY: Millis = Millis(3);
+/// After a plan, the next one waits for so many times what it took.
+const PLAN_PART: u32 = 3;
 /// How often time alone is taken into account.
 const TICK: Millis = Millis(150);
 /// How often the log tells how full the cell is.
@@ -89,10 +92,13 @@
     settings: Rc<Settings>,
     metrics: Rc<Metrics>,
     clock: Clock,
-    life: u64,
     no: CellNo,
     term: u32,
     fence: u64,
+    /// The row of the role as this node wrote it.
+    owner: Owner,
+    /// Versions of that row in the lanes' parts of the store.
+    fences: RefCell<[u64; LANES as usize]>,
     cell: RefCell<Cell>,
     waiters: RefCell<HashMap<JobId, Vec<Waiter>>>,
     peers: RefCell<Vec<Peer>>,
@@ -102,7 +108,7 @@
     plan: Notify,
     write: Notify,
     /// Since when each lane to the store has been busy.
-    busy: RefCell<[Option<Millis>; crate::seek::LANES]>,
+    busy: RefCell<[Option<Millis>; LANES as usize]>,
     /// How long the last transaction took, with its repetitions.
     took: StdCell<Millis>,
     /// When the role was taken.
@@ -123,7 +129,7 @@
     /// Runs the role until it is lost or given back.
     async fn run(self: Rc<Self>) {
         let mut tasks = JoinSet::new();
-        for lane in 0..crate::seek::LANES {
+        for lane in 0..LANES {
             tasks.spawn_local(Rc::clone(&self).write_rows(lane));
         }
         tasks.spawn_local(Rc::clone(&self).follow_registry());
@@ -146,13 +152,16 @@
     }
 
     async fn plan_runs(self: Rc<Self>) {
+        let mut took = Duration::ZERO;
         loop {
             self.plan.notified().await;
-            tokio::time::sleep(PLAN_DELAY.duration()).await;
+            // A backlog makes plans long; whatever else there is to do keeps its part.
+            tokio::time::sleep(PLAN_DELAY.duration().max(took * PLAN_PART)).await;
             if self.is_unsure() || self.releasing.get() {
                 continue;
             }
             let now = self.clock.now();
+            let began = Instant::now();
             let orders = {
                 let mut cell = self.cell.borrow_mut();
                 if cell.wants_plan() {
@@ -160,6 +169,8 @@
                 }
                 cell.take_orders()
             };
+            took = began.elapsed();
+            self.metrics.planned(took);
             self.dispatch(orders, now);
         }
     }
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -31,7 +31,6 @@
     settings: Rc<Settings>,
     metrics: Rc<Metrics>,
     clock: Clock,
-    life: u64,
     roles: RefCell<Vec<Rc<Scheduler<P>>>>,
 }
 
@@ -43,14 +42,12 @@
         settings: Rc<Settings>,
         metrics: Rc<Metrics>,
         clock: Clock,
-        life: u64,
     ) -> Self {
         Self {
             platform,
             settings,
             metrics,
             clock,
-            life,
             roles: RefCell::default(),
         }
     }
@@ -76,7 +73,7 @@
         }
         let now = self.clock.now();
         let lease = self.settings.limits.lease + LEASE_SLACK;
-        let mut cell = Cell::new(self.settings.limits, takeover.term, now, now + lease);
+        let mut cell = Cell::new(self.settings.limits, takeover.owner.term, now, now + lease);
         let doubtful = takeover
             .before
             .is_some_and(|before| before.unlisted > 0 || now.since(before.at) > LONG_SILENCE);
@@ -88,10 +85,11 @@
             settings: Rc::clone(&self.settings),
             metrics: Rc::clone(&self.metrics),
             clock: self.clock,
-            life: self.life,
             no: takeover.cell,
-            term: takeover.term,
+            term: takeover.owner.term,
             fence: takeover.fence,
+            owner: takeover.owner,
+            fences: RefCell::default(),
             cell: RefCell::new(cell),
             waiters: RefCell::default(),
             peers: RefCell::default(),
@@ -113,7 +111,7 @@
         tokio::task::spawn_local(async move {
             let mut over = scheduler.over.subscribe();
             let loaded = tokio::select! {
-                () = scheduler.load() => true,
+                loaded = scheduler.load() => loaded,
                 _ = over.wait_for(|over| *over) => false,
             };
             if !loaded {
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -125,7 +125,6 @@
             let sent = self.clock.now();
             let (lease, acked, known) = {
                 let mut cell = self.cell.borrow_mut();
-                cell.settle_idle();
                 let acked = cell.vm(key).map_or(0, |vm| vm.durable);
                 let lease = cell.name_lease(key, sent);
                 (lease, acked, lease.is_some())
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -1,9 +1,10 @@
 //! Rows to the store.
 //!
-//! Transactions go through lanes. Each expects its lane's row as the lane's last one left it, so a
-//! transaction whose answer was lost is simply sent again: it is done once, and a copy that is
-//! carried out late fails. While the store is quick, one lane does; a slow store gets the others
-//! too, since it takes no more rows in a transaction than a quick one.
+//! Transactions go through lanes, each of which has a part of the store for itself. Each expects its
+//! lane's row as the lane's last one left it, so a transaction whose answer was lost is simply sent
+//! again: it is done once, and a copy that is carried out late fails. While the store is quick, one
+//! lane does; a slow store gets the others too, since a part carries out one transaction after the
+//! other.
 
 use std::rc::Rc;
 
@@ -16,7 +17,7 @@
 use super::Scheduler;
 use crate::link::Reply;
 use crate::platform::{Commit, Platform, Row, Table, Tx};
-use crate::seek::{OWNER, Owner, Renewal, lane_key};
+use crate::seek::{OWNER, Owner, RENEWAL, Renewal};
 
 /// The holder renews at least this often.
 const RENEW_EVERY: Millis = Millis(400);
@@ -48,9 +49,10 @@
 
 impl<P: Platform> Scheduler<P> {
     /// Carries the transactions of one lane.
-    pub(super) async fn write_rows(self: Rc<Self>, lane: usize) {
-        // The take-over wrote the lanes' rows, so their version is the token.
-        let mut version = self.fence;
+    pub(super) async fn write_rows(self: Rc<Self>, lane: u8) {
+        // The take-over wrote both rows of the role in the lane's part.
+        let mut version = self.fences.borrow()[usize::from(lane)];
+        let place = usize::from(lane);
         let mut count = 0;
         loop {
             self.wait_for_rows(lane).await;
@@ -62,20 +64,22 @@
                     tokio::time::sleep(GATHER.duration()).await;
                 }
             }
-            let batch = self.cell.borrow_mut().take_batch(now);
+            let batch = self.cell.borrow_mut().take_batch(lane, now);
             count += 1;
-            self.busy.borrow_mut()[lane] = Some(now);
+            self.busy.borrow_mut()[place] = Some(now);
             let tx = self.transaction(&batch, lane, version, count, releasing);
-            let done = self.commit_surely(&tx, lane, count).await;
-            self.busy.borrow_mut()[lane] = None;
+            let done = self.commit_surely(&tx, count).await;
+            self.busy.borrow_mut()[place] = None;
             let Some(done) = done else {
                 self.end("another node has taken the role");
                 return;
             };
             version = done;
-            self.renewed.set(self.clock.now());
-            if self.unsure.take().is_some() {
-                log::info!(cell = self.no.0; "role confirmed");
+            if lane == 0 {
+                self.renewed.set(self.clock.now());
+                if self.unsure.take().is_some() {
+                    log::info!(cell = self.no.0; "role confirmed");
+                }
             }
             self.cell.borrow_mut().written(&batch);
             self.tell(&batch);
@@ -89,13 +93,17 @@
     }
 
     /// Returns when a lane has something to write.
-    async fn wait_for_rows(&self, lane: usize) {
+    async fn wait_for_rows(&self, lane: u8) {
         loop {
             let now = self.clock.now();
+            let (own, new) = {
+                let cell = self.cell.borrow();
+                (cell.has_rows(lane, now), cell.has_new_rows())
+            };
             if lane == 0 {
                 let due = now.since(self.renewed.get()) >= RENEW_EVERY;
-                let rows = self.cell.borrow().wants_write(now);
-                if rows || due || self.unsure.get().is_some() || self.releasing.get() {
+                let asked = self.unsure.get().is_some() || self.releasing.get();
+                if own || new || due || asked {
                     return;
                 }
                 let wait = RENEW_EVERY - now.since(self.renewed.get());
@@ -103,10 +111,10 @@
                 let _ = timeout(wait.duration(), self.write.notified()).await;
                 continue;
             }
-            let slow = self.busy.borrow()[..lane]
+            let slow = self.busy.borrow()[..usize::from(lane)]
                 .iter()
                 .all(|since| since.is_some_and(|since| now.since(since) >= LANE_AFTER));
-            if slow && !self.releasing.get() && self.cell.borrow().wants_write(now) {
+            if !self.releasing.get() && (own || (slow && new)) {
                 return;
             }
             tokio::time::sleep(LANE_AFTER.duration()).await;
@@ -116,7 +124,7 @@
     fn transaction(
         &self,
         batch: &Batch,
-        lane: usize,
+        lane: u8,
         version: u64,
         count: u64,
         releasing: bool,
@@ -127,23 +135,21 @@
             unlisted: u32::try_from(self.cell.borrow().unlisted_busy()).unwrap_or(u32::MAX),
             at: self.clock.now(),
         };
+        let fence = self.fences.borrow()[usize::from(lane)];
         let mut tx = Tx {
-            part: self.no.part(),
+            part: self.no.part(lane),
             expect: vec![
-                (Table::Role, OWNER.into(), self.fence),
-                (Table::Role, lane_key(lane), version),
+                (Table::Role, OWNER.into(), fence),
+                (Table::Role, RENEWAL.into(), version),
             ],
-            puts: vec![(Table::Role, lane_key(lane), encode(&renewal))],
+            puts: vec![(Table::Role, RENEWAL.into(), encode(&renewal))],
             removes: Vec::new(),
         };
         if releasing {
             let owner = Owner {
-                node: self.settings.node.clone(),
-                life: self.life,
-                address: format_compact!("{}", self.settings.peer),
-                term: self.term,
                 released: true,
                 largest: self.largest.get(),
+                ..self.owner.clone()
             };
             tx.puts.push((Table::Role, OWNER.into(), encode(&owner)));
         }
@@ -154,7 +160,7 @@
     }
 
     /// Repeats a transaction until its outcome is known; none when the role is lost.
-    async fn commit_surely(&self, tx: &Tx, lane: usize, count: u64) -> Option<u64> {
+    async fn commit_surely(&self, tx: &Tx, count: u64) -> Option<u64> {
         let first = self.clock.now();
         let slow = Millis(self.took.get().0 * SLOW_FACTOR).min(SLOW_TIMEOUT_MAX);
         let mut most = TIMEOUT_MIN.max(slow);
@@ -165,7 +171,7 @@
             self.metrics.call("commit", now.since(began));
             let written = match &outcome {
                 Commit::Done(version) => Written::Done(*version),
-                Commit::Conflict(rows) => self.judge(rows, lane, count),
+                Commit::Conflict(rows) => self.judge(rows, count),
                 Commit::NotDone | Commit::Unknown => Written::Again,
             };
             match written {
@@ -180,7 +186,9 @@
                 Written::Deposed => return None,
                 Written::Again => {
                     if self.away.get().is_none() {
-                        self.away.set(Some(began));
+                        // A refusal is sure at once; silence may be a lost connection.
+                        let sure = outcome == Commit::NotDone;
+                        self.away.set(Some(if sure { began } else { now }));
                         log::warn!(
                             cell = self.no.0, outcome:? = outcome, rows = tx.puts.len();
                             "store takes no rows");
@@ -193,9 +201,8 @@
     }
 
     /// Tells an attempt of ours that was done unheard from another node's take-over.
-    fn judge(&self, rows: &[Row], lane: usize, count: u64) -> Written {
-        let key = lane_key(lane);
-        let renewal = rows.iter().find(|row| row.key == key);
+    fn judge(&self, rows: &[Row], count: u64) -> Written {
+        let renewal = rows.iter().find(|row| row.key == RENEWAL);
         let own = renewal
             .and_then(|row| decode::<Renewal>(&row.value))
             .is_some_and(|renewal| renewal.term == self.term && renewal.count == count);
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -26,7 +26,7 @@
 mod role;
 
 use role::Role;
-pub use role::{LANES, OWNER, Owner, Renewal, is_small, lane_key};
+pub use role::{LANES, OWNER, Owner, RENEWAL, Renewal, is_small};
 
 /// A holder whose renewal stands still for so long is taken to be gone: two renewals and a call.
 const SUSPECT: Millis = Millis(900);
@@ -144,7 +144,7 @@
     }
 
     async fn look(&self) -> Result<Role, StoreError> {
-        let part = self.cell.part();
+        let part = self.cell.part(0);
         let page = self.platform.scan(Table::Role, &part, "", 10).await?;
         Ok(Role::read(&page.rows))
     }
@@ -232,17 +232,13 @@
             at: self.clock.now(),
         };
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
-        let mut puts = vec![put(OWNER, dotterel_cell::record::encode(&owner))];
-        for lane in 0..LANES {
-            puts.push(put(
-                &lane_key(lane),
-                dotterel_cell::record::encode(&renewal),
-            ));
-        }
         let tx = Tx {
-            part: self.cell.part(),
+            part: self.cell.part(0),
             expect: vec![(Table::Role, OWNER.into(), role.owner_version())],
-            puts,
+            puts: vec![
+                put(OWNER, dotterel_cell::record::encode(&owner)),
+                put(RENEWAL, dotterel_cell::record::encode(&renewal)),
+            ],
             removes: Vec::new(),
         };
         match self.platform.commit(&tx, TAKE_TIMEOUT).await {
@@ -251,9 +247,9 @@
                 let before = role.renewal.map(|(renewal, _)| renewal);
                 self.host.clone().begin(Takeover {
                     cell: self.cell,
-                    term,
                     fence: version,
                     before,
+                    owner,
                 });
             }
             Commit::Conflict(_) => {}
--- a/crates/dotterel-node/src/seek/role.rs
+++ b/crates/dotterel-node/src/seek/role.rs
@@ -8,8 +8,11 @@
 
 /// The key of the row that names the holder.
 pub const OWNER: &str = "owner";
-/// Transactions that a holder may have under way at once.
-pub const LANES: usize = 3;
+/// The key of the row that each transaction of a lane rewrites.
+pub const RENEWAL: &str = "renewal";
+/// Lanes to the store, each with a part of its own: a part carries out one transaction after the
+/// other, and a slow one needs most of half a second for each.
+pub const LANES: u8 = 8;
 
 /// Says who holds the role.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,12 +37,6 @@
     milli_cores * 5 < largest * 3
 }
 
-/// Returns the key of the row that the transactions of a lane rewrite.
-#[must_use]
-pub fn lane_key(lane: usize) -> CompactString {
-    compact_str::format_compact!("lane-{lane}")
-}
-
 /// Rewritten with each of the holder's transactions in a lane, which all expect it as the last one
 /// left it, so that none is carried out after a later one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
