Refuse what waits for an absent store at once, and look at the role sooner

Cause: while the store was away, jobs that no transaction held yet waited for their deadline and were told 504, after which callers don't ask again; further lanes took more such jobs into transactions of unknown outcome. A front without a link kept its callers for three seconds. A cut holder was replaced after 1.8 s.

Change: jobs whose rows were never sent are refused with a time to come back as soon as the store counts as away; a batch that was surely refused is taken back; further lanes leave new rows alone meanwhile. A front waits 1.5 s for a link. A missed ping makes fronts look at the role, a renewal that stands still for 0.6 s is enough, six looks' time while the store is slow. A request that came too late for a reply isn't sent.

--- a/crates/dotterel-cell/src/cell/admission.rs
+++ b/crates/dotterel-cell/src/cell/admission.rs
@@ -47,6 +47,23 @@
         Cancelled::Pending
     }
 
+    /// Takes back the jobs of which no row is stored or on its way, so that their callers can be
+    /// refused: while the store is away nobody knows when they could be accepted.
+    pub fn refuse_fresh(&mut self) -> Vec<JobId> {
+        let mut refused = Vec::new();
+        for key in std::mem::take(&mut self.fresh) {
+            if self.jobs.get(key).is_some_and(|job| job.end.is_some()) {
+                // Cancelled meanwhile, which has to be kept.
+                self.fresh.push(key);
+            } else if let Some(job) = self.jobs.remove(key) {
+                self.index.retain(|(known, _)| *known != job.id);
+                refused.push(job.id);
+            }
+        }
+        self.prune_open();
+        refused
+    }
+
     fn open_jobs(&self) -> usize {
         self.jobs.values().filter(|job| job.end.is_none()).count()
     }
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -52,6 +52,7 @@
     pub ended: Vec<JobId>,
     /// Changes up to this one are in it, as far as its jobs are concerned.
     seq: u64,
+    lane: u8,
     jobs: Vec<JobKey>,
     closed: Vec<JobKey>,
 }
@@ -82,6 +83,7 @@
     pub fn take_batch(&mut self, lane: u8, now: Millis) -> Batch {
         let mut batch = Batch {
             seq: self.seq,
+            lane,
             ..Batch::default()
         };
         let mut room = Room::default();
@@ -198,6 +200,31 @@
         self.fresh = left;
     }
 
+    /// Takes back a batch that surely was not written.
+    pub fn unwritten(&mut self, batch: &Batch, now: Millis) {
+        for key in &batch.jobs {
+            let Some(job) = self.jobs.get_mut(*key) else {
+                continue;
+            };
+            if !job.stored {
+                job.lane = None;
+            }
+            if job.end.is_some() {
+                self.closing.push(*key);
+            }
+            if !job.stored {
+                self.fresh.push(*key);
+            } else if job.end.is_none() {
+                self.touch(*key, now);
+            }
+        }
+        for write in &batch.writes {
+            if let RowWrite::Forget(id) = write {
+                self.dropping.push((*id, batch.lane));
+            }
+        }
+    }
+
     /// Takes in that a batch is durable.
     pub fn written(&mut self, batch: &Batch) {
         for key in &batch.jobs {
--- a/crates/dotterel-cell/tests/cell/durable.rs
+++ b/crates/dotterel-cell/tests/cell/durable.rs
@@ -1,7 +1,7 @@
 //! What is acknowledged to VMs is durable first.
 
 use crate::support::{self, Bench, ended, task};
-use dotterel_cell::{How, JobId, RowWrite};
+use dotterel_cell::{How, JobId, RowWrite, Submitted};
 
 #[test]
 fn an_end_is_not_acknowledged_while_its_row_is_on_its_way() {
@@ -123,3 +123,56 @@
     assert_eq!(wants, [3]);
     assert!(!bench.cell.has_new_rows(), "no lane needs to be waited for");
 }
+
+#[test]
+fn a_job_whose_row_was_never_sent_can_be_refused_and_never_runs() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, support::loose(1, 1000));
+    let under_way = bench.cell.take_batch(0, bench.now);
+    bench.submit(2, support::loose(1, 1000));
+
+    let refused = bench.cell.refuse_fresh();
+    bench.cell.written(&under_way);
+    bench.store();
+    bench.plan();
+    let started = bench.start_all();
+
+    assert_eq!(refused, [JobId(2)], "the other may yet be stored");
+    assert!(bench.cell.job(JobId(2)).is_none());
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, JobId(1));
+    assert_eq!(
+        bench.submit(2, support::loose(1, 1000)),
+        Submitted::New,
+        "the caller may come back"
+    );
+}
+
+#[test]
+fn a_batch_that_the_store_refused_is_written_again() {
+    let mut bench = Bench::new(1);
+    for id in 1..3 {
+        bench.submit(id, support::loose(1, 1000));
+    }
+    bench.store();
+    bench.plan();
+    bench.start_all();
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, How::Done)]);
+    bench.submit(3, support::loose(1, 1000));
+    bench.cell.cancel(JobId(2), bench.now);
+
+    let refused = bench.cell.take_batch(0, bench.now);
+    bench.cell.unwritten(&refused, bench.now);
+    let again = bench.cell.take_batch(0, bench.now);
+
+    assert_eq!(refused.ended.len(), 2);
+    let sorted = |mut ids: Vec<JobId>| {
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!(sorted(again.ended.clone()), sorted(refused.ended.clone()));
+    assert_eq!(again.accepted, refused.accepted);
+    assert_eq!(bench.vm(0).durable, 0);
+    bench.cell.written(&again);
+    assert_eq!(bench.vm(0).durable, 1);
+}
--- a/crates/dotterel-cell/tests/cell/gangs.rs
+++ b/crates/dotterel-cell/tests/cell/gangs.rs
@@ -187,3 +187,28 @@
 
     assert_eq!(bench.take_starts().len(), 2);
 }
+
+#[test]
+fn a_backlog_of_loose_tasks_names_many_vms_in_each_call() {
+    let mut bench = Bench::new(60);
+    for adviser in 0..4 {
+        bench.cell.adviser_joined(adviser);
+    }
+    bench.submit(1, tasks(0, 60, 30, 60_000));
+    bench.store();
+    bench.plan();
+    bench.start_all();
+    let mut record = advised(tasks(1, 25, 2, 2000));
+    if let Some(terms) = &mut record.policy.advice {
+        terms.base = Millis(100);
+        terms.each_us = 1400;
+    }
+    bench.submit(2, record);
+    bench.store();
+
+    bench.plan();
+
+    let calls = asks(&bench.cell.take_orders());
+    let named: usize = calls.iter().map(|ask| ask.vms.len()).sum();
+    assert!(named >= 30, "{named} VMs in {} calls", calls.len());
+}
--- a/crates/dotterel-node/src/front/relay.rs
+++ b/crates/dotterel-node/src/front/relay.rs
@@ -9,6 +9,12 @@
 
 use crate::link::{Reply, Request, Up};
 
+/// Without a link for longer than this, requests are not kept waiting for one: a take-over takes as
+/// long.
+const LINK_WAIT: Millis = Millis(1500);
+/// Pause while the link takes no further requests.
+const LINK_FULL_PAUSE: Millis = Millis(20);
+
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -28,6 +34,8 @@
     next: Cell<u64>,
     linked: Notify,
     heard: Cell<Millis>,
+    /// Since when there has been no link.
+    unlinked: Cell<Millis>,
     clock: Clock,
 }
 
@@ -41,6 +49,7 @@
             next: Cell::new(0),
             linked: Notify::new(),
             heard: Cell::new(Millis::ZERO),
+            unlinked: Cell::new(clock.now()),
             clock,
         }
     }
@@ -54,7 +63,9 @@
 
     /// Takes the link away; requests under way are sent again over the next one.
     pub fn disconnect(&self) {
-        *self.link.borrow_mut() = None;
+        if self.link.borrow_mut().take().is_some() {
+            self.unlinked.set(self.clock.now());
+        }
         self.waiting.borrow_mut().clear();
     }
 
@@ -84,8 +95,19 @@
         let mut sent = false;
         loop {
             let left = deadline.since(self.clock.now());
+            if left == Millis::ZERO {
+                // Too late for a reply, so nothing is sent any more.
+                return if sent {
+                    Outcome::NoReply
+                } else {
+                    Outcome::NotSent
+                };
+            }
             let link = self.link.borrow().clone();
             let Some(link) = link else {
+                // A caller that comes back reaches another node, which may have a link.
+                let until = self.unlinked.get() + LINK_WAIT;
+                let left = left.min(until.since(self.clock.now()));
                 if timeout(left.duration(), self.linked.notified())
                     .await
                     .is_err()
@@ -105,14 +127,7 @@
             if link.try_send(Up::Ask(number, request.clone())).is_err() {
                 // The link doesn't take any more; the seeker ends it if it is dead.
                 self.waiting.borrow_mut().remove(&number);
-                tokio::time::sleep(Millis(20).duration()).await;
-                if left == Millis::ZERO {
-                    return if sent {
-                        Outcome::NoReply
-                    } else {
-                        Outcome::NotSent
-                    };
-                }
+                tokio::time::sleep(LINK_FULL_PAUSE.duration()).await;
                 continue;
             }
             sent = true;
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -25,7 +25,7 @@
 /// Cells; all VMs are in one.
 const CELLS: u16 = 1;
 /// A node without a link to the scheduler for longer than this isn't ready.
-const LINK_GRACE: Millis = Millis::secs(6);
+const LINK_GRACE: Millis = Millis(2500);
 /// The balancer takes a node out after two misses, a second apart; until then callers come in.
 const DRAIN: Millis = Millis(2600);
 /// Left of the grace period when the process ends by itself.
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -11,13 +11,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::writer::AWAY_AFTER;
+use super::writer::AWAY_RETRY;
 use super::{Peer, Scheduler, Waiter};
 use crate::link::{self, Down, Reply, Request, SILENT, Up};
 use crate::platform::Platform;
 
-/// When callers come back while the store takes no rows: outages last seconds.
-const AWAY_RETRY: Millis = Millis::secs(2);
+/// Fronts are told that the store takes no rows after this time, so that one that reaches the store
+/// can take the role.
+const STORE_DOUBT: Millis = Millis(250);
 
 impl<P: Platform> Scheduler<P> {
     /// Serves one front until its link breaks or the role ends.
@@ -62,8 +63,10 @@
             Up::Ask(number, request) => self.answer(peer, number, request),
             Up::Advised(call, good) => self.advised(call, good),
             Up::Ping => {
-                let away = self.away.get();
-                let storing = away.is_none_or(|since| self.clock.now().since(since) < AWAY_AFTER);
+                let storing = !self
+                    .away
+                    .get()
+                    .is_some_and(|since| self.clock.now().since(since) >= STORE_DOUBT);
                 self.send_down(peer, Down::Pong { storing });
             }
             Up::Hello { .. } => {}
@@ -74,11 +77,7 @@
         let now = self.clock.now();
         match request {
             Request::Submit(id, record) => {
-                let away = self
-                    .away
-                    .get()
-                    .filter(|since| now.since(*since) >= AWAY_AFTER);
-                if away.is_some() && self.cell.borrow().job(id).is_none() {
+                if self.is_away() && self.cell.borrow().job(id).is_none() {
                     log::info!(job:% = id, retry_ms = AWAY_RETRY.0, reason = "store away"; "job refused");
                     self.send(peer, number, Reply::Refused(AWAY_RETRY));
                     return;
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -29,7 +29,9 @@
 /// Pause after a refusal.
 const PAUSE: Millis = Millis(60);
 /// The store counts as away for callers after this time without a transaction.
-pub(super) const AWAY_AFTER: Millis = Millis(500);
+const AWAY_AFTER: Millis = Millis(500);
+/// When callers come back while the store takes no rows: outages last seconds.
+pub(super) const AWAY_RETRY: Millis = Millis::secs(2);
 /// A transaction is given up after this time, many times what it usually takes, since its
 /// connection may have gone silent; a slow store gets longer with the next attempt, which also
 /// tells whether the first was done.
@@ -40,10 +42,13 @@
 const SLOW_FACTOR: u64 = 3;
 const SLOW_TIMEOUT_MAX: Millis = Millis(3000);
 
-/// The end of one attempt.
-enum Written {
+/// What became of a transaction.
+enum Fate {
+    /// It was done, as this version.
     Done(u64),
-    Again,
+    /// It surely was not done, and the store takes no others either.
+    Refused,
+    /// Another node has the role.
     Deposed,
 }
 
@@ -68,13 +73,21 @@
             count += 1;
             self.busy.borrow_mut()[place] = Some(now);
             let tx = self.transaction(&batch, lane, version, count, releasing);
-            let done = self.commit_surely(&tx, count).await;
+            let done = self.commit_surely(&tx, count, releasing).await;
             self.busy.borrow_mut()[place] = None;
-            let Some(done) = done else {
-                self.end("another node has taken the role");
-                return;
+            version = match done {
+                Fate::Done(version) => version,
+                Fate::Refused => {
+                    self.cell.borrow_mut().unwritten(&batch, self.clock.now());
+                    self.refuse_fresh();
+                    tokio::time::sleep(PAUSE.duration()).await;
+                    continue;
+                }
+                Fate::Deposed => {
+                    self.end("another node has taken the role");
+                    return;
+                }
             };
-            version = done;
             if lane == 0 {
                 self.renewed.set(self.clock.now());
                 if self.unsure.take().is_some() {
@@ -114,7 +127,9 @@
             let slow = self.busy.borrow()[..usize::from(lane)]
                 .iter()
                 .all(|since| since.is_some_and(|since| now.since(since) >= LANE_AFTER));
-            if !self.releasing.get() && (own || (slow && new)) {
+            // What no transaction holds can still be refused, should the store stay away.
+            let takes = new && slow && self.away.get().is_none();
+            if !self.releasing.get() && (own || takes) {
                 return;
             }
             tokio::time::sleep(LANE_AFTER.duration()).await;
@@ -159,56 +174,79 @@
         tx
     }
 
-    /// Repeats a transaction until its outcome is known; none when the role is lost.
-    async fn commit_surely(&self, tx: &Tx, count: u64) -> Option<u64> {
+    /// Repeats a transaction until its outcome is known, or until the store has refused it for so
+    /// long that callers had better be told.
+    async fn commit_surely(&self, tx: &Tx, count: u64, last: bool) -> Fate {
         let first = self.clock.now();
         let slow = Millis(self.took.get().0 * SLOW_FACTOR).min(SLOW_TIMEOUT_MAX);
         let mut most = TIMEOUT_MIN.max(slow);
+        let mut refused = true;
         loop {
             let began = self.clock.now();
             let outcome = self.platform.commit(tx, most).await;
             let now = self.clock.now();
             self.metrics.call("commit", now.since(began));
-            let written = match &outcome {
-                Commit::Done(version) => Written::Done(*version),
-                Commit::Conflict(rows) => self.judge(rows, count),
-                Commit::NotDone | Commit::Unknown => Written::Again,
+            let fate = match &outcome {
+                Commit::Done(version) => Some(Fate::Done(*version)),
+                Commit::Conflict(rows) => Some(self.judge(rows, count)),
+                Commit::NotDone => None,
+                Commit::Unknown => {
+                    refused = false;
+                    None
+                }
             };
-            match written {
-                Written::Done(version) => {
-                    self.took.set(now.since(first));
-                    if let Some(since) = self.away.take() {
-                        let away_ms = now.since(since).0;
-                        log::info!(cell = self.no.0, away_ms; "store takes rows again");
-                    }
-                    return Some(version);
+            if let Some(fate) = fate {
+                self.took.set(now.since(first));
+                if let Some(since) = self.away.take() {
+                    let away_ms = now.since(since).0;
+                    log::info!(cell = self.no.0, away_ms; "store takes rows again");
                 }
-                Written::Deposed => return None,
-                Written::Again => {
-                    if self.away.get().is_none() {
-                        // A refusal is sure at once; silence may be a lost connection.
-                        let sure = outcome == Commit::NotDone;
-                        self.away.set(Some(if sure { began } else { now }));
-                        log::warn!(
-                            cell = self.no.0, outcome:? = outcome, rows = tx.puts.len();
-                            "store takes no rows");
-                    }
-                    most = TIMEOUT_MAX.max(slow);
-                    tokio::time::sleep(PAUSE.duration()).await;
+                return fate;
+            }
+            if self.away.get().is_none() {
+                // A refusal is sure at once; silence may be a lost connection.
+                self.away.set(Some(if refused { began } else { now }));
+                log::warn!(
+                    cell = self.no.0, outcome:? = outcome, rows = tx.puts.len();
+                    "store takes no rows");
+            }
+            if self.is_away() {
+                self.refuse_fresh();
+                if refused && !last {
+                    return Fate::Refused;
                 }
             }
+            most = TIMEOUT_MAX.max(slow);
+            tokio::time::sleep(PAUSE.duration()).await;
+        }
+    }
+
+    /// Returns true when the store has taken no rows for so long that callers are refused.
+    pub(super) fn is_away(&self) -> bool {
+        let away = self.away.get();
+        away.is_some_and(|since| self.clock.now().since(since) >= AWAY_AFTER)
+    }
+
+    /// Refuses the jobs that wait for the store.
+    fn refuse_fresh(&self) {
+        let refused = self.cell.borrow_mut().refuse_fresh();
+        for id in refused {
+            log::info!(
+                job:% = id, retry_ms = AWAY_RETRY.0, reason = "store away, row not sent";
+                "job refused");
+            self.reply_waiters(id, false, &Reply::Refused(AWAY_RETRY));
         }
     }
 
     /// Tells an attempt of ours that was done unheard from another node's take-over.
-    fn judge(&self, rows: &[Row], count: u64) -> Written {
+    fn judge(&self, rows: &[Row], count: u64) -> Fate {
         let renewal = rows.iter().find(|row| row.key == RENEWAL);
         let own = renewal
             .and_then(|row| decode::<Renewal>(&row.value))
             .is_some_and(|renewal| renewal.term == self.term && renewal.count == count);
         match (own, renewal) {
-            (true, Some(row)) => Written::Done(row.version),
-            _ => Written::Deposed,
+            (true, Some(row)) => Fate::Done(row.version),
+            _ => Fate::Deposed,
         }
     }
 
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -28,16 +28,20 @@
 use role::Role;
 pub use role::{LANES, OWNER, Owner, RENEWAL, Renewal, is_small};
 
-/// A holder whose renewal stands still for so long is taken to be gone: two renewals and a call.
-const SUSPECT: Millis = Millis(900);
+/// A holder whose renewal stands still for so long is taken to be gone: a renewal and a call more.
+const SUSPECT: Millis = Millis(600);
+/// A link that has brought nothing for so long makes its front look at the role: a ping was missed.
+const DOUBT: Millis = Millis(350);
+/// While the store is slow, a renewal has to stand still for so many times what a look takes.
+const SLOW_LOOKS: u64 = 6;
 /// Time to take the role; a slow store needs most of a second.
 const TAKE_TIMEOUT: Millis = Millis(1500);
 /// A holder that lives but can't write for so long is replaced, if others can.
-const STORE_AWAY: Millis = Millis(900);
+const STORE_AWAY: Millis = Millis(600);
 /// After an outage that others saw too, a holder has this long to get a transaction through.
 const OUTAGE_OVER: Millis = Millis(2400);
 /// Pause between looks at the role's rows.
-const LOOK_EVERY: Millis = Millis(250);
+const LOOK_EVERY: Millis = Millis(200);
 /// Time to connect to the holder.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 /// Nodes spread their attempts over this time, more than a way across regions and back, so that
@@ -154,7 +158,10 @@
         let mut first: Option<(u64, Millis)> = None;
         let mut most = most;
         loop {
+            let began = self.clock.now();
             let looked = self.look().await;
+            let took = self.clock.now().since(began);
+            most = most.max(Millis(took.0 * SLOW_LOOKS));
             if looked.is_err() {
                 // The store is away for this node as well, so the holder may be as well as any.
                 most = most.max(OUTAGE_OVER);
@@ -302,9 +309,13 @@
             let message = tokio::select! {
                 message = messages.recv() => message,
                 _ = ping.tick() => {
-                    if self.clock.now().since(heard) > SILENT {
+                    let silent = self.clock.now().since(heard);
+                    if silent > SILENT && watch.is_none() {
                         break Break::Silent;
                     }
+                    if silent > DOUBT && watch.is_none() && !self.host.holds(self.cell) {
+                        watch = Some(Box::pin(self.watch(SUSPECT)));
+                    }
                     if up.try_send(Up::Ping).is_err() {
                         break Break::Closed;
                     }
