--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -3,6 +3,7 @@
 //! - [`order`]: the order of the queue.
 //! - [`fit`]: the choice of a VM for a task.
 //! - [`gang`]: tasks that only work together.
+//! - [`reserve`]: room set aside for gangs until they can start.
 //! - [`preempt`]: room made by stopping less urgent work that can resume.
 //! - [`advice`]: which VMs the advice service is asked about, and when.
 
@@ -18,6 +19,7 @@
 pub mod gang;
 pub mod order;
 pub mod preempt;
+pub mod reserve;
 
 /// A VM that hasn't answered for this long gets nothing new. Twice the interval of questions.
 pub(crate) const SILENT: Millis = Millis(2000);
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -9,17 +9,10 @@
 use crate::cell::Cell;
 use crate::job::{Phase, Reserve, StepRef};
 use crate::plan::advice::to_f32;
-use crate::plan::fit::TICKET_MARGIN;
-use crate::plan::preempt::Offer;
 use crate::plan::room_for;
 use crate::spec::Step;
 use crate::vm::{Vm, VmKey};
 
-/// Gangs at the head of the queue for which runs are stopped.
-const MAX_RESERVING: u32 = 12;
-/// Gangs at the head of the queue that hold what room there is until there is enough; more leave
-/// VMs idle.
-const MAX_GATHERING: u32 = 2;
 /// A gang has a choice when its allowed VMs, were they empty, would hold it so many times.
 const CHOICE: u32 = 3;
 /// Room asked for when the choice was too narrow, in multiples of what is lacking.
@@ -191,102 +184,9 @@
         0
     }
 
-    /// Sets room aside for a gang on VMs known to be allowed, stops what stands in its way, and
-    /// renews its tickets once there is room for all members. Unless it is among the first in the
-    /// queue, only room that is free for all members is set aside. Returns for how many members
-    /// there is no room.
-    ///
-    /// Answers the pattern "a gang's room is gone by the time its tickets are there": a call takes
-    /// as long as many a task, so whatever waits behind the gang would fill the room meanwhile.
-    fn reserve_gang(&mut self, at: StepRef, step: &Step, rank: u32, now: Millis) -> u32 {
-        let (first, gathers) = (rank < MAX_RESERVING, rank < MAX_GATHERING);
-        let Some((priority, run)) = self.jobs.get(at.job).zip(self.step_run(at)) else {
-            return 0;
-        };
-        let priority = priority.policy.priority;
-        let avoid = self.avoided_by_gang(at, step, now);
-        // VMs of the last choice go first, then those whose tickets hold or are on their way, so that
-        // one choice lasts and few runs are stopped for it.
-        let chosen = |key: VmKey| run.reserve.slots.iter().any(|(vm, _)| *vm == key);
-        let unready = |key: VmKey| {
-            let renewing = run.advice.calls > 0 && run.advice.renewing.contains(&key);
-            let entry = run.advice.allowed.iter().find(|entry| entry.vm == key);
-            !renewing && entry.is_none_or(|entry| entry.until <= now + TICKET_MARGIN)
-        };
-        let mut offers: Vec<(bool, bool, Offer)> = self
-            .allowed_vms(at, step, now)
-            .into_iter()
-            .filter(|(key, _)| !avoid.contains(key))
-            .map(|(key, vm)| {
-                let offer = self.offer(key, vm, step, priority, now);
-                (!chosen(key), unready(key), offer)
-            })
-            .filter(|(.., offer)| offer.slots > 0 && (first || offer.victims.is_empty()))
-            .collect();
-        if step.one_rack {
-            let rack = self.densest_rack(offers.iter().map(|(.., offer)| (offer.vm, offer.slots)));
-            offers.retain(|(.., offer)| rack.as_ref() == Some(&self.vms[offer.vm].info.rack));
-        }
-        let total: u32 = offers.iter().map(|(.., offer)| offer.slots).sum();
-        let lack = step.count.saturating_sub(total);
-        if lack > 0 && !gathers {
-            if let Some(run) = self.step_run_mut(at) {
-                run.reserve.slots.clear();
-            }
-            return lack;
-        }
-        offers.sort_by_key(|(fresh, unready, offer)| {
-            let victims = offer.victims.len();
-            (
-                *fresh,
-                victims > 0,
-                *unready,
-                std::cmp::Reverse(offer.slots),
-                victims,
-            )
-        });
-        let advised = self
-            .jobs
-            .get(at.job)
-            .is_some_and(|job| job.policy.advice.is_some());
-        let mut need = step.count;
-        // Some of the room is taken by more urgent work before the tickets are there.
-        let mut spare = step.count;
-        let mut renew = false;
-        let mut renewed = Vec::new();
-        let mut reserved = Vec::new();
-        for (_, unready, offer) in offers {
-            if need == 0 {
-                if spare == 0 {
-                    break;
-                }
-                spare = spare.saturating_sub(offer.slots);
-                if unready {
-                    renewed.push(offer.vm);
-                }
-                continue;
-            }
-            let slots = offer.slots.min(need);
-            need -= slots;
-            if unready && advised {
-                renew = true;
-                renewed.push(offer.vm);
-            }
-            reserved.push((offer.vm, slots));
-            self.take_offer(offer, step, slots);
-        }
-        if let Some(run) = self.step_run_mut(at) {
-            run.reserve.slots = reserved;
-        }
-        if lack == 0 && renew {
-            self.ask_about(at, renewed, now);
-        }
-        lack
-    }
-
     /// Returns the VMs that a gang doesn't want: those on which a member has failed, unless there
     /// are no others.
-    fn avoided_by_gang(&self, at: StepRef, step: &Step, now: Millis) -> Vec<VmKey> {
+    pub(crate) fn avoided_by_gang(&self, at: StepRef, step: &Step, now: Millis) -> Vec<VmKey> {
         let Some(run) = self.step_run(at) else {
             return Vec::new();
         };
@@ -324,7 +224,10 @@
     }
 
     /// Returns the rack with room for most members.
-    fn densest_rack(&self, slots: impl Iterator<Item = (VmKey, u32)>) -> Option<CompactString> {
+    pub(crate) fn densest_rack(
+        &self,
+        slots: impl Iterator<Item = (VmKey, u32)>,
+    ) -> Option<CompactString> {
         let mut racks: Vec<(&CompactString, u32)> = Vec::new();
         for (key, room) in slots {
             let rack = &self.vms[key].info.rack;
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -4,7 +4,7 @@
 //! lower priority that saves its state is stopped where that makes room for the head of the queue,
 //! and the room is held for it until its stops are answered. Work that would be lost is left alone.
 
-use dotterel_kernel::{Millis, Size};
+use dotterel_kernel::Millis;
 
 use crate::cell::Cell;
 use crate::job::StepRef;
@@ -20,9 +20,6 @@
 /// A run isn't stopped before it has run so long, or work would be moved about without progress.
 const MIN_RUN: Millis = Millis(1000);
 
-/// Room that a gang has set aside counts for so long without another look.
-const RESERVE_STALE: Millis = Millis(200);
-
 /// Room on one VM for tasks of a step.
 pub(crate) struct Offer {
     pub(crate) vm: VmKey,
@@ -66,49 +63,6 @@
         }
     }
 
-    /// Holds room for tasks of a step.
-    pub(crate) fn hold(&mut self, vm: VmKey, step: &Step, slots: u32) {
-        let size = room_for(step);
-        let mut held = self.held.get(vm).copied().unwrap_or(Size::ZERO);
-        for _ in 0..slots {
-            held = held.plus(&size);
-        }
-        self.held.insert(vm, held);
-    }
-
-    /// Notes what room gangs have set aside, so that whatever goes first takes other room if it can.
-    pub(crate) fn note_reserved(&mut self, now: Millis) {
-        let mut reserved = std::mem::take(&mut self.reserved);
-        reserved.clear();
-        for at in &self.open {
-            let (Some(job), Some(run)) = (self.jobs.get(at.job), self.step_run(*at)) else {
-                continue;
-            };
-            let step = &job.spec.steps[usize::from(at.step)];
-            if !step.gang || now.since(run.reserve.looked) > RESERVE_STALE {
-                continue;
-            }
-            let size = room_for(step);
-            for (vm, slots) in &run.reserve.slots {
-                let mut sum = reserved.get(*vm).copied().unwrap_or(Size::ZERO);
-                for _ in 0..*slots {
-                    sum = sum.plus(&size);
-                }
-                reserved.insert(*vm, sum);
-            }
-        }
-        self.reserved = reserved;
-    }
-
-    /// Returns the room on a VM that nobody has set aside either.
-    pub(crate) fn spare(&self, key: VmKey, vm: &Vm) -> Size {
-        let room = self.room(key, vm);
-        match self.reserved.get(key) {
-            Some(reserved) => room.minus(reserved),
-            None => room,
-        }
-    }
-
     fn offers(&self, at: StepRef, step: &Step, priority: u8, now: Millis) -> Vec<Offer> {
         let vms = self.allowed_vms(at, step, now).into_iter();
         vms.map(|(key, vm)| self.offer(key, vm, step, priority, now))
--- /dev/null
+++ b/crates/dotterel-cell/src/plan/reserve.rs
@@ -0,0 +1,178 @@
+//! Room set aside for gangs until they can start.
+//!
+//! Answers the pattern "a gang's room is gone by the time its tickets are there": a call for advice
+//! takes as long as many a task, so whatever waits behind the gang would fill the room meanwhile.
+
+use std::cmp::Reverse;
+
+use dotterel_kernel::{Millis, Size};
+
+use crate::cell::Cell;
+use crate::job::{StepRef, StepRun};
+use crate::plan::fit::TICKET_MARGIN;
+use crate::plan::preempt::Offer;
+use crate::plan::room_for;
+use crate::spec::Step;
+use crate::vm::{Vm, VmKey};
+
+/// Gangs at the head of the queue for which runs are stopped.
+const MAX_RESERVING: u32 = 12;
+/// Gangs at the head of the queue that hold what room there is until there is enough; more leave
+/// VMs idle.
+const MAX_GATHERING: u32 = 2;
+/// Room that a gang has set aside counts for so long without another look.
+const RESERVE_STALE: Millis = Millis(200);
+
+/// A VM on which a gang could set room aside.
+struct Candidate {
+    offer: Offer,
+    /// It is not among those that the gang chose the last time.
+    new: bool,
+    /// It has no ticket that holds, and none is on its way.
+    unready: bool,
+}
+
+impl Candidate {
+    /// Returns a key that sorts the best first: VMs of the last choice, so that one choice lasts,
+    /// then those on which nothing has to be stopped, then those with tickets.
+    fn order(&self) -> (bool, bool, bool, Reverse<u32>, usize) {
+        let victims = self.offer.victims.len();
+        (
+            self.new,
+            victims > 0,
+            self.unready,
+            Reverse(self.offer.slots),
+            victims,
+        )
+    }
+}
+
+impl Cell {
+    /// Sets room aside for a gang on VMs known to be allowed, and renews its tickets once there is
+    /// room for all members; returns for how many there is none.
+    ///
+    /// `rank` is the gang's place among those of its priority. For the first ones less urgent runs
+    /// are stopped, and the very first hold what room there is. The others only get room that is
+    /// free for all members.
+    pub(crate) fn reserve_gang(&mut self, at: StepRef, step: &Step, rank: u32, now: Millis) -> u32 {
+        let mut candidates = self.candidates_for_gang(at, step, rank < MAX_RESERVING, now);
+        let slots = |candidate: &Candidate| candidate.offer.slots;
+        let lack = step
+            .count
+            .saturating_sub(candidates.iter().map(slots).sum::<u32>());
+        let mut reserved = Vec::new();
+        let mut renewed = Vec::new();
+        if lack == 0 || rank < MAX_GATHERING {
+            candidates.sort_by_key(Candidate::order);
+            let mut need = step.count;
+            // Some of the room is taken by more urgent work before the tickets are there.
+            let mut spare = step.count;
+            for candidate in candidates {
+                let Candidate { offer, unready, .. } = candidate;
+                if need == 0 && (spare == 0 || renewed.is_empty()) {
+                    break;
+                }
+                if unready {
+                    renewed.push(offer.vm);
+                }
+                if need == 0 {
+                    spare = spare.saturating_sub(offer.slots);
+                    continue;
+                }
+                let slots = offer.slots.min(need);
+                need -= slots;
+                reserved.push((offer.vm, slots));
+                self.take_offer(offer, step, slots);
+            }
+        }
+        if let Some(run) = self.step_run_mut(at) {
+            run.reserve.slots = reserved;
+        }
+        if lack == 0 {
+            self.ask_about(at, renewed, now);
+        }
+        lack
+    }
+
+    /// Returns the allowed VMs with room, also room that stops would make if `stops` is set.
+    fn candidates_for_gang(
+        &self,
+        at: StepRef,
+        step: &Step,
+        stops: bool,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let (Some(job), Some(run)) = (self.jobs.get(at.job), self.step_run(at)) else {
+            return Vec::new();
+        };
+        let avoid = self.avoided_by_gang(at, step, now);
+        let vms = self.allowed_vms(at, step, now).into_iter();
+        let mut candidates: Vec<Candidate> = vms
+            .filter(|(key, _)| !avoid.contains(key))
+            .map(|(key, vm)| Candidate {
+                offer: self.offer(key, vm, step, job.policy.priority, now),
+                new: !run.reserve.slots.iter().any(|(chosen, _)| *chosen == key),
+                unready: job.policy.advice.is_some() && !has_ticket(run, key, now),
+            })
+            .filter(|candidate| candidate.offer.slots > 0)
+            .filter(|candidate| stops || candidate.offer.victims.is_empty())
+            .collect();
+        if step.one_rack {
+            let slots = candidates.iter().map(|it| (it.offer.vm, it.offer.slots));
+            let rack = self.densest_rack(slots);
+            candidates.retain(|it| rack.as_ref() == Some(&self.vms[it.offer.vm].info.rack));
+        }
+        candidates
+    }
+
+    /// Holds room for tasks of a step.
+    pub(crate) fn hold(&mut self, vm: VmKey, step: &Step, slots: u32) {
+        let size = room_for(step);
+        let mut held = self.held.get(vm).copied().unwrap_or(Size::ZERO);
+        for _ in 0..slots {
+            held = held.plus(&size);
+        }
+        self.held.insert(vm, held);
+    }
+
+    /// Notes what room gangs have set aside, so that whatever goes first takes other room if it can.
+    pub(crate) fn note_reserved(&mut self, now: Millis) {
+        let mut reserved = std::mem::take(&mut self.reserved);
+        reserved.clear();
+        for at in &self.open {
+            let (Some(job), Some(run)) = (self.jobs.get(at.job), self.step_run(*at)) else {
+                continue;
+            };
+            let step = &job.spec.steps[usize::from(at.step)];
+            if !step.gang || now.since(run.reserve.looked) > RESERVE_STALE {
+                continue;
+            }
+            let size = room_for(step);
+            for (vm, slots) in &run.reserve.slots {
+                let mut sum = reserved.get(*vm).copied().unwrap_or(Size::ZERO);
+                for _ in 0..*slots {
+                    sum = sum.plus(&size);
+                }
+                reserved.insert(*vm, sum);
+            }
+        }
+        self.reserved = reserved;
+    }
+
+    /// Returns the room on a VM that nobody has set aside either.
+    pub(crate) fn spare(&self, key: VmKey, vm: &Vm) -> Size {
+        let room = self.room(key, vm);
+        match self.reserved.get(key) {
+            Some(reserved) => room.minus(reserved),
+            None => room,
+        }
+    }
+}
+
+/// Returns true when a step has a ticket for a VM that holds or is on its way.
+fn has_ticket(run: &StepRun, vm: VmKey, now: Millis) -> bool {
+    let advice = &run.advice;
+    let coming = advice.calls > 0 && advice.renewing.contains(&vm);
+    let held = advice.allowed.iter().find(|entry| entry.vm == vm);
+    coming || held.is_some_and(|entry| entry.until > now + TICKET_MARGIN)
+}
