--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -63,10 +63,8 @@
             Up::Ask(number, request) => self.answer(peer, number, request),
             Up::Advised(call, good) => self.advised(call, good),
             Up::Ping => {
-                let storing = !self
-                    .away
-                    .get()
-                    .is_some_and(|since| self.clock.now().since(since) >= STORE_DOUBT);
+                let away = self.away.get();
+                let storing = away.is_none_or(|since| self.clock.now().since(since) < STORE_DOUBT);
                 self.send_down(peer, Down::Pong { storing });
             }
             Up::Hello { .. } => {}
