--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -41,7 +41,8 @@
         if self.settled {
             return;
         }
-        let known = !self.vms.is_empty() && self.vms.values().all(|vm| vm.fenced || !vm.listed);
+        // A VM whose entry has gone meanwhile may only be cut off from the registry.
+        let known = !self.vms.is_empty() && self.vms.values().all(|vm| vm.fenced);
         if now >= self.hold_off || (known && now > self.began) {
             self.settled = true;
             self.dirty = true;
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -339,3 +339,30 @@
 
     assert_eq!(bench.take_starts().len(), 1);
 }
+
+#[test]
+fn a_vm_that_goes_from_the_registry_unheard_holds_an_earlier_terms_tasks_back() {
+    let mut bench = Bench::of_term(0, 2);
+    for index in 0..2 {
+        let key = bench.cell.vm_listed(support::info(index));
+        bench.vms.push(key);
+    }
+    bench
+        .cell
+        .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
+    let beat = |bench: &mut Bench, ms: u64| {
+        bench.advance(ms);
+        bench.report(0, &[], &[]);
+        bench.cell.tick(bench.now);
+        bench.plan();
+        bench.take_starts().len()
+    };
+    beat(&mut bench, 10);
+
+    // It may live and run the task, and only be cut off from the registry.
+    bench.cell.vm_unlisted("vm-001", bench.now);
+    let early = beat(&mut bench, 600);
+    let late: usize = (0..5).map(|_| beat(&mut bench, 1000)).sum();
+
+    assert_eq!((early, late), (0, 1), "its lease has to run out first");
+}
