Compare the registry with the VMs that the former holder knew

Cause: a VM that is cut off from the registry runs on while its entry lapses. The renewal now tells which VMs the holder knew; if the successor reads others, tasks of earlier terms wait for a whole lease.

Ruled out: waiting only for VMs that were listed at the take-over (still broken).

--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -20,7 +20,7 @@
 use crate::link::{CellNo, Down};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, VmTarget};
-use crate::seek::{LANES, Owner, is_small};
+use crate::seek::{LANES, Owner, Renewal, is_small};
 use crate::settings::Settings;
 
 pub mod host;
@@ -42,7 +42,7 @@
     /// The fencing token.
     pub fence: u64,
     /// The renewal that the former holder left.
-    pub before: Option<crate::seek::Renewal>,
+    pub before: Option<Renewal>,
 }
 
 /// Events within this time share one plan, since a plan looks at every waiting step.
@@ -95,6 +95,8 @@
     no: CellNo,
     term: u32,
     fence: u64,
+    /// The renewal that the former holder left.
+    before: Option<Renewal>,
     /// The row of the role as this node wrote it.
     owner: Owner,
     /// Versions of that row in the lanes' parts of the store.
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -88,6 +88,7 @@
             no: takeover.cell,
             term: takeover.owner.term,
             fence: takeover.fence,
+            before: takeover.before,
             owner: takeover.owner,
             fences: RefCell::default(),
             cell: RefCell::new(cell),
--- a/crates/dotterel-node/src/scheduler/load.rs
+++ b/crates/dotterel-node/src/scheduler/load.rs
@@ -30,6 +30,10 @@
         let began = self.clock.now();
         let lanes = join_all((0..LANES).map(|lane| self.load_lane(lane)));
         let ((), lanes) = join(self.load_vms(), lanes).await;
+        if self.before.is_some_and(|before| before.roll != self.roll()) {
+            log::info!(cell = self.no.0; "registry differs from what the former holder knew");
+            self.cell.borrow_mut().distrust_registry();
+        }
         let now = self.clock.now();
         let (mut jobs, mut ended) = (0, 0);
         for (lane, kept) in (0..LANES).zip(lanes) {
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -89,6 +89,13 @@
         Ok(version)
     }
 
+    /// Returns a number that tells sets of listed VMs apart.
+    pub(super) fn roll(&self) -> u64 {
+        let cell = self.cell.borrow();
+        let listed = cell.vms().filter(|(_, vm)| vm.listed);
+        roll_of(listed.map(|(_, vm)| vm.info.id.as_str()))
+    }
+
     /// Returns true when a VM belongs to this cell.
     fn is_mine(&self, _id: &str) -> bool {
         self.no == CellNo(0)
@@ -173,3 +180,10 @@
         }
     }
 }
+
+/// Returns a number that tells sets of ids apart, whatever their order.
+pub(crate) fn roll_of<'a>(ids: impl Iterator<Item = &'a str>) -> u64 {
+    ids.fold(0, |roll, id| {
+        roll ^ xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+    })
+}
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -149,6 +149,7 @@
             count,
             unlisted: u32::try_from(self.cell.borrow().unlisted_busy()).unwrap_or(u32::MAX),
             at: self.clock.now(),
+            roll: self.roll(),
         };
         let fence = self.fences.borrow()[usize::from(lane)];
         let mut tx = Tx {
--- a/crates/dotterel-node/src/seek.rs
+++ b/crates/dotterel-node/src/seek.rs
@@ -237,6 +237,7 @@
             count: 0,
             unlisted: 0,
             at: self.clock.now(),
+            roll: 0,
         };
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
         let tx = Tx {
--- a/crates/dotterel-node/src/seek/role.rs
+++ b/crates/dotterel-node/src/seek/role.rs
@@ -49,6 +49,9 @@
     pub unlisted: u32,
     /// The holder's wall time.
     pub at: Millis,
+    /// Tells which VMs the holder knew: see `Scheduler::roll`. One that has gone from the registry
+    /// since then may be cut off from it and run on.
+    pub roll: u64,
 }
 
 /// The role's rows as read.
