Say once what stood several times, and spare the scheduler repeated work

Each report of a VM matched all watchers with all VMs, which grows with the square of their number; now only a report of another life does, and the reading of the registry as before. A lane encoded the ends of other lanes' jobs before it passed them over. Jobs are counted only where there are many.

Now in one place: tasks of a step that are on VMs, the step of a task, room for several tasks, the most tasks on a VM, the removal of a job, when a step was last looked at, why the registry is doubted; taking a run off a VM voids its gang in all four places that did both. The case of gangs in the VMs to avoid was dead. Behaviour as before, but for the log: it says why the registry is doubted.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -9,7 +9,7 @@
 use crate::job::{Job, JobKey, JobState, Phase, StepRef};
 use crate::plan::advice::Adviser;
 use crate::record::{EndRecord, JobRecord, Progress};
-use crate::spec::{JobId, TaskName};
+use crate::spec::{JobId, Step, TaskName};
 use crate::vm::{RunOn, RunPhase, Vm, VmInfo, VmKey};
 
 mod admission;
@@ -388,6 +388,18 @@
         key
     }
 
+    /// Drops a job that nobody is told of any more.
+    fn remove_job(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        if let Ok(at) = self
+            .index
+            .binary_search_by_key(&job.id, |(known, _)| *known)
+        {
+            self.index.remove(at);
+        }
+        Some(job)
+    }
+
     /// Begins occurrences whose time has come.
     fn begin_due(&mut self, key: JobKey, now: Millis) {
         let job = &mut self.jobs[key];
@@ -453,17 +465,15 @@
         let id = job.id;
         let mut placed = Vec::new();
         for round in &job.rounds {
-            for (step, run) in round.steps.iter().enumerate() {
-                for (index, task) in run.tasks.iter().enumerate() {
-                    if let Phase::Placed(vm) = task.phase {
-                        let name = TaskName {
-                            job: id,
-                            round: round.number,
-                            step: u16::try_from(step).unwrap_or(u16::MAX),
-                            index: u32::try_from(index).unwrap_or(u32::MAX),
-                        };
-                        placed.push((vm, name, task.run));
-                    }
+            for (step, run) in (0u16..).zip(&round.steps) {
+                for (index, vm, run) in run.placed() {
+                    let name = TaskName {
+                        job: id,
+                        round: round.number,
+                        step,
+                        index,
+                    };
+                    placed.push((vm, name, run));
                 }
             }
         }
@@ -482,6 +492,12 @@
         self.term.saturating_sub(1).saturating_mul(RUNS_A_TERM)
     }
 
+    /// Returns what the caller said of a task's step.
+    pub(crate) fn step_of(&self, name: TaskName) -> Option<&Step> {
+        let job = &self.jobs[self.find(name.job)?];
+        job.spec.steps.get(usize::from(name.step))
+    }
+
     pub(crate) fn step_spec(&self, at: StepRef) -> Option<(Arc<crate::spec::JobSpec>, usize)> {
         let job = self.jobs.get(at.job)?;
         Some((Arc::clone(&job.spec), usize::from(at.step)))
@@ -491,7 +507,7 @@
     /// room the run takes, and `unknown` is assumed.
     pub(crate) fn run_on(&self, name: TaskName, run: u32, unknown: Size, now: Millis) -> RunOn {
         let job = self.find(name.job).map(|key| &self.jobs[key]);
-        let step = job.and_then(|job| job.spec.steps.get(usize::from(name.step)));
+        let step = self.step_of(name);
         RunOn {
             task: name,
             run,
--- a/crates/dotterel-cell/src/cell/admission.rs
+++ b/crates/dotterel-cell/src/cell/admission.rs
@@ -22,7 +22,8 @@
                 Submitted::Pending
             };
         }
-        if self.open_jobs() >= MAX_OPEN_JOBS {
+        // Ended jobs are kept for a while, so counting the open ones is seldom needed.
+        if self.jobs.len() >= MAX_OPEN_JOBS && self.open_jobs() >= MAX_OPEN_JOBS {
             return Submitted::Refused(Refusal { retry: FULL_RETRY });
         }
         record.term = self.term;
@@ -55,8 +56,7 @@
             if self.jobs.get(key).is_some_and(|job| job.end.is_some()) {
                 // Cancelled meanwhile, which has to be kept.
                 self.fresh.push(key);
-            } else if let Some(job) = self.jobs.remove(key) {
-                self.index.retain(|(known, _)| *known != job.id);
+            } else if let Some(job) = self.remove_job(key) {
                 refused.push(job.id);
             }
         }
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -151,6 +151,10 @@
             let Some(job) = self.jobs.get(key) else {
                 continue;
             };
+            if !job.takes_lane(lane) {
+                left.push(key);
+                continue;
+            }
             let end = EndRecord {
                 state: job.end.unwrap_or(JobState::Failed),
                 at: now,
@@ -160,7 +164,7 @@
             if job.progressed {
                 writes.push(RowWrite::DropProgress(job.id));
             }
-            if !job.takes_lane(lane) || !room.takes(&writes) {
+            if !room.takes(&writes) {
                 left.push(key);
                 continue;
             }
@@ -206,15 +210,14 @@
             let Some(job) = self.jobs.get_mut(*key) else {
                 continue;
             };
-            if !job.stored {
+            let (stored, ended) = (job.stored, job.end.is_some());
+            if !stored {
                 job.lane = None;
+                self.fresh.push(*key);
             }
-            if job.end.is_some() {
+            if ended {
                 self.closing.push(*key);
-            }
-            if !job.stored {
-                self.fresh.push(*key);
-            } else if job.end.is_none() {
+            } else if stored {
                 self.touch(*key, now);
             }
         }
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -75,7 +75,6 @@
             | StartAnswer::Malformed => {}
         }
         self.release(vm, task, run);
-        self.void_gang(task, run);
     }
 
     /// Takes in that a VM has answered a stop.
@@ -88,8 +87,14 @@
         }
     }
 
-    /// Takes a run off a VM; its task waits again if this was its run.
+    /// Takes a run off a VM, which voids its gang's run.
     pub(crate) fn release(&mut self, vm: VmKey, task: TaskName, run: u32) {
+        self.take_off(vm, task, run);
+        self.void_gang(task, run);
+    }
+
+    /// Takes a run off a VM; its task waits again if this was its run.
+    fn take_off(&mut self, vm: VmKey, task: TaskName, run: u32) {
         if let Some(on) = self.vms.get_mut(vm) {
             on.remove(task, run);
         }
@@ -127,27 +132,18 @@
 
     /// Stops the other members of a gang's run, which can't end well any more.
     pub(crate) fn void_gang(&mut self, task: TaskName, run: u32) {
-        let Some(key) = self.find(task.job) else {
+        if !self.step_of(task).is_some_and(|step| step.gang) {
             return;
-        };
-        let job = &self.jobs[key];
-        let gang = job
-            .spec
-            .steps
-            .get(usize::from(task.step))
-            .is_some_and(|step| step.gang);
-        let Some(round) = job.round(task.round).filter(|_| gang) else {
+        }
+        let job = self.find(task.job).map(|key| &self.jobs[key]);
+        let Some(round) = job.and_then(|job| job.round(task.round)) else {
             return;
         };
-        let mut members = Vec::new();
-        for (index, entry) in round.steps[usize::from(task.step)].tasks.iter().enumerate() {
-            if let Phase::Placed(vm) = entry.phase
-                && entry.run == run
-            {
-                let index = u32::try_from(index).unwrap_or(u32::MAX);
-                members.push((vm, TaskName { index, ..task }));
-            }
-        }
+        let placed = round.steps[usize::from(task.step)].placed();
+        let members: Vec<(VmKey, TaskName)> = placed
+            .filter(|(.., placed)| *placed == run)
+            .map(|(index, vm, _)| (vm, TaskName { index, ..task }))
+            .collect();
         for (vm, member) in members {
             self.order_stop(vm, member, run, "gang broken");
         }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -168,7 +168,6 @@
         }
         for (task, run) in absent {
             self.release(key, task, run);
-            self.void_gang(task, run);
         }
     }
 }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -3,7 +3,7 @@
 use dotterel_kernel::Millis;
 
 use super::{Cell, Order};
-use crate::job::{JobKey, Phase, StepRef};
+use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, VmKey};
 
@@ -70,7 +70,6 @@
         }
         for (vm, task, run) in lost {
             self.release(vm, task, run);
-            self.void_gang(task, run);
         }
         for key in empty {
             self.lose_vm(key);
@@ -85,7 +84,6 @@
         };
         for (task, run) in runs {
             self.release(key, task, run);
-            self.void_gang(task, run);
         }
         self.vms.remove(key);
         self.vm_ids.retain(|(_, known)| *known != key);
@@ -120,8 +118,7 @@
                     continue;
                 }
                 // A hundredth of the work may itself take long, and estimates are often far off.
-                let job = self.find(on.task.job).map(|key| &self.jobs[key]);
-                let step = job.and_then(|job| job.spec.steps.get(usize::from(on.task.step)));
+                let step = self.step_of(on.task);
                 let Some(step) = step.filter(|step| !step.service && !step.filler) else {
                     continue;
                 };
@@ -156,9 +153,9 @@
                 if on.phase != RunPhase::Running || !on.checkpoint {
                     continue;
                 }
-                let job = self.find(on.task.job).map(|key| &self.jobs[key]);
-                let step = job.and_then(|job| job.spec.steps.get(usize::from(on.task.step)));
-                let Some(step) = step else { continue };
+                let Some(step) = self.step_of(on.task) else {
+                    continue;
+                };
                 let left = step.estimate.0 * u64::from(100 - on.percent.min(100)) / 100;
                 // The stop itself takes time, and it has to be answered before the VM is gone.
                 if left + self.limits.stop.0 > remaining.0 {
@@ -188,20 +185,18 @@
             let Some(round) = job.round(at.round) else {
                 continue;
             };
-            let tasks = &round.steps[step].tasks;
-            if !tasks.iter().any(|task| task.phase == Phase::Waiting) {
+            let run = &round.steps[step];
+            if !run.has_waiting() {
                 continue;
             }
-            for (index, task) in tasks.iter().enumerate() {
-                if let Phase::Placed(vm) = task.phase {
-                    let name = TaskName {
-                        job: job.id,
-                        round: at.round,
-                        step: at.step,
-                        index: u32::try_from(index).unwrap_or(u32::MAX),
-                    };
-                    partial.push((vm, name, task.run));
-                }
+            for (index, vm, run) in run.placed() {
+                let name = TaskName {
+                    job: job.id,
+                    round: at.round,
+                    step: at.step,
+                    index,
+                };
+                partial.push((vm, name, run));
             }
         }
         for (vm, task, run) in partial {
@@ -230,8 +225,7 @@
             .map(|(key, job)| (key, job.id, job.lane.unwrap_or_default()))
             .collect();
         for (key, id, lane) in old {
-            self.jobs.remove(key);
-            self.index.retain(|(known, _)| *known != id);
+            self.remove_job(key);
             self.dropping.push((id, lane));
         }
     }
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -94,7 +94,7 @@
 pub struct Advice {
     /// VMs that it was asked about, sorted.
     pub asked: Vec<VmKey>,
-    /// Those of them that may run the step, sorted by VM.
+    /// Those of them that may run the step, in the order of the answers.
     pub allowed: Vec<Allowed>,
     /// Calls under way.
     pub calls: u8,
@@ -113,8 +113,6 @@
     pub slots: Vec<(VmKey, u32)>,
     /// For how many members there was none.
     pub lack: u32,
-    /// When the choice was last looked at.
-    pub looked: Millis,
 }
 
 /// One step of an occurrence.
@@ -134,7 +132,7 @@
     pub advice: Advice,
     /// Where room is set aside for it.
     pub reserve: Reserve,
-    /// When its tasks last found no room.
+    /// When its waiting tasks were last looked at.
     pub looked: Millis,
 }
 
@@ -371,6 +369,16 @@
         self.left > 0 && self.tasks.iter().any(|task| task.phase == Phase::Waiting)
     }
 
+    /// Returns the tasks that are on VMs: their numbers, the VMs and the runs.
+    pub fn placed(&self) -> impl Iterator<Item = (u32, VmKey, u32)> + '_ {
+        (0u32..)
+            .zip(&self.tasks)
+            .filter_map(|(index, task)| match task.phase {
+                Phase::Placed(vm) => Some((index, vm, task.run)),
+                _ => None,
+            })
+    }
+
     fn progress(&self) -> StepProgress {
         let mut done = vec![0u8; self.tasks.len().div_ceil(8)];
         let mut marks = Vec::new();
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -215,7 +215,7 @@
         let size = room_for(step);
         let (mut expired, mut fresh) = (Vec::new(), Vec::new());
         let mut valid = 0;
-        let avoid = self.avoided(at, step);
+        let avoid = self.avoided(at);
         for (key, vm) in &self.vms {
             if !self.usable(vm, &job.policy.service, step, now) || avoid.contains(&key) {
                 continue;
@@ -267,22 +267,19 @@
         named
     }
 
-    /// Returns the VMs that none of the waiting tasks would take: for a gang, all that a member
-    /// avoids.
-    fn avoided(&self, at: StepRef, step: &Step) -> Vec<VmKey> {
+    /// Returns the VMs that none of the waiting tasks would take.
+    fn avoided(&self, at: StepRef) -> Vec<VmKey> {
         let Some(run) = self.step_run(at) else {
             return Vec::new();
         };
         let waiting = || run.tasks.iter().filter(|task| task.phase == Phase::Waiting);
-        let mut all: Vec<VmKey> = waiting()
-            .flat_map(|task| task.avoid.iter().copied())
-            .collect();
-        all.sort_unstable();
-        all.dedup();
-        if !step.gang {
-            all.retain(|key| waiting().all(|task| task.avoid.contains(key)));
-        }
-        all
+        let Some(first) = waiting().next() else {
+            return Vec::new();
+        };
+        let avoided = first.avoid.iter().copied();
+        avoided
+            .filter(|key| waiting().all(|task| task.avoid.contains(key)))
+            .collect()
     }
 
     /// Takes in the advice service's answer.
@@ -321,7 +318,6 @@
             advice.allowed.retain(|entry| entry.vm != *key);
         }
         advice.allowed.extend(allowed);
-        run.reserve.looked = Millis::ZERO;
         run.looked = Millis::ZERO;
         self.dirty = true;
     }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -64,7 +64,7 @@
             place.short += 1;
             place.short_of = job.policy.priority;
         }
-        if now.since(run.reserve.looked) < LOOK_EVERY {
+        if now.since(run.looked) < LOOK_EVERY {
             let slots = run.reserve.slots.clone();
             for (vm, count) in slots {
                 self.hold(vm, step, count);
@@ -72,12 +72,13 @@
             return;
         }
         if let Some(run) = self.step_run_mut(at) {
-            run.reserve.looked = now;
+            run.looked = now;
         }
         let left = self.place_gang(at, step, now);
         if left == 0 {
             if let Some(run) = self.step_run_mut(at) {
                 run.reserve = Reserve::default();
+                run.looked = Millis::ZERO;
             }
             return;
         }
@@ -143,7 +144,7 @@
     }
 
     /// Starts all members or none; returns how many wait.
-    pub(crate) fn place_gang(&mut self, at: StepRef, step: &Step, now: Millis) -> u32 {
+    fn place_gang(&mut self, at: StepRef, step: &Step, now: Millis) -> u32 {
         let Some(run) = self.step_run(at) else {
             return 0;
         };
@@ -199,7 +200,7 @@
     }
 
     /// Returns the VMs with room, and how many members each takes.
-    pub(crate) fn gang_slots(
+    fn gang_slots(
         &self,
         at: StepRef,
         step: &Step,
@@ -212,10 +213,8 @@
             if avoid.contains(&key) {
                 continue;
             }
-            let mut room = self.room(key, &self.vms[key]).count(&size).min(step.count);
-            if step.per_vm > 0 {
-                room = room.min(step.per_vm);
-            }
+            let room = self.room(key, &self.vms[key]).count(&size);
+            let room = room.min(step.most_per_vm()).min(step.count);
             if room > 0 {
                 slots.push((key, room, ticket));
             }
@@ -243,10 +242,5 @@
 
 /// Returns how many members of a gang an empty VM holds.
 fn members(vm: &Vm, size: &Size, step: &Step) -> u32 {
-    let most = if step.per_vm > 0 {
-        step.per_vm
-    } else {
-        step.count
-    };
-    vm.info.capacity.count(size).min(most)
+    vm.info.capacity.count(size).min(step.most_per_vm())
 }
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -88,11 +88,7 @@
         for on in coming {
             room = room.plus(&on.size);
         }
-        let most = if step.per_vm > 0 {
-            step.per_vm
-        } else {
-            step.count
-        };
+        let most = step.most_per_vm();
         let mut slots = room.count(&size).min(most);
         let mut victims = Vec::new();
         if slots < most {
--- a/crates/dotterel-cell/src/plan/reserve.rs
+++ b/crates/dotterel-cell/src/plan/reserve.rs
@@ -6,6 +6,7 @@
 use std::cmp::Reverse;
 
 use dotterel_kernel::{Millis, Size};
+use slotmap::SecondaryMap;
 
 use crate::cell::Cell;
 use crate::job::{StepRef, StepRun};
@@ -127,12 +128,7 @@
 
     /// Holds room for tasks of a step.
     pub(crate) fn hold(&mut self, vm: VmKey, step: &Step, slots: u32) {
-        let size = room_for(step);
-        let mut held = self.held.get(vm).copied().unwrap_or(Size::ZERO);
-        for _ in 0..slots {
-            held = held.plus(&size);
-        }
-        self.held.insert(vm, held);
+        add_room(&mut self.held, vm, &room_for(step), slots);
     }
 
     /// Notes what room gangs have set aside, so that whatever goes first takes other room if it can.
@@ -144,16 +140,12 @@
                 continue;
             };
             let step = &job.spec.steps[usize::from(at.step)];
-            if !step.gang || now.since(run.reserve.looked) > RESERVE_STALE {
+            if !step.gang || now.since(run.looked) > RESERVE_STALE {
                 continue;
             }
             let size = room_for(step);
             for (vm, slots) in &run.reserve.slots {
-                let mut sum = reserved.get(*vm).copied().unwrap_or(Size::ZERO);
-                for _ in 0..*slots {
-                    sum = sum.plus(&size);
-                }
-                reserved.insert(*vm, sum);
+                add_room(&mut reserved, *vm, &size, *slots);
             }
         }
         self.reserved = reserved;
@@ -169,6 +161,15 @@
     }
 }
 
+/// Adds the room of some tasks to what is counted for a VM.
+fn add_room(rooms: &mut SecondaryMap<VmKey, Size>, vm: VmKey, size: &Size, slots: u32) {
+    let mut sum = rooms.get(vm).copied().unwrap_or(Size::ZERO);
+    for _ in 0..slots {
+        sum = sum.plus(size);
+    }
+    rooms.insert(vm, sum);
+}
+
 /// Returns true when a step has a ticket for a VM that holds or is on its way.
 fn has_ticket(run: &StepRun, vm: VmKey, now: Millis) -> bool {
     let advice = &run.advice;
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -151,6 +151,18 @@
     pub may_miss: u32,
 }
 
+impl Step {
+    /// Returns how many of its tasks one VM may run.
+    #[must_use]
+    pub const fn most_per_vm(&self) -> u32 {
+        if self.per_vm > 0 {
+            self.per_vm
+        } else {
+            self.count
+        }
+    }
+}
+
 /// A checked job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -22,9 +22,6 @@
 const RELEASE_TIMEOUT: Millis = Millis(1500);
 /// Slack for the clocks of VMs and for orders on their way, beyond the lease.
 const LEASE_SLACK: Millis = Millis(500);
-/// A former holder silent for longer than this may have lost VMs from the registry unseen.
-const LONG_SILENCE: Millis = Millis(3000);
-
 /// Holds the roles of this node.
 pub struct Host<P> {
     platform: Rc<P>,
@@ -73,20 +70,15 @@
         }
         let now = self.clock.now();
         let lease = self.settings.limits.lease + LEASE_SLACK;
-        let mut cell = Cell::new(self.settings.limits, takeover.owner.term, now, now + lease);
-        let doubtful = takeover
-            .before
-            .is_some_and(|before| before.unlisted > 0 || now.since(before.at) > LONG_SILENCE);
-        if doubtful {
-            cell.distrust_registry();
-        }
+        let term = takeover.owner.term;
+        let cell = Cell::new(self.settings.limits, term, now, now + lease);
         let scheduler = Rc::new(Scheduler {
             platform: Rc::clone(&self.platform),
             settings: Rc::clone(&self.settings),
             metrics: Rc::clone(&self.metrics),
             clock: self.clock,
             no: takeover.cell,
-            term: takeover.owner.term,
+            term,
             fence: takeover.fence,
             before: takeover.before,
             owner: takeover.owner,
--- a/crates/dotterel-node/src/scheduler/load.rs
+++ b/crates/dotterel-node/src/scheduler/load.rs
@@ -17,6 +17,9 @@
 /// Time for a lane to be taken; a slow store needs half a second.
 const FENCE_TIMEOUT: Millis = Millis(1500);
 
+/// A former holder silent for longer than this may have lost VMs from the registry unseen.
+const LONG_SILENCE: Millis = Millis(3000);
+
 /// What a lane's part of the store held.
 struct Kept {
     jobs: Vec<Row>,
@@ -30,8 +33,8 @@
         let began = self.clock.now();
         let lanes = join_all((0..LANES).map(|lane| self.load_lane(lane)));
         let ((), lanes) = join(self.load_vms(), lanes).await;
-        if self.before.is_some_and(|before| before.roll != self.roll()) {
-            log::info!(cell = self.no.0; "registry differs from what the former holder knew");
+        if let Some(reason) = self.doubt() {
+            log::info!(cell = self.no.0, reason; "registry may lack VMs");
             self.cell.borrow_mut().distrust_registry();
         }
         let now = self.clock.now();
@@ -50,6 +53,20 @@
         true
     }
 
+    /// Returns why VMs that run something may be missing from the registry, if they may.
+    fn doubt(&self) -> Option<&'static str> {
+        let before = self.before?;
+        if before.unlisted > 0 {
+            Some("the former holder knew of some that were missing")
+        } else if self.began.since(before.at) > LONG_SILENCE {
+            Some("the former holder was silent for long")
+        } else if before.roll != self.roll() {
+            Some("the former holder knew other VMs")
+        } else {
+            None
+        }
+    }
+
     async fn load_lane(&self, lane: u8) -> Option<Kept> {
         let fence = if lane == 0 {
             self.fence
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -13,7 +13,7 @@
 
 /// How often the registry is read: well within the time in which a leaving VM may be given work.
 const REGISTRY_EVERY: Millis = Millis(400);
-/// Entries that are missing from the first reading may come back for so long after an outage.
+/// How long a VM may wait for an end before it answers.
 const HOLD_WAIT: Millis = Millis(1000);
 /// Pause before a silent VM is asked again; it doubles up to the longest.
 const RETRY_MIN: Millis = Millis(100);
@@ -103,10 +103,10 @@
 
     /// Starts watchers of new VMs and forgets those of VMs that are gone.
     pub(super) fn match_watchers(self: &Rc<Self>) {
-        let keys: Vec<VmKey> = self.cell.borrow().vms().map(|(key, _)| key).collect();
+        let cell = self.cell.borrow();
         let mut lines = self.lines.borrow_mut();
-        lines.retain(|key, _| keys.contains(key));
-        for key in keys {
+        lines.retain(|key, _| cell.vm(*key).is_some());
+        for (key, _) in cell.vms() {
             if let Entry::Vacant(place) = lines.entry(key) {
                 let (line, orders) = mpsc::unbounded_channel();
                 place.insert(line);
@@ -146,7 +146,7 @@
                     }
                     away = false;
                     pause = RETRY_MIN;
-                    let fresh = {
+                    let (fresh, gone) = {
                         let mut cell = self.cell.borrow_mut();
                         let taken = cell.vm(key).map_or(0, |vm| vm.taken);
                         for end in report.ended.iter().filter(|end| end.number > taken) {
@@ -155,9 +155,13 @@
                                 vm = target.id.as_str(), end = end.number; "run ended");
                         }
                         cell.report(key, &report, sent, now);
-                        cell.vm(key).map_or(0, |vm| vm.taken) > taken
+                        let after = cell.vm(key).map(|vm| vm.taken);
+                        (after.is_some_and(|after| after > taken), after.is_none())
                     };
-                    self.match_watchers();
+                    if gone {
+                        // Another life has answered, and needs a watcher of its own.
+                        self.match_watchers();
+                    }
                     self.plan.notify_one();
                     self.write.notify_one();
                     if !fresh && now.since(sent) < QUICK {
