Split long files by their jobs, and share the fixtures of tests

Tests take a successor's cell, a backlog of long calls, slow advice and the serving of stand-ins from one place each; what they assert is unchanged.

--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -5,7 +5,7 @@
 use super::{Cell, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
-use crate::vm::{RunPhase, VmKey};
+use crate::vm::RunPhase;
 
 /// A stop that isn't answered is sent again after this time, a little over a round trip between
 /// regions and the call's own timeout.
@@ -76,19 +76,6 @@
         }
     }
 
-    /// Drops a VM that is known to be gone, with all that ran on it.
-    pub(crate) fn lose_vm(&mut self, key: VmKey) {
-        let runs: Vec<(TaskName, u32)> = match self.vms.get(key) {
-            Some(vm) => vm.runs.iter().map(|on| (on.task, on.run)).collect(),
-            None => return,
-        };
-        for (task, run) in runs {
-            self.release(key, task, run);
-        }
-        self.vms.remove(key);
-        self.vm_ids.retain(|(_, known)| *known != key);
-    }
-
     fn repeat_stops(&mut self, now: Millis) {
         for (key, vm) in &mut self.vms {
             for on in &mut vm.runs {
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -2,14 +2,16 @@
 
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use dotterel_kernel::Millis;
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::record::{JobRecord, Progress, RoundProgress, StepProgress, TaskMark};
-use crate::spec::{JobId, JobSpec, Policy, Step};
-use crate::vm::VmKey;
+use crate::record::{JobRecord, Progress, RoundProgress};
+use crate::spec::{JobId, JobSpec, Policy};
+
+mod step;
+
+pub use step::{Advice, Allowed, Phase, Reserve, StepRun, Task};
 
 new_key_type! {
     /// Points to a job.
@@ -50,92 +52,6 @@
     pub step: u16,
 }
 
-/// Where a task stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Not started, or to be started again.
-    Waiting,
-    /// Ordered to a VM, running there or being stopped there.
-    Placed(VmKey),
-    /// Done.
-    Done,
-}
-
-/// One task.
-#[derive(Clone, Debug)]
-pub struct Task {
-    /// Where it stands.
-    pub phase: Phase,
-    /// The highest run number used.
-    pub run: u32,
-    /// Failed runs, by number.
-    pub failed: Vec<u32>,
-    /// The state to resume from; empty for none.
-    pub saved: CompactString,
-    /// VMs on which it failed or stalled.
-    pub avoid: Vec<VmKey>,
-}
-
-/// A VM that may run a step.
-#[derive(Clone, Debug)]
-pub struct Allowed {
-    /// The VM.
-    pub vm: VmKey,
-    /// Start of the VM's life for which the ticket holds.
-    pub born: u64,
-    /// Shown with each start.
-    pub ticket: CompactString,
-    /// No longer valid from this moment on.
-    pub until: Millis,
-}
-
-/// What the advice service has said of a step.
-#[derive(Clone, Debug, Default)]
-pub struct Advice {
-    /// VMs that it was asked about, sorted.
-    pub asked: Vec<VmKey>,
-    /// Those of them that may run the step, in the order of the answers.
-    pub allowed: Vec<Allowed>,
-    /// Calls under way.
-    pub calls: u8,
-    /// VMs that the calls under way name.
-    pub renewing: Vec<VmKey>,
-    /// When the last of them was made.
-    pub made: Millis,
-    /// No further call before this moment.
-    pub not_before: Millis,
-}
-
-/// Room set aside for a gang until it can start.
-#[derive(Clone, Debug, Default)]
-pub struct Reserve {
-    /// VMs, and for how many members there is room on each.
-    pub slots: Vec<(VmKey, u32)>,
-    /// For how many members there was none.
-    pub lack: u32,
-}
-
-/// One step of an occurrence.
-#[derive(Clone, Debug)]
-pub struct StepRun {
-    /// Its tasks.
-    pub tasks: Vec<Task>,
-    /// Tasks that are not done.
-    pub left: u32,
-    /// Set once all predecessors are done.
-    pub open: bool,
-    /// When it opened.
-    pub opened: Millis,
-    /// Failed runs of the gang, by number.
-    pub failed: Vec<u32>,
-    /// Which VMs may run it.
-    pub advice: Advice,
-    /// Where room is set aside for it.
-    pub reserve: Reserve,
-    /// When its waiting tasks were last looked at.
-    pub looked: Millis,
-}
-
 /// One occurrence of a job's steps.
 #[derive(Clone, Debug)]
 pub struct Round {
@@ -341,81 +257,3 @@
         }
     }
 }
-
-impl StepRun {
-    fn new(step: &Step, now: Millis) -> Self {
-        let task = Task {
-            phase: Phase::Waiting,
-            run: 0,
-            failed: Vec::new(),
-            saved: CompactString::default(),
-            avoid: Vec::new(),
-        };
-        Self {
-            tasks: vec![task; step.count as usize],
-            left: step.count,
-            open: false,
-            opened: now,
-            failed: Vec::new(),
-            advice: Advice::default(),
-            reserve: Reserve::default(),
-            looked: Millis::ZERO,
-        }
-    }
-
-    /// Returns true when a task waits for a VM.
-    #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        self.left > 0 && self.tasks.iter().any(|task| task.phase == Phase::Waiting)
-    }
-
-    /// Returns the tasks that are on VMs: their numbers, the VMs and the runs.
-    pub fn placed(&self) -> impl Iterator<Item = (u32, VmKey, u32)> + '_ {
-        (0u32..)
-            .zip(&self.tasks)
-            .filter_map(|(index, task)| match task.phase {
-                Phase::Placed(vm) => Some((index, vm, task.run)),
-                _ => None,
-            })
-    }
-
-    fn progress(&self) -> StepProgress {
-        let mut done = vec![0u8; self.tasks.len().div_ceil(8)];
-        let mut marks = Vec::new();
-        for (index, task) in self.tasks.iter().enumerate() {
-            if task.phase == Phase::Done {
-                done[index / 8] |= 1 << (index % 8);
-            } else if !task.failed.is_empty() || !task.saved.is_empty() {
-                marks.push(TaskMark {
-                    index: u32::try_from(index).unwrap_or(u32::MAX),
-                    failed: task.failed.clone(),
-                    run: task.run,
-                    saved: task.saved.clone(),
-                });
-            }
-        }
-        StepProgress {
-            done,
-            marks,
-            failed: self.failed.clone(),
-        }
-    }
-
-    fn restore(&mut self, saved: &StepProgress) {
-        self.failed = saved.failed.clone();
-        for (index, task) in self.tasks.iter_mut().enumerate() {
-            let bits = saved.done.get(index / 8).copied().unwrap_or_default();
-            if bits & (1 << (index % 8)) != 0 {
-                task.phase = Phase::Done;
-                self.left -= 1;
-            }
-        }
-        for mark in &saved.marks {
-            if let Some(task) = self.tasks.get_mut(mark.index as usize) {
-                task.failed = mark.failed.clone();
-                task.run = mark.run;
-                task.saved = mark.saved.clone();
-            }
-        }
-    }
-}
--- a/crates/dotterel-cell/tests/cell/advice.rs
+++ b/crates/dotterel-cell/tests/cell/advice.rs
@@ -1,35 +1,21 @@
 //! Load pattern: a backlog of jobs, each of which needs a call to a slow advice service.
 
-use crate::support::{Bench, advised, loose};
-use dotterel_cell::{Ask, Order};
-use dotterel_kernel::Millis;
+use dotterel_cell::{Ask, JobRecord};
+
+use crate::support::{self, Bench, advised, loose, slowly_advised};
 
 fn asks(bench: &mut Bench) -> Vec<Ask> {
-    let orders = bench.cell.take_orders();
-    let asks = orders.into_iter().filter_map(|order| match order {
-        Order::Ask(ask) => Some(ask),
-        _ => None,
-    });
-    asks.collect()
+    support::asks(&bench.cell.take_orders())
 }
 
-fn slow(priority: u8) -> dotterel_cell::JobRecord {
-    let mut record = advised(loose(2, 3000));
+fn slow(priority: u8) -> JobRecord {
+    let mut record = slowly_advised(loose(2, 3000), 400, 100);
     record.policy.priority = priority;
-    if let Some(terms) = &mut record.policy.advice {
-        terms.base = Millis(400);
-    }
-    record
-}
-
-fn quick() -> dotterel_cell::JobRecord {
-    let mut record = advised(loose(2, 500));
-    record.policy.priority = 0;
     record
 }
 
-#[test]
-fn calls_do_not_wait_in_line_behind_a_backlog() {
+/// A cell with a backlog of jobs that wait for long calls of four nodes.
+fn backlog() -> Bench {
     let mut bench = Bench::new(16);
     for adviser in 0..4 {
         bench.cell.adviser_joined(adviser);
@@ -39,6 +25,18 @@
     }
     bench.store();
     bench.plan();
+    bench
+}
+
+fn quick() -> JobRecord {
+    let mut record = advised(loose(2, 500));
+    record.policy.priority = 0;
+    record
+}
+
+#[test]
+fn calls_do_not_wait_in_line_behind_a_backlog() {
+    let mut bench = backlog();
 
     let first = asks(&mut bench);
 
@@ -52,15 +50,7 @@
 
 #[test]
 fn an_urgent_job_finds_an_adviser_among_long_calls() {
-    let mut bench = Bench::new(16);
-    for adviser in 0..4 {
-        bench.cell.adviser_joined(adviser);
-    }
-    for id in 0..100 {
-        bench.submit(id, slow(1));
-    }
-    bench.store();
-    bench.plan();
+    let mut bench = backlog();
     let long = asks(&mut bench);
     bench.submit(1000, quick());
     bench.plan();
--- a/crates/dotterel-cell/tests/cell/gangs.rs
+++ b/crates/dotterel-cell/tests/cell/gangs.rs
@@ -1,10 +1,10 @@
 //! Load patterns: gangs that need much room at once, among urgent and less urgent work.
 
 use compact_str::CompactString;
-use dotterel_cell::{Ask, JobId, JobRecord, Order, VmKey};
+use dotterel_cell::{Ask, JobId, JobRecord, VmKey};
 use dotterel_kernel::Millis;
 
-use crate::support::{Bench, advised, gang, record, size, starts, step};
+use crate::support::{Bench, advised, asks, gang, record, size, slowly_advised, starts, step};
 
 const CORE: u32 = 1000;
 
@@ -37,14 +37,6 @@
         .advised(ask.step, &ask.vms, &rows, Millis(valid), now);
 }
 
-fn asks(orders: &[Order]) -> Vec<Ask> {
-    let asks = orders.iter().filter_map(|order| match order {
-        Order::Ask(ask) => Some(ask.clone()),
-        _ => None,
-    });
-    asks.collect()
-}
-
 /// VMs that are all but full, and three gangs that lack room.
 fn crowded() -> Bench {
     let mut bench = Bench::new(4);
@@ -133,12 +125,7 @@
     bench.plan();
     bench.start_all();
     for id in 10..10 + GANGS {
-        let mut record = advised(wide_gang(10, 10, 3000));
-        if let Some(terms) = &mut record.policy.advice {
-            terms.base = Millis(450);
-            terms.each_us = 6000;
-        }
-        bench.submit(id, record);
+        bench.submit(id, slowly_advised(wide_gang(10, 10, 3000), 450, 6000));
     }
     bench.store();
 
@@ -198,12 +185,7 @@
     bench.store();
     bench.plan();
     bench.start_all();
-    let mut record = advised(tasks(1, 25, 2, 2000));
-    if let Some(terms) = &mut record.policy.advice {
-        terms.base = Millis(100);
-        terms.each_us = 1400;
-    }
-    bench.submit(2, record);
+    bench.submit(2, slowly_advised(tasks(1, 25, 2, 2000), 100, 1400));
     bench.store();
 
     bench.plan();
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -3,8 +3,8 @@
 use compact_str::{CompactString, format_compact};
 use dotterel_cell::vm::Vm;
 use dotterel_cell::{
-    AdviceTerms, Cell, How, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report, ReportedEnd,
-    ReportedRun, StartAnswer, Step, Submitted, TaskName, VmInfo, VmKey,
+    AdviceTerms, Ask, Cell, How, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report,
+    ReportedEnd, ReportedRun, StartAnswer, Step, Submitted, TaskName, VmInfo, VmKey,
 };
 use dotterel_kernel::{Millis, Size};
 
@@ -50,6 +50,16 @@
         bench
     }
 
+    /// A successor's cell, whose VMs are listed and have not answered.
+    pub(crate) fn successor(vms: usize) -> Self {
+        let mut bench = Self::of_term(0, 2);
+        for index in 0..vms {
+            let key = bench.cell.vm_listed(info(index));
+            bench.vms.push(key);
+        }
+        bench
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now += Millis(ms);
     }
@@ -142,6 +152,14 @@
     starts.collect()
 }
 
+pub(crate) fn asks(orders: &[Order]) -> Vec<Ask> {
+    let asks = orders.iter().filter_map(|order| match order {
+        Order::Ask(ask) => Some(ask.clone()),
+        _ => None,
+    });
+    asks.collect()
+}
+
 pub(crate) fn info(index: usize) -> VmInfo {
     VmInfo {
         id: format_compact!("vm-{index:03}"),
@@ -214,6 +232,16 @@
     record
 }
 
+/// A job whose queue's advice takes so long a call, and so many microseconds more a VM.
+pub(crate) fn slowly_advised(record: JobRecord, base: u64, each_us: u32) -> JobRecord {
+    let mut record = advised(record);
+    if let Some(terms) = &mut record.policy.advice {
+        terms.base = Millis(base);
+        terms.each_us = each_us;
+    }
+    record
+}
+
 pub(crate) fn task(job: u64, index: u32) -> TaskName {
     TaskName {
         job: JobId(job),
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -7,9 +7,7 @@
 
 #[test]
 fn a_run_of_an_earlier_term_is_taken_over_not_repeated() {
-    let mut bench = Bench::of_term(0, 2);
-    let key = bench.cell.vm_listed(support::info(0));
-    bench.vms.push(key);
+    let mut bench = Bench::successor(1);
     bench
         .cell
         .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
@@ -32,11 +30,7 @@
 
 #[test]
 fn an_earlier_terms_tasks_wait_until_every_vm_has_answered() {
-    let mut bench = Bench::of_term(0, 2);
-    for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index));
-        bench.vms.push(key);
-    }
+    let mut bench = Bench::successor(2);
     bench
         .cell
         .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
@@ -74,11 +68,7 @@
 
 #[test]
 fn a_silent_vm_holds_an_earlier_terms_tasks_back_only_for_a_lease() {
-    let mut bench = Bench::of_term(0, 2);
-    for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index));
-        bench.vms.push(key);
-    }
+    let mut bench = Bench::successor(2);
     bench
         .cell
         .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
@@ -223,9 +213,7 @@
         _ => None,
     });
 
-    let mut second = Bench::of_term(0, 2);
-    let key = second.cell.vm_listed(support::info(0));
-    second.vms.push(key);
+    let mut second = Bench::successor(1);
     second
         .cell
         .inherit(JobId(1), record, progress.as_ref(), 0, second.now);
@@ -241,11 +229,7 @@
 
 #[test]
 fn a_failure_of_an_earlier_run_counts_although_the_next_run_was_found_first() {
-    let mut bench = Bench::of_term(0, 2);
-    for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index));
-        bench.vms.push(key);
-    }
+    let mut bench = Bench::successor(2);
     let mut record = loose(1, 1000);
     record.policy.attempts = 2;
     bench.cell.inherit(JobId(1), record, None, 0, bench.now);
@@ -342,11 +326,7 @@
 
 #[test]
 fn a_vm_that_goes_from_the_registry_unheard_holds_an_earlier_terms_tasks_back() {
-    let mut bench = Bench::of_term(0, 2);
-    for index in 0..2 {
-        let key = bench.cell.vm_listed(support::info(index));
-        bench.vms.push(key);
-    }
+    let mut bench = Bench::successor(2);
     bench
         .cell
         .inherit(JobId(1), loose(1, 1000), None, 0, bench.now);
