--- a/crates/dotterel-node/src/http/client.rs
+++ b/crates/dotterel-node/src/http/client.rs
@@ -74,7 +74,7 @@
     pub async fn call(&self, call: Call<'_>) -> Result<Reply, CallError> {
         let span = call.timeout.duration();
         let mut sent = false;
-        let outcome = timeout(span, self.exchange(&call, &mut sent)).await;
+        let outcome = timeout(span, self.exchange(call, &mut sent)).await;
         match outcome {
             Ok(outcome) => outcome,
             Err(_) if sent => Err(CallError::NoAnswer),
@@ -82,12 +82,13 @@
         }
     }
 
-    async fn exchange(&self, call: &Call<'_>, sent: &mut bool) -> Result<Reply, CallError> {
+    async fn exchange(&self, call: Call<'_>, sent: &mut bool) -> Result<Reply, CallError> {
+        let address = call.address;
         let mut request = request(call);
         loop {
-            let (mut sender, kept) = match self.take(call.address) {
+            let (mut sender, kept) = match self.take(address) {
                 Some(sender) => (sender, true),
-                None => (connect(call.address).await?, false),
+                None => (connect(address).await?, false),
             };
             if sender.ready().await.is_err() {
                 if kept {
@@ -103,7 +104,7 @@
                     let Ok(body) = body else {
                         return Err(CallError::NoAnswer);
                     };
-                    self.keep(call.address, sender);
+                    self.keep(address, sender);
                     return Ok(Reply {
                         status,
                         body: body.to_bytes(),
@@ -140,22 +141,18 @@
             kept.push(sender);
         }
     }
-
-    /// Closes kept connections to an address that is no longer used.
-    pub fn forget(&self, address: &str) {
-        self.idle.borrow_mut().remove(address);
-    }
 }
 
-fn request(call: &Call<'_>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(call.body.clone())));
-    *request.method_mut() = call.method.clone();
+fn request(call: Call<'_>) -> Request<Full<Bytes>> {
+    let empty = call.body.is_empty();
+    let mut request = Request::new(Full::new(Bytes::from(call.body)));
+    *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().unwrap_or_default();
     let headers = request.headers_mut();
     if let Ok(host) = HeaderValue::from_str(call.address) {
         headers.insert(header::HOST, host);
     }
-    if !call.body.is_empty() {
+    if !empty {
         headers.insert(
             header::CONTENT_TYPE,
             HeaderValue::from_static("application/json"),
