Count the room for a step by its limit per VM wherever room is counted

Cause: advice requests counted a VM's free capacity without the step's limit per VM, while the placement refuses a VM at that limit. Preemption, reservation and gangs counted room in three further ways.

All of them now ask count_slots, or count_slots_after_stops where runs that are being stopped count as gone. The new test fails without the change: requests name VMs at the limit.

--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -10,7 +10,6 @@
 use crate::cell::{AdviceRequest, Cell, Order};
 use crate::job::{Allowed, Phase, StepRef};
 use crate::plan::fit::TICKET_MARGIN;
-use crate::plan::occupied_size;
 use crate::spec::{AdviceTerms, Step};
 use crate::vm::VmKey;
 
@@ -231,7 +230,6 @@
         let Some(terms) = job.policy.advice else {
             return Vec::new();
         };
-        let size = occupied_size(step);
         let (mut expired, mut unknown) = (Vec::new(), Vec::new());
         let mut valid = 0;
         let avoid = self.avoided_by_all(step_ref);
@@ -239,10 +237,8 @@
             if !self.is_usable(vm, &job.policy.service, step, now) || avoid.contains(&key) {
                 continue;
             }
-            let slots = self
-                .unreserved_capacity(key, vm)
-                .count_fitting(&size)
-                .min(step.count);
+            let capacity = self.unreserved_capacity(key, vm);
+            let slots = self.count_slots(step_ref, step, vm, &capacity);
             let is_known = state.advice.requested.binary_search(&key).is_ok();
             let allowed = state.advice.allowed.iter().find(|entry| entry.vm == key);
             match allowed {
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -10,7 +10,7 @@
 use crate::job::StepRef;
 use crate::plan::{MAX_REPLY_AGE, occupied_size};
 use crate::spec::{Step, TaskName};
-use crate::vm::{Vm, VmKey};
+use crate::vm::{RunPhase, Vm, VmKey};
 
 /// A ticket with less time left than this might expire in transit.
 pub(crate) const TICKET_MARGIN: Millis = Millis(120);
@@ -42,6 +42,54 @@
         }
     }
 
+    /// Returns how many more tasks of a step fit into `capacity` of a VM, within the step's limit
+    /// per VM.
+    pub(crate) fn count_slots(
+        &self,
+        step_ref: StepRef,
+        step: &Step,
+        vm: &Vm,
+        capacity: &Size,
+    ) -> u32 {
+        let runs = self.step_runs(step_ref, step, vm, |_| true);
+        slots_beside(step, runs, capacity)
+    }
+
+    /// Returns the same for when the runs that are being stopped have ended and their capacity is
+    /// part of `capacity`.
+    pub(crate) fn count_slots_after_stops(
+        &self,
+        step_ref: StepRef,
+        step: &Step,
+        vm: &Vm,
+        capacity: &Size,
+    ) -> u32 {
+        let is_staying = |phase| !matches!(phase, RunPhase::Stopping { .. });
+        let runs = self.step_runs(step_ref, step, vm, is_staying);
+        slots_beside(step, runs, capacity)
+    }
+
+    /// Counts the runs of a step on a VM if the step has a limit per VM.
+    fn step_runs(
+        &self,
+        step_ref: StepRef,
+        step: &Step,
+        vm: &Vm,
+        is_counted: impl Fn(RunPhase) -> bool,
+    ) -> u32 {
+        let job = self.jobs.get(step_ref.job);
+        let Some(job) = job.filter(|_| step.max_per_vm > 0) else {
+            return 0;
+        };
+        let name = TaskName {
+            job: job.id,
+            round: step_ref.round,
+            step: step_ref.step,
+            index: 0,
+        };
+        vm.count_step_runs(name, is_counted)
+    }
+
     /// Returns the VMs on which a step may start now, regardless of capacity, with their tickets.
     pub(crate) fn startable_vms(
         &self,
@@ -113,15 +161,8 @@
         index: u32,
         now: Millis,
     ) -> Option<(VmKey, CompactString)> {
-        let job = self.jobs.get(step_ref.job)?;
         let task = &self.step_state(step_ref)?.tasks[index as usize];
         let size = occupied_size(step);
-        let name = TaskName {
-            job: job.id,
-            round: step_ref.round,
-            step: step_ref.step,
-            index,
-        };
         // A VM on which the task has failed is better than none.
         let no_other = !task.avoided_vms.is_empty()
             && self.all_avoided(step_ref, step, &task.avoided_vms, now);
@@ -129,9 +170,8 @@
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             let vm = &self.vms[key];
             let available = self.free_capacity(key, vm);
-            let at_limit = step.max_per_vm > 0 && vm.count_step_runs(name) >= step.max_per_vm;
-            if at_limit || !size.fits(&available) || (task.avoided_vms.contains(&key) && !no_other)
-            {
+            let has_slot = self.count_slots(step_ref, step, vm, &available) > 0;
+            if !has_slot || (task.avoided_vms.contains(&key) && !no_other) {
                 continue;
             }
             let mut weight = leftover(&available.minus(&size), &vm.info.capacity);
@@ -149,6 +189,14 @@
     }
 }
 
+/// Returns how many tasks of a step fit into `capacity` of a VM that has `runs` of them.
+fn slots_beside(step: &Step, runs: u32, capacity: &Size) -> u32 {
+    capacity
+        .count_fitting(&occupied_size(step))
+        .min(step.tasks_per_vm().saturating_sub(runs))
+        .min(step.count)
+}
+
 /// Returns the remaining capacity in thousandths of the VM, summed over CPU and memory.
 fn leftover(rest: &Size, capacity: &Size) -> u64 {
     let share = |part: u32, whole: u32| u64::from(part) * 1000 / u64::from(whole.max(1));
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -140,7 +140,8 @@
             {
                 continue;
             }
-            let slots = self.offer(key, vm, step, job.policy.priority, now).slots;
+            let offer = self.offer(key, vm, step_ref, step, job.policy.priority, now);
+            let slots = offer.slots;
             unknown.push((slots, members_per_vm(vm, &size, step), key));
         }
         unknown.sort_by_key(|(slots, ..)| std::cmp::Reverse(*slots));
@@ -236,15 +237,15 @@
         step: &Step,
         now: Millis,
     ) -> Vec<(VmKey, u32, CompactString)> {
-        let size = occupied_size(step);
         let avoid = self.avoided_by_gang(step_ref, step, now);
         let mut slots = Vec::new();
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             if avoid.contains(&key) {
                 continue;
             }
-            let members = self.free_capacity(key, &self.vms[key]).count_fitting(&size);
-            let members = members.min(step.tasks_per_vm()).min(step.count);
+            let vm = &self.vms[key];
+            let capacity = self.free_capacity(key, vm);
+            let members = self.count_slots(step_ref, step, vm, &capacity);
             if members > 0 {
                 slots.push((key, members, ticket));
             }
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -4,11 +4,10 @@
 //! are stopped to free capacity for the head of the queue. The capacity is held until the stops are
 //! acknowledged. Runs that would lose their work are not preempted.
 
-use dotterel_kernel::Millis;
+use dotterel_kernel::{Millis, Size};
 
 use crate::cell::Cell;
 use crate::job::StepRef;
-use crate::plan::occupied_size;
 use crate::spec::{Step, TaskName};
 use crate::vm::{RunPhase, Vm, VmKey};
 
@@ -72,7 +71,7 @@
 
     fn offers(&self, step_ref: StepRef, step: &Step, priority: u8, now: Millis) -> Vec<Offer> {
         let vms = self.allowed_vms(step_ref, step, now).into_iter();
-        vms.map(|(key, vm)| self.offer(key, vm, step, priority, now))
+        vms.map(|(key, vm)| self.offer(key, vm, step_ref, step, priority, now))
             .filter(|offer| offer.slots > 0)
             .collect()
     }
@@ -82,11 +81,11 @@
         &self,
         key: VmKey,
         vm: &Vm,
+        step_ref: StepRef,
         step: &Step,
         priority: u8,
         now: Millis,
     ) -> Offer {
-        let size = occupied_size(step);
         let mut available = self.free_capacity(key, vm);
         let stopping = vm
             .runs
@@ -95,8 +94,9 @@
         for vm_run in stopping {
             available = available.plus(&vm_run.size);
         }
-        let max_slots = step.tasks_per_vm();
-        let mut slots = available.count_fitting(&size).min(max_slots);
+        let slots_in = |capacity: &Size| self.count_slots_after_stops(step_ref, step, vm, capacity);
+        let max_slots = slots_in(&vm.info.capacity);
+        let mut slots = slots_in(&available);
         let mut victims = Vec::new();
         if slots < max_slots {
             let mut preemptible: Vec<_> = vm
@@ -114,7 +114,7 @@
             for vm_run in preemptible {
                 available = available.plus(&vm_run.size);
                 chosen.push((vm_run.task, vm_run.run));
-                let fitting = available.count_fitting(&size).min(max_slots);
+                let fitting = slots_in(&available);
                 if fitting > slots {
                     slots = fitting;
                     victims.append(&mut chosen);
--- a/crates/dotterel-cell/src/plan/reserve.rs
+++ b/crates/dotterel-cell/src/plan/reserve.rs
@@ -124,7 +124,7 @@
         let mut candidates: Vec<Candidate> = vms
             .filter(|(key, _)| !avoid.contains(key))
             .map(|(key, vm)| Candidate {
-                offer: self.offer(key, vm, step, job.policy.priority, now),
+                offer: self.offer(key, vm, step_ref, step, job.policy.priority, now),
                 is_new: !state
                     .reservation
                     .slots
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -294,13 +294,15 @@
             .position(|vm_run| vm_run.task == task && vm_run.run == run)
     }
 
-    /// Returns the number of runs that belong to the same step as `task`.
+    /// Returns the number of runs that belong to the same step as `task`, in the phases for which
+    /// `is_counted` returns true.
     #[must_use]
-    pub fn count_step_runs(&self, task: TaskName) -> u32 {
+    pub fn count_step_runs(&self, task: TaskName, is_counted: impl Fn(RunPhase) -> bool) -> u32 {
         let same = self.runs.iter().filter(|vm_run| {
             vm_run.task.job == task.job
                 && vm_run.task.round == task.round
                 && vm_run.task.step == task.step
+                && is_counted(vm_run.phase)
         });
         u32::try_from(same.count()).unwrap_or(u32::MAX)
     }
--- a/crates/dotterel-cell/tests/cell/advice.rs
+++ b/crates/dotterel-cell/tests/cell/advice.rs
@@ -1,6 +1,8 @@
 //! A backlog of jobs that each need a call to a slow advice service.
 
+use compact_str::{CompactString, format_compact};
 use dotterel_cell::{AdviceRequest, JobRecord};
+use dotterel_kernel::Millis;
 
 use crate::support::{self, Bench, independent_tasks, with_advice, with_slow_advice};
 
@@ -82,3 +84,62 @@
 
     assert_eq!((first.len(), second.len()), (1, 1));
 }
+
+/// Approves the first `count` VMs of a request.
+fn approve(bench: &mut Bench, request: &AdviceRequest, count: usize) {
+    let approved: Vec<(CompactString, CompactString)> = request
+        .vms
+        .iter()
+        .take(count)
+        .map(|key| {
+            let vm = bench.cell.vm(*key).expect("the VM is known");
+            (vm.info.id.clone(), format_compact!("ticket-{}", vm.info.id))
+        })
+        .collect();
+    bench.cell.adviser_finished(request.adviser, bench.now);
+    bench.cell.advice_received(
+        request.step,
+        &request.vms,
+        &approved,
+        Millis(2400),
+        bench.now,
+    );
+}
+
+/// Pattern: the tasks of a long-running step are spread over VMs, few of which are approved.
+#[test]
+fn a_spread_step_asks_about_other_vms_once_the_approved_ones_are_at_its_limit() {
+    let mut bench = Bench::new(40);
+    bench.cell.adviser_joined(7);
+    let mut record = with_advice(independent_tasks(4, 400));
+    record.spec.steps[0].long_running = true;
+    record.spec.steps[0].max_per_vm = 1;
+    bench.submit(1, record);
+    bench.commit_all();
+    bench.plan();
+    let first = advice_requests(&mut bench).remove(0);
+    approve(&mut bench, &first, 2);
+    bench.plan();
+    let used: Vec<_> = bench.confirm_starts().iter().map(|s| s.vm).collect();
+
+    let mut asked = Vec::new();
+    for _ in 0..4 {
+        bench.advance(2600);
+        bench.report_running(100);
+        bench.plan();
+        for request in advice_requests(&mut bench) {
+            approve(&mut bench, &request, 0);
+            asked.extend(request.vms);
+        }
+    }
+
+    assert_eq!(used.len(), 2);
+    assert!(
+        asked.iter().any(|vm| !first.vms.contains(vm)),
+        "other VMs are asked about"
+    );
+    assert!(
+        asked.iter().all(|vm| !used.contains(vm)),
+        "VMs at the limit are not"
+    );
+}
