Acknowledge ends only on a connection on which the VM's incarnation has replied

A poll that was prepared for the previous incarnation carried that one's last number; the new incarnation discarded ends up to it that nobody had read, and their tasks ran again. The HTTP client's pool hides which process a request reaches, so comparing the incarnation after the reply is too late.

A VM's watcher now has a connection of its own. The first poll on it acknowledges nothing and extends no lease.

Found beside it, in the same path: a start order that may have reached the new incarnation was kept for ever if that incarnation never replied (its task never ran again), and counted with the usual lease instead of the longest one if it replied once. Both have a test that fails without the change.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -29,6 +29,8 @@
 pub struct Limits {
     /// Lease duration requested with each call to a VM.
     pub lease_ttl: Millis,
+    /// Longest lease that a VM grants.
+    pub lease_max: Millis,
     /// Longest time that a VM takes to stop a run.
     pub stop_timeout: Millis,
     /// How long the state of an ended job can be queried.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             lease_ttl: Millis(4000),
+            lease_max: Millis::secs(10),
             stop_timeout: Millis(400),
             retention: Millis::secs(120),
         }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -41,8 +41,15 @@
         if !vm.fenced {
             vm.fenced = true;
             self.plan_needed = true;
-            // The previous leader may have requested a lease up to this time.
-            vm.lease_end = vm.lease_end.max(report.clock + self.limits.lease_ttl);
+            // The previous leader may have requested a lease up to this time. Runs known before the
+            // first report were ordered with a lease on the clock of the previous incarnation, of
+            // which the new one grants as much as it can.
+            let lease = if vm.runs.is_empty() {
+                self.limits.lease_ttl
+            } else {
+                self.limits.lease_max
+            };
+            vm.lease_end = vm.lease_end.max(report.clock + lease);
             if self.term > 1 {
                 vm.not_before = now + self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
             }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -60,8 +60,14 @@
     fn expire_leases(&mut self, now: Millis) {
         let mut lost = Vec::new();
         let mut removable = Vec::new();
+        let lease_max = self.limits.lease_max;
         for (key, vm) in &mut self.vms {
-            if vm.fenced && now >= vm.lease_expiry() {
+            let expires_at = if vm.fenced {
+                Some(vm.lease_expiry())
+            } else {
+                vm.unreported_expiry(lease_max)
+            };
+            if expires_at.is_some_and(|expires_at| now >= expires_at) {
                 vm.fenced = false;
                 lost.extend(vm.runs.iter().map(|vm_run| (key, vm_run.task, vm_run.run)));
             }
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -20,6 +20,10 @@
 /// Time for a VM to end its tasks after their lease has expired.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(300);
 
+/// Time after which a start order is no longer sent; it covers the wait for other orders to the VM
+/// and both attempts.
+const START_ORDER_TIMEOUT: Millis = Millis(2000);
+
 /// A VM's entry in the registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmInfo {
@@ -259,6 +263,15 @@
         self.answered_at + Millis(max_remaining) + LEASE_EXPIRY_MARGIN
     }
 
+    /// Returns the time from which none of the known runs can still be running on a VM that has not
+    /// replied since it restarted; none if there are no runs.
+    #[must_use]
+    pub fn unreported_expiry(&self, lease_max: Millis) -> Option<Millis> {
+        let last_order = self.runs.iter().map(|vm_run| vm_run.ordered_at).max()?;
+        let max_lease = lease_max.0 * 100 / (100 - MAX_CLOCK_DRIFT_PCT);
+        Some(last_order + START_ORDER_TIMEOUT + Millis(max_lease) + LEASE_EXPIRY_MARGIN)
+    }
+
     /// Recomputes the number up to which ends are durable.
     pub fn update_durable_end(&mut self, jobs: &SlotMap<JobKey, Job>) {
         while let Some(first) = self.pending_ends.front() {
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -113,16 +113,21 @@
     /// Has each VM report its runs as running.
     pub(crate) fn report_running(&mut self, percent: u8) {
         for index in 0..self.vms.len() {
-            let runs: Vec<ReportedRun> = self
-                .vm(index)
-                .runs
-                .iter()
-                .map(|vm_run| running(vm_run.task, vm_run.run, percent))
-                .collect();
-            self.report(index, &runs, &[]);
+            self.report_runs(index, percent);
         }
     }
 
+    /// Has one VM report its runs as running.
+    pub(crate) fn report_runs(&mut self, index: usize, percent: u8) {
+        let runs: Vec<ReportedRun> = self
+            .vm(index)
+            .runs
+            .iter()
+            .map(|vm_run| running(vm_run.task, vm_run.run, percent))
+            .collect();
+        self.report(index, &runs, &[]);
+    }
+
     pub(crate) fn vm(&self, index: usize) -> &Vm {
         self.cell.vm(self.vms[index]).expect("the VM is known")
     }
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -317,6 +317,65 @@
     assert_eq!(again.len(), 1);
 }
 
+/// Returns a cell of two VMs, the first with a start order that may have reached its new
+/// incarnation, the key of that incarnation, and the index of the other VM.
+fn with_start_on_restarted_vm() -> (Bench, dotterel_cell::VmKey, usize) {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.take_starts().remove(0);
+    let vm_index = bench.index_of(start.vm);
+    let mut restarted = support::vm_info(vm_index);
+    restarted.incarnation += 1;
+    let key = bench.cell.vm_listed(restarted);
+    (bench, key, 1 - vm_index)
+}
+
+/// Returns how long it takes until the task starts elsewhere, in ms, while only `other` reports.
+fn ms_until_restart(bench: &mut Bench, other: usize) -> Option<u64> {
+    let since = bench.now;
+    for _ in 0..40 {
+        bench.advance(500);
+        bench.report_runs(other, 10);
+        bench.cell.tick(bench.now);
+        bench.plan();
+        if !bench.take_starts().is_empty() {
+            return Some(bench.now.since(since).0);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_start_on_a_restarted_vm_that_never_replies_is_given_up_after_the_longest_lease() {
+    let (mut bench, _, other) = with_start_on_restarted_vm();
+    let longest = bench.cell.limits().lease_max.0;
+
+    let waited = ms_until_restart(&mut bench, other);
+
+    let waited = waited.expect("the task starts elsewhere");
+    assert!(waited > longest, "started after {waited} ms");
+}
+
+#[test]
+fn a_restarted_vm_may_hold_the_longest_lease_when_it_falls_silent() {
+    let (mut bench, key, other) = with_start_on_restarted_vm();
+    let report = dotterel_cell::Report {
+        incarnation: 8,
+        clock: Millis(900),
+        running: vec![running(task(1, 0), 1, 5)],
+        ended: Vec::new(),
+    };
+    bench.cell.apply_report(key, &report, bench.now, bench.now);
+    let longest = bench.cell.limits().lease_max.0;
+
+    let waited = ms_until_restart(&mut bench, other);
+
+    let waited = waited.expect("the task starts elsewhere");
+    assert!(waited > longest, "started after {waited} ms");
+}
+
 #[test]
 fn reported_runs_of_a_restarted_vm_end_at_once() {
     let mut bench = Bench::new(2);
--- a/crates/dotterel-node/src/http/client.rs
+++ b/crates/dotterel-node/src/http/client.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -61,6 +62,56 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection that is not pooled. All requests on it reach the process that accepted it, or none.
+#[derive(Debug)]
+pub struct Connection(Sender);
+
+impl Connection {
+    /// Opens a connection to an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection isn't established in time.
+    pub async fn open(address: &str) -> Result<Self, CallError> {
+        connect(address).await.map(Self)
+    }
+
+    /// Returns true once the connection can't carry further requests.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    /// Sends a request and returns the complete response. After an error, the connection must not
+    /// be used again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that states whether the request may have been executed.
+    pub async fn call(&mut self, call: Call<'_>) -> Result<Reply, CallError> {
+        let limit = call.timeout.duration();
+        let mut sent = false;
+        let exchange = async {
+            if self.0.ready().await.is_err() {
+                return Err(CallError::NotSent);
+            }
+            sent = true;
+            match self.0.try_send_request(build_request(call)).await {
+                Ok(response) => read_reply(response).await,
+                Err(mut err) => match err.take_message() {
+                    Some(_) => Err(CallError::NotSent),
+                    None => Err(CallError::NoResponse),
+                },
+            }
+        };
+        match timeout(limit, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) if sent => Err(CallError::NoResponse),
+            Err(_) => Err(CallError::NotSent),
+        }
+    }
+}
+
 /// A client that keeps idle connections by address.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -101,18 +152,9 @@
             *sent = true;
             match sender.try_send_request(request).await {
                 Ok(response) => {
-                    let status = response.status();
-                    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-                        .collect()
-                        .await;
-                    let Ok(body) = body else {
-                        return Err(CallError::NoResponse);
-                    };
+                    let reply = read_reply(response).await?;
                     self.store_idle(address, sender);
-                    return Ok(Reply {
-                        status,
-                        body: body.to_bytes(),
-                    });
+                    return Ok(reply);
                 }
                 Err(mut err) => match err.take_message() {
                     // The server may have closed the idle connection in the meantime.
@@ -170,6 +212,20 @@
     request
 }
 
+async fn read_reply(response: Response<Incoming>) -> Result<Reply, CallError> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
+        .collect()
+        .await;
+    match body {
+        Ok(body) => Ok(Reply {
+            status,
+            body: body.to_bytes(),
+        }),
+        Err(_) => Err(CallError::NoResponse),
+    }
+}
+
 async fn connect(address: &str) -> Result<Sender, CallError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = stream else {
--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -161,6 +161,9 @@
 
 /// The platform's services, as the node uses them.
 pub trait Platform: 'static {
+    /// A connection to one incarnation of a VM, for polls.
+    type VmConnection;
+
     /// Executes a transaction.
     fn commit(&self, tx: &Tx, timeout: Millis) -> impl Future<Output = Commit>;
 
@@ -198,15 +201,28 @@
     fn vm_changes(&self, after: Option<u64>)
     -> impl Future<Output = Result<VmChanges, StoreError>>;
 
+    /// Connects to a VM for polls.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the VM doesn't accept the connection.
+    fn connect_vm(
+        &self,
+        vm: &VmTarget,
+    ) -> impl Future<Output = Result<Self::VmConnection, VmError>>;
+
     /// Extends the lease on a VM's runs, acknowledges ended runs up to `acked`, and waits up to
     /// `wait` for further runs to end.
     ///
+    /// After an error, the connection must not be used again.
+    ///
     /// # Errors
     ///
     /// Returns an error when the VM doesn't respond or rejects the fencing token.
     fn hold(
         &self,
         vm: &VmTarget,
+        connection: &mut Self::VmConnection,
         lease: Option<Millis>,
         acked: u64,
         wait: Millis,
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -3,13 +3,13 @@
 use std::collections::hash_map::Entry;
 use std::rc::Rc;
 
-use dotterel_cell::VmKey;
+use dotterel_cell::{Report, VmKey};
 use dotterel_kernel::Millis;
 use tokio::sync::mpsc;
 
 use super::Scheduler;
 use crate::link::CellNo;
-use crate::platform::{Platform, StoreError, VmChanges, VmError};
+use crate::platform::{Platform, StoreError, VmChanges, VmError, VmTarget};
 
 /// Interval between reads of the registry: well within the time for which a VM that is about to
 /// leave still accepts work.
@@ -130,19 +130,51 @@
         }
     }
 
+    /// Polls a VM once.
+    ///
+    /// A VM that restarts under its id numbers its ends from 1 again, so an acknowledgement meant
+    /// for the previous incarnation would discard ends that nobody has seen. Ends are acknowledged
+    /// and leases extended only on a connection on which the incarnation has replied; a restart
+    /// breaks it.
+    async fn poll_once(
+        &self,
+        key: VmKey,
+        target: &VmTarget,
+        session: &mut Session<P::VmConnection>,
+        now: Millis,
+    ) -> Result<Report, VmError> {
+        if session.connection.is_none() {
+            session.connection = Some(self.platform.connect_vm(target).await?);
+        }
+        let Some(connection) = session.connection.as_mut() else {
+            return Err(VmError::Away);
+        };
+        let (mut lease, mut acked, mut wait) = (None, 0, Millis::ZERO);
+        {
+            let mut cell = self.cell.borrow_mut();
+            let vm = cell.vm(key);
+            let known = vm.filter(|vm| session.incarnation == Some(vm.info.incarnation));
+            if let Some(durable_end) = known.map(|vm| vm.durable_end) {
+                acked = durable_end;
+                lease = cell.extend_lease(key, now);
+            }
+        }
+        if lease.is_some() {
+            wait = HOLD_WAIT;
+        }
+        let polled = self.platform.hold(target, connection, lease, acked, wait);
+        let report = polled.await?;
+        session.incarnation = Some(report.incarnation);
+        Ok(report)
+    }
+
     async fn poll_vm(self: &Rc<Self>, key: VmKey) {
         let mut backoff = MIN_BACKOFF;
         let mut unavailable = false;
+        let mut session = Session::default();
         while let Some(target) = self.target(key) {
             let sent_at = self.clock.now();
-            let (lease, acked, has_lease) = {
-                let mut cell = self.cell.borrow_mut();
-                let acked = cell.vm(key).map_or(0, |vm| vm.durable_end);
-                let lease = cell.extend_lease(key, sent_at);
-                (lease, acked, lease.is_some())
-            };
-            let wait = if has_lease { HOLD_WAIT } else { Millis::ZERO };
-            let result = self.platform.hold(&target, lease, acked, wait).await;
+            let result = self.poll_once(key, &target, &mut session, sent_at).await;
             let now = self.clock.now();
             match result {
                 Ok(report) => {
@@ -178,6 +210,7 @@
                     return;
                 }
                 Err(err) => {
+                    session = Session::default();
                     if !unavailable {
                         log::warn!(vm = target.id.as_str(), fault:? = err; "VM not responding");
                     }
@@ -190,6 +223,22 @@
     }
 }
 
+/// The connection for polls of one VM.
+struct Session<C> {
+    connection: Option<C>,
+    /// The incarnation that has replied on it.
+    incarnation: Option<u64>,
+}
+
+impl<C> Default for Session<C> {
+    fn default() -> Self {
+        Self {
+            connection: None,
+            incarnation: None,
+        }
+    }
+}
+
 /// Returns a digest of a set of ids that doesn't depend on their order.
 pub(crate) fn ids_digest<'a>(ids: impl Iterator<Item = &'a str>) -> u64 {
     ids.fold(0, |digest, id| {
