Store which VMs may have runs, so that a successor waits for these alone; wait for a leader that restores its state

It went by signs (VMs missing from the registry, a renewal older than 3 s, another set of VMs) and waited for all when in doubt. The leader now stores the list of VMs that may have runs, gives none to a VM that isn't durably on it, and takes a VM off once its lease has expired. A successor polls the VMs of the list, also those that have left the registry, and waits for these only.

The leader now tells waiting fronts that it is restoring its state.

The capacity test reports twice with a commit between, as a VM can't be used before it is recorded.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -20,9 +20,11 @@
 mod registry;
 mod reports;
 mod tick;
+mod vm_list;
 
-pub use batch::{Batch, RowWrite};
+pub use batch::{Batch, RowWrite, VM_LIST_LANE};
 pub use load::Load;
+pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
 
 /// Limits stated by the platform and set for the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,6 +149,8 @@
     ending_jobs: Vec<JobKey>,
     /// Ended jobs whose rows are to be deleted, and the lanes that wrote them.
     expired_jobs: Vec<(JobId, u8)>,
+    /// Rows of the list of VMs that have to be rewritten, sorted.
+    changed_vm_rows: Vec<u8>,
     /// Sequence number of the last job change that has to be written.
     seq: u64,
     pub(crate) plan_needed: bool,
@@ -182,6 +186,7 @@
             changed_at: Millis::ZERO,
             ending_jobs: Vec::new(),
             expired_jobs: Vec::new(),
+            changed_vm_rows: Vec::new(),
             seq: 0,
             plan_needed: true,
             approval_rates: Vec::new(),
@@ -276,16 +281,6 @@
         self.jobs.values()
     }
 
-    /// Returns the number of VMs that still have runs but are no longer in the registry.
-    #[must_use]
-    pub fn unlisted_busy_vms(&self) -> usize {
-        let busy = self
-            .vms
-            .values()
-            .filter(|vm| !vm.listed && !vm.runs.is_empty());
-        busy.count()
-    }
-
     /// Returns the orders issued since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -11,6 +11,7 @@
 use crate::job::{JobKey, JobState};
 use crate::record::{EndRecord, JobRecord, JobRow, encode};
 use crate::spec::JobId;
+use crate::vm::VmKey;
 
 /// Maximum rows per transaction. The store accepts 100 entries, and the writer adds some of its
 /// own.
@@ -18,6 +19,8 @@
 /// Maximum bytes per transaction. The store accepts 1 MB of encoded text, which is a third larger
 /// than the bytes.
 const MAX_BATCH_BYTES: usize = 600_000;
+/// The lane that writes the list of VMs.
+pub const VM_LIST_LANE: u8 = 0;
 /// How long progress is delayed to batch it. Losing progress that is not yet written costs no work,
 /// because the VMs keep the ends.
 const PROGRESS_DELAY: Millis = Millis(200);
@@ -33,12 +36,14 @@
     DropProgress(JobId),
     /// Deletes the row of a job whose retention has expired.
     DropJob(JobId),
+    /// Writes a row of the list of VMs that may have runs.
+    VmList(u8, Vec<u8>),
 }
 
 impl RowWrite {
     const fn bytes(&self) -> usize {
         match self {
-            Self::Job(_, bytes) | Self::Progress(_, bytes) => bytes.len(),
+            Self::Job(_, bytes) | Self::Progress(_, bytes) | Self::VmList(_, bytes) => bytes.len(),
             Self::DropProgress(_) | Self::DropJob(_) => 0,
         }
     }
@@ -58,6 +63,8 @@
     lane: u8,
     jobs: Vec<JobKey>,
     ended_jobs: Vec<JobKey>,
+    /// VMs that the batch lists.
+    listed_vms: Vec<VmKey>,
 }
 
 impl Cell {
@@ -76,6 +83,7 @@
                 .expired_jobs
                 .iter()
                 .any(|(_, row_lane)| *row_lane == lane)
+            || (lane == VM_LIST_LANE && !self.changed_vm_rows.is_empty())
     }
 
     /// Returns true if there are rows that any lane may write.
@@ -94,6 +102,9 @@
             ..Batch::default()
         };
         let mut budget = BatchBudget::default();
+        if lane == VM_LIST_LANE {
+            self.take_vm_list(&mut batch, &mut budget);
+        }
         // Progress goes first when it is due: it becomes due less often than the other rows, and
         // until it is written the ends stay on the VMs, which list at most 500.
         if now.since(self.changed_at) >= PROGRESS_DELAY {
@@ -108,6 +119,23 @@
         batch
     }
 
+    /// Takes the changed rows of the list of VMs. VMs can't be used before they are listed, so these
+    /// rows go first.
+    fn take_vm_list(&mut self, batch: &mut Batch, budget: &mut BatchBudget) {
+        let mut remaining = Vec::new();
+        for row in std::mem::take(&mut self.changed_vm_rows) {
+            let (records, mut keys) = self.vm_list_content(row);
+            let write = RowWrite::VmList(row, encode(&records));
+            if budget.try_add(std::slice::from_ref(&write)) {
+                batch.listed_vms.append(&mut keys);
+                batch.writes.push(write);
+            } else {
+                remaining.push(row);
+            }
+        }
+        self.changed_vm_rows = remaining;
+    }
+
     fn take_expired(&mut self, lane: u8, batch: &mut Batch, budget: &mut BatchBudget) {
         let mut remaining = Vec::new();
         for (id, row_lane) in std::mem::take(&mut self.expired_jobs) {
@@ -229,8 +257,10 @@
             }
         }
         for write in &batch.writes {
-            if let RowWrite::DropJob(id) = write {
-                self.expired_jobs.push((*id, batch.lane));
+            match write {
+                RowWrite::DropJob(id) => self.expired_jobs.push((*id, batch.lane)),
+                RowWrite::VmList(row, _) => self.mark_vm_list_row(*row),
+                _ => {}
             }
         }
     }
@@ -251,6 +281,11 @@
                 job.spec = std::sync::Arc::default();
             }
         }
+        for key in &batch.listed_vms {
+            if let Some(vm) = self.vms.get_mut(*key) {
+                vm.recorded = true;
+            }
+        }
         for vm in self.vms.values_mut() {
             vm.update_durable_end(&self.jobs);
         }
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -16,6 +16,7 @@
                 let vm = &mut self.vms[key];
                 vm.listed = true;
                 self.plan_needed |= vm.info.draining != info.draining;
+                vm.recorded &= vm.info.address == info.address;
                 vm.info = info;
                 return key;
             }
@@ -109,7 +110,11 @@
         for (task, run) in runs {
             self.release(key, task, run);
         }
-        self.vms.remove(key);
+        if let Some(vm) = self.vms.remove(key)
+            && vm.recorded
+        {
+            self.mark_vm_list_row(super::vm_list_row(&vm.info.id));
+        }
         self.vm_index.retain(|(_, known)| *known != key);
     }
 }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -40,6 +40,7 @@
         let vm = &mut self.vms[key];
         if !vm.fenced {
             vm.fenced = true;
+            vm.awaited = false;
             self.plan_needed = true;
             // The previous leader may have requested a lease up to this time. Runs known before the
             // first report were ordered with a lease on the clock of the previous incarnation, of
@@ -53,7 +54,9 @@
             if self.term > 1 {
                 vm.not_before = now + self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
             }
+            self.update_vm_list();
         }
+        let vm = &mut self.vms[key];
         if report.clock >= vm.clock {
             vm.clock = report.clock;
             vm.answered_at = now;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -22,6 +22,7 @@
     pub fn tick(&mut self, now: Millis) {
         self.update_recovery(now);
         self.expire_leases(now);
+        self.update_vm_list();
         self.retry_stops(now);
         self.stop_stalled(now);
         self.preempt_on_draining_vms();
@@ -41,20 +42,16 @@
         if self.recovered {
             return;
         }
-        // A VM that left the registry before it replied may only be cut off from the registry and
-        // still run tasks, so it counts too.
-        let all_fenced = !self.vms.is_empty() && self.vms.values().all(|vm| vm.fenced);
-        if now >= self.recovery_deadline || (all_fenced && now > self.took_over_at) {
+        let all_known = self.vms.values().all(|vm| !vm.awaited);
+        if now >= self.recovery_deadline || (all_known && now > self.took_over_at) {
             self.recovered = true;
             self.plan_needed = true;
+            for vm in self.vms.values_mut() {
+                vm.awaited = false;
+            }
         }
     }
 
-    /// Makes recovery last until its deadline, for when VMs may be missing from the registry.
-    pub fn require_full_recovery(&mut self) {
-        self.took_over_at = self.recovery_deadline;
-    }
-
     /// Releases the runs of VMs that did not reply before their leases expired, and removes idle
     /// VMs that left the registry.
     fn expire_leases(&mut self, now: Millis) {
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/vm_list.rs
@@ -0,0 +1,98 @@
+//! The stored list of VMs that may have runs.
+//!
+//! A successor has to know what is running before it starts a task again. The registry isn't enough:
+//! a VM that is cut off from it loses its entry and runs on. The leader therefore stores which VMs
+//! may have runs, gives none to a VM before that is durable, and deletes a VM from the list once
+//! its lease has certainly expired. A successor waits for the VMs of the list and for no others.
+
+use compact_str::CompactString;
+use dotterel_kernel::Millis;
+use serde::{Deserialize, Serialize};
+
+use super::Cell;
+use crate::vm::{Vm, VmInfo, VmKey};
+
+/// Rows of the list. A change rewrites one row; at 3,000 VMs a row has about 100 entries.
+pub const VM_LIST_ROWS: u8 = 32;
+
+/// A VM that may have runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmRecord {
+    /// Id of the VM.
+    pub id: CompactString,
+    /// Address that accepts orders.
+    pub address: CompactString,
+    /// Wall-clock time at which the VM started.
+    pub incarnation: u64,
+}
+
+/// Returns the row that lists a VM.
+#[must_use]
+pub fn vm_list_row(id: &str) -> u8 {
+    let hash = id.bytes().fold(0u32, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
+    u8::try_from(hash % u32::from(VM_LIST_ROWS)).unwrap_or_default()
+}
+
+impl Cell {
+    /// Restores the list that an earlier term stored. VMs that have left the registry since then
+    /// are polled as well, since they may only be cut off from it.
+    pub fn restore_vm_list(&mut self, records: &[VmRecord], now: Millis) {
+        for record in records {
+            let key = self.vm_by_id(&record.id).unwrap_or_else(|| {
+                let key = self.vm_listed(VmInfo {
+                    id: record.id.clone(),
+                    address: record.address.clone(),
+                    incarnation: record.incarnation,
+                    ..VmInfo::default()
+                });
+                self.vm_unlisted(&record.id, now);
+                key
+            });
+            let vm = &mut self.vms[key];
+            vm.awaited = true;
+            vm.recorded = vm.info.address == record.address;
+        }
+    }
+
+    /// Waits for all VMs, for when an earlier term stored no list.
+    pub fn await_all_vms(&mut self) {
+        for vm in self.vms.values_mut() {
+            vm.awaited = true;
+        }
+    }
+
+    /// Marks the rows of the list that have to be rewritten.
+    pub(super) fn update_vm_list(&mut self) {
+        let mut changed = Vec::new();
+        for vm in self.vms.values_mut() {
+            // The entry of a VM that still has one may name its previous incarnation.
+            if vm.may_have_runs() != vm.recorded {
+                vm.recorded = false;
+                changed.push(vm_list_row(&vm.info.id));
+            }
+        }
+        for row in changed {
+            self.mark_vm_list_row(row);
+        }
+    }
+
+    pub(super) fn mark_vm_list_row(&mut self, row: u8) {
+        if let Err(at) = self.changed_vm_rows.binary_search(&row) {
+            self.changed_vm_rows.insert(at, row);
+        }
+    }
+
+    /// Returns the content of a row, and the VMs in it.
+    pub(super) fn vm_list_content(&self, row: u8) -> (Vec<VmRecord>, Vec<VmKey>) {
+        let in_row = |(_, vm): &(VmKey, &Vm)| vm.may_have_runs() && vm_list_row(&vm.info.id) == row;
+        let vms = self.vms.iter().filter(in_row);
+        let record = |vm: &Vm| VmRecord {
+            id: vm.info.id.clone(),
+            address: vm.info.address.clone(),
+            incarnation: vm.info.incarnation,
+        };
+        vms.map(|(key, vm)| (record(vm), key)).unzip()
+    }
+}
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -24,6 +24,7 @@
     /// Returns true if a VM may run tasks of a step, regardless of capacity.
     pub(crate) fn is_usable(&self, vm: &Vm, service: &str, step: &Step, now: Millis) -> bool {
         vm.fenced
+            && vm.recorded
             && vm.listed
             && !vm.info.draining
             && now >= vm.not_before
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -197,6 +197,11 @@
     pub unlisted_at: Millis,
     /// Set once the VM has replied to this scheduler's fencing token.
     pub fenced: bool,
+    /// Set while the store names the VM as one that may have runs. No run is started before that.
+    pub recorded: bool,
+    /// Set on VMs that an earlier term may have given runs, until they reply or their leases have
+    /// expired: recovery waits for them.
+    pub awaited: bool,
     /// No run is started before this time: runs that a previous leader ordered to stop occupy
     /// capacity without being listed until their ends are.
     pub not_before: Millis,
@@ -229,6 +234,8 @@
             listed: true,
             unlisted_at: Millis::ZERO,
             fenced: false,
+            recorded: false,
+            awaited: false,
             not_before: Millis::ZERO,
             used: Size::ZERO,
             runs: Vec::new(),
@@ -242,6 +249,12 @@
         }
     }
 
+    /// Returns true if the VM may have runs, or may be given some.
+    #[must_use]
+    pub const fn may_have_runs(&self) -> bool {
+        self.fenced || self.awaited || !self.runs.is_empty()
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub fn free(&self) -> Size {
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -86,6 +86,7 @@
     bench.advance(10);
     let leftover = running(task(9, 0), 1, 40);
     bench.report(0, std::slice::from_ref(&leftover), &[]);
+    bench.commit_all();
     bench.advance(600);
     bench.report(0, &[leftover], &[]);
 
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -1,6 +1,7 @@
 //! Fixtures: a cell whose VMs, clock and store are driven by the test.
 
 use compact_str::{CompactString, format_compact};
+use dotterel_cell::cell::VmRecord;
 use dotterel_cell::vm::Vm;
 use dotterel_cell::{
     AdviceRequest, AdviceTerms, Cell, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report,
@@ -30,29 +31,34 @@
     }
 
     pub(crate) fn with_term(vms: usize, term: u32) -> Self {
-        let now = Millis(1_000_000);
-        let recovery_deadline = now + Millis(4500);
-        let cell = Cell::new(Limits::default(), term, now, recovery_deadline);
-        let mut bench = Self {
-            cell,
-            now,
-            vms: Vec::new(),
-        };
-        for index in 0..vms {
-            let key = bench.cell.vm_listed(vm_info(index));
-            bench.vms.push(key);
-        }
+        let mut bench = Self::silent(vms, term);
         bench.advance(1);
         for index in 0..vms {
             bench.report(index, &[], &[]);
         }
         bench.cell.tick(bench.now);
+        bench.commit_all();
         bench
     }
 
-    /// Returns a cell in its second term whose VMs are listed but have not replied.
+    /// Returns a cell in its second term whose VMs are listed and have been used, but have not
+    /// replied.
     pub(crate) fn successor(vms: usize) -> Self {
-        let mut bench = Self::with_term(0, 2);
+        let mut bench = Self::silent(vms, 2);
+        let records: Vec<VmRecord> = (0..vms).map(vm_record).collect();
+        bench.cell.restore_vm_list(&records, bench.now);
+        bench
+    }
+
+    /// Returns a cell whose VMs are listed but have not replied.
+    fn silent(vms: usize, term: u32) -> Self {
+        let now = Millis(1_000_000);
+        let recovery_deadline = now + Millis(4500);
+        let mut bench = Self {
+            cell: Cell::new(Limits::default(), term, now, recovery_deadline),
+            now,
+            vms: Vec::new(),
+        };
         for index in 0..vms {
             let key = bench.cell.vm_listed(vm_info(index));
             bench.vms.push(key);
@@ -180,6 +186,15 @@
     }
 }
 
+pub(crate) fn vm_record(index: usize) -> VmRecord {
+    let info = vm_info(index);
+    VmRecord {
+        id: info.id,
+        address: info.address,
+        incarnation: info.incarnation,
+    }
+}
+
 pub(crate) fn size(milli_cores: u32, memory_mb: u32) -> Size {
     Size {
         milli_cores,
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -1,6 +1,7 @@
 //! A successor finds out what is running before it starts anything.
 
 use crate::support::{self, Bench, ended, independent_tasks, running, task};
+use dotterel_cell::cell::VmRecord;
 use dotterel_cell::record::{Progress, decode};
 use dotterel_cell::{JobId, RowWrite, RunOutcome};
 use dotterel_kernel::Millis;
@@ -416,3 +417,108 @@
 
     assert_eq!((early, late), (0, 1), "its lease has to expire first");
 }
+
+#[test]
+fn a_vm_gets_no_run_before_the_store_names_it() {
+    let mut bench = Bench::new(0);
+    let key = bench.cell.vm_listed(support::vm_info(0));
+    bench.vms.push(key);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.report(0, &[], &[]);
+
+    bench.plan();
+    let early = bench.take_starts();
+    bench.commit_all();
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert_eq!((early.len(), late.len()), (0, 1));
+}
+
+#[test]
+fn recovery_waits_only_for_vms_that_may_have_runs() {
+    let mut bench = Bench::successor(1);
+    let silent = bench.cell.vm_listed(support::vm_info(1));
+    bench.vms.push(silent);
+    bench
+        .cell
+        .restore_job(JobId(1), independent_tasks(1, 1000), None, 0, bench.now);
+    bench.advance(10);
+    bench.report(0, &[], &[]);
+    bench.advance(600);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+
+    bench.plan();
+
+    assert_eq!(bench.take_starts().len(), 1);
+}
+
+/// Pattern: a VM is cut off from the registry, loses its entry and runs on; the leader dies.
+#[test]
+fn a_run_on_a_vm_missing_from_the_registry_is_adopted() {
+    let mut bench = Bench::successor(1);
+    let cut_off = support::vm_record(7);
+    bench.cell.restore_vm_list(&[cut_off], bench.now);
+    let key = bench.cell.vm_by_id("vm-007").expect("the VM is polled");
+    bench.vms.push(key);
+    bench
+        .cell
+        .restore_job(JobId(1), independent_tasks(2, 1000), None, 0, bench.now);
+    bench.advance(10);
+    bench.report(0, &[], &[]);
+    bench.report(1, &[running(task(1, 0), 1, 30)], &[]);
+    bench.advance(600);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+
+    bench.plan();
+
+    let starts = bench.take_starts();
+    assert_eq!(starts.len(), 1, "the other task need not wait");
+    assert_eq!(starts[0].task, task(1, 1));
+}
+
+/// Returns the ids in the rows of the VM list that the cell writes next.
+fn listed_ids(bench: &mut Bench) -> Vec<String> {
+    let batch = bench.cell.take_batch(0, bench.now);
+    bench.cell.batch_committed(&batch);
+    let rows = batch.writes.iter().filter_map(|write| match write {
+        RowWrite::VmList(_, bytes) => decode::<Vec<VmRecord>>(bytes),
+        _ => None,
+    });
+    rows.flatten().map(|record| record.id.to_string()).collect()
+}
+
+#[test]
+fn a_silent_vm_stays_on_the_list_until_its_lease_has_expired() {
+    let mut bench = Bench::new(1);
+    bench.cell.extend_lease(bench.vms[0], bench.now);
+    bench.advance(2000);
+    bench.cell.tick(bench.now);
+    let changed_early = bench.cell.has_rows(0, bench.now);
+    bench.advance(bench.cell.limits().lease_ttl.0);
+
+    bench.cell.tick(bench.now);
+
+    assert!(!changed_early);
+    assert!(bench.cell.has_rows(0, bench.now), "its row is rewritten");
+    assert!(listed_ids(&mut bench).is_empty());
+}
+
+#[test]
+fn a_second_takeover_waits_for_the_same_vms() {
+    let mut bench = Bench::successor(2);
+    bench.advance(10);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+
+    let rewritten = listed_ids(&mut bench);
+
+    assert!(
+        rewritten.is_empty() || rewritten.contains(&"vm-001".to_owned()),
+        "the VM that has not replied is still listed"
+    );
+    assert!(bench.vm(1).recorded);
+}
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -242,13 +242,7 @@
                 own_size
             },
         };
-        let renewal = RenewalRow {
-            term,
-            count: 0,
-            unlisted: 0,
-            at: self.clock.now(),
-            registry_digest: 0,
-        };
+        let renewal = RenewalRow { term, count: 0 };
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
         let tx = Tx {
             part: self.cell.part(0),
@@ -263,11 +257,9 @@
             Commit::Done(version) => {
                 log::info!(
                     cell = self.cell.0, term, fence = version, reason; "leadership acquired");
-                let previous_renewal = rows.renewal.map(|(renewal, _)| renewal);
                 self.host.clone().start_term(Takeover {
                     cell: self.cell,
                     fence: version,
-                    previous_renewal,
                     leader,
                 });
             }
--- a/crates/dotterel-node/src/election/rows.rs
+++ b/crates/dotterel-node/src/election/rows.rs
@@ -1,7 +1,6 @@
 //! The store rows that record the leader of a cell.
 
 use compact_str::CompactString;
-use dotterel_kernel::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::platform::Row;
@@ -47,14 +46,6 @@
     pub term: u32,
     /// Number of the transaction within the term and lane.
     pub count: u64,
-    /// Number of VMs that run tasks but are no longer in the registry: a successor can't know of
-    /// them.
-    pub unlisted: u32,
-    /// The leader's wall-clock time.
-    pub at: Millis,
-    /// Digest of the VMs that the leader knew, see `Scheduler::registry_digest`. A VM that has left
-    /// the registry since then may be disconnected from it and still run tasks.
-    pub registry_digest: u64,
 }
 
 /// The leader row and the renewal row, each with its version.
--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -23,6 +23,8 @@
     Jobs,
     /// The progress of jobs.
     Progress,
+    /// The VMs that may have runs.
+    Vms,
 }
 
 /// A row of the store.
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, mpsc, watch as channel};
 use tokio::task::JoinSet;
 
-use crate::election::{LANES, LeaderRow, RenewalRow, is_undersized};
+use crate::election::{LANES, LeaderRow, is_undersized};
 use crate::link::{CellNo, SchedulerMessage};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, VmTarget};
@@ -42,8 +42,6 @@
     pub leader: LeaderRow,
     /// The fencing token.
     pub fence: u64,
-    /// The last renewal of the previous leader.
-    pub previous_renewal: Option<RenewalRow>,
 }
 
 /// Delay before planning, so that events within it share one plan: a plan visits every waiting
@@ -98,8 +96,6 @@
     cell_no: CellNo,
     term: u32,
     fence: u64,
-    /// The last renewal of the previous leader.
-    previous_renewal: Option<RenewalRow>,
     /// The leader row as this node wrote it.
     leader: LeaderRow,
     /// Version of the leader row in each lane's partition of the store.
@@ -127,6 +123,8 @@
     /// No run is started before this time, unless the leadership is confirmed earlier.
     unconfirmed_until: StdCell<Option<Millis>>,
     releasing: StdCell<bool>,
+    /// Set once the state of the cell is restored.
+    recovered: StdCell<bool>,
     ended: channel::Sender<bool>,
 }
 
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -84,7 +84,6 @@
             cell_no: takeover.cell,
             term,
             fence: takeover.fence,
-            previous_renewal: takeover.previous_renewal,
             leader: takeover.leader,
             lane_versions: RefCell::default(),
             cell: RefCell::new(cell),
@@ -103,19 +102,20 @@
             unavailable_since: StdCell::new(None),
             unconfirmed_until: StdCell::new(None),
             releasing: StdCell::new(false),
+            recovered: StdCell::new(false),
             ended: watch::Sender::new(false),
         });
+        self.schedulers.borrow_mut().push(Rc::clone(&scheduler));
         tokio::task::spawn_local(async move {
             let mut ended = scheduler.ended.subscribe();
             let recovered = tokio::select! {
                 recovered = scheduler.recover() => recovered,
                 _ = ended.wait_for(|ended| *ended) => false,
             };
-            if !recovered {
-                return;
+            if recovered {
+                scheduler.recovered.set(true);
+                Rc::clone(&scheduler).run().await;
             }
-            self.schedulers.borrow_mut().push(Rc::clone(&scheduler));
-            Rc::clone(&scheduler).run().await;
             self.schedulers
                 .borrow_mut()
                 .retain(|other| !Rc::ptr_eq(other, &scheduler));
@@ -154,48 +154,71 @@
             return;
         };
         let (sender, mut queue) = mpsc::channel(link::QUEUE_CAPACITY);
-        match self.find_scheduler(cell).await {
-            Some(scheduler) => {
-                let welcome = SchedulerMessage::Welcome {
-                    fence: scheduler.fence,
-                };
-                if sender.try_send(welcome).is_ok() {
-                    tokio::task::spawn_local(async move {
-                        // A broken connection ends the reader as well, which ends the session.
-                        let _ = link::write_queue(&mut writer, &mut queue).await;
-                        let _ = writer.shutdown().await;
-                    });
-                    scheduler
-                        .serve_peer(node, milli_cores, reader, sender)
-                        .await;
-                }
-            }
-            None => {
-                // The queue is empty and its capacity exceeds one, so this can't fail.
-                let _ = sender.try_send(SchedulerMessage::NotLeader);
-                drop(sender);
-                let _ = link::write_queue(&mut writer, &mut queue).await;
-            }
+        tokio::task::spawn_local(async move {
+            // A broken connection ends the reader as well, which ends the session.
+            let _ = link::write_queue(&mut writer, &mut queue).await;
+            let _ = writer.shutdown().await;
+        });
+        let Some(scheduler) = self.await_scheduler(cell, &sender).await else {
+            // A queue without space belongs to a front that no longer reads.
+            let _ = sender.try_send(SchedulerMessage::NotLeader);
+            return;
+        };
+        let welcome = SchedulerMessage::Welcome {
+            fence: scheduler.fence,
+        };
+        if sender.try_send(welcome).is_ok() {
+            scheduler
+                .serve_peer(node, milli_cores, reader, sender)
+                .await;
         }
     }
 
-    /// Returns the scheduler of a cell. Waits for a moment, since a takeover may be in progress.
-    async fn find_scheduler(&self, cell: CellNo) -> Option<Rc<Scheduler<P>>> {
+    /// Returns the scheduler of a cell once it has restored the cell's state. Waits for a moment if
+    /// there is none, since a takeover may be in progress.
+    ///
+    /// While the state is being restored, which takes seconds when the store is slow, the front is
+    /// told so: otherwise it would take the leader for dead and start another takeover.
+    async fn await_scheduler(
+        &self,
+        cell: CellNo,
+        front: &mpsc::Sender<SchedulerMessage>,
+    ) -> Option<Rc<Scheduler<P>>> {
         const MAX_ATTEMPTS: u32 = 10;
         const RETRY_INTERVAL: Millis = Millis(60);
-        for attempt in 0..MAX_ATTEMPTS {
-            let scheduler = self
-                .schedulers
-                .borrow()
-                .iter()
-                .find(|scheduler| scheduler.cell_no == cell && !scheduler.releasing.get())
-                .cloned();
-            if scheduler.is_some() || attempt + 1 == MAX_ATTEMPTS {
-                return scheduler;
+        let mut attempt = 0;
+        let mut told_at = None;
+        loop {
+            let scheduler = self.scheduler(cell);
+            match scheduler {
+                Some(scheduler) if scheduler.recovered.get() => return Some(scheduler),
+                Some(scheduler) => {
+                    let now = self.clock.now();
+                    if told_at.is_none_or(|told_at| now.since(told_at) >= link::PING_INTERVAL) {
+                        told_at = Some(now);
+                        let pong = SchedulerMessage::Pong {
+                            store_available: scheduler.reports_store_available(),
+                        };
+                        front.try_send(pong).ok()?;
+                    }
+                }
+                None => {
+                    attempt += 1;
+                    if attempt == MAX_ATTEMPTS {
+                        return None;
+                    }
+                }
             }
             tokio::time::sleep(RETRY_INTERVAL.duration()).await;
         }
-        None
+    }
+
+    fn scheduler(&self, cell: CellNo) -> Option<Rc<Scheduler<P>>> {
+        let schedulers = self.schedulers.borrow();
+        let mut found = schedulers.iter().filter(|scheduler| {
+            scheduler.cell_no == cell && !scheduler.releasing.get() && !*scheduler.ended.borrow()
+        });
+        found.next().cloned()
     }
 
     /// Releases the leadership of all cells, so that successors need not wait for a timeout.
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -66,9 +66,7 @@
             FrontMessage::Request(id, request) => self.handle_request(peer, id, request),
             FrontMessage::Advised(call, advice) => self.advice_received(call, advice),
             FrontMessage::Ping => {
-                let unavailable_since = self.unavailable_since.get();
-                let store_available = unavailable_since
-                    .is_none_or(|since| self.clock.now().since(since) < STORE_REPORT_DELAY);
+                let store_available = self.reports_store_available();
                 self.send_message(peer, SchedulerMessage::Pong { store_available });
             }
             FrontMessage::Hello { .. } => {}
@@ -125,6 +123,12 @@
         }
     }
 
+    /// Returns false once the store has been unavailable for so long that fronts are told.
+    pub(super) fn reports_store_available(&self) -> bool {
+        let unavailable_since = self.unavailable_since.get();
+        unavailable_since.is_none_or(|since| self.clock.now().since(since) < STORE_REPORT_DELAY)
+    }
+
     fn add_waiter(&self, peer: u64, request_id: u64, id: dotterel_cell::JobId, is_cancel: bool) {
         let waiter = Waiter {
             peer,
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -2,9 +2,10 @@
 
 use compact_str::CompactString;
 use dotterel_cell::JobId;
+use dotterel_cell::cell::{VM_LIST_LANE, VmRecord};
 use dotterel_cell::record::{JobRow, Progress, decode, encode};
 use dotterel_kernel::Millis;
-use futures_util::future::{join, join_all};
+use futures_util::future::{join, join_all, join3};
 
 use super::Scheduler;
 use crate::election::{LANES, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
@@ -17,10 +18,6 @@
 /// Timeout for fencing a lane. A slow store needs half a second.
 const FENCE_TIMEOUT: Millis = Millis(1500);
 
-/// If the previous leader's last renewal is older than this, VMs may have left the registry without
-/// any leader noticing.
-const MAX_RENEWAL_AGE: Millis = Millis(3000);
-
 /// The rows in a lane's partition of the store.
 struct LaneRows {
     jobs: Vec<Row>,
@@ -33,12 +30,9 @@
     pub(super) async fn recover(&self) -> bool {
         let started_at = self.clock.now();
         let lanes = join_all((0..LANES).map(|lane| self.load_lane(lane)));
-        let ((), lanes) = join(self.load_vms(), lanes).await;
-        if let Some(reason) = self.registry_gap_reason() {
-            log::info!(cell = self.cell_no.0, reason; "registry may be incomplete");
-            self.cell.borrow_mut().require_full_recovery();
-        }
+        let ((), vm_rows, lanes) = join3(self.load_vms(), self.load_vm_list(), lanes).await;
         let now = self.clock.now();
+        self.restore_vm_list(&vm_rows, now);
         let (mut jobs, mut ended) = (0, 0);
         for (lane, rows) in (0..LANES).zip(lanes) {
             let Some(rows) = rows else {
@@ -54,18 +48,33 @@
         true
     }
 
-    /// Returns the reason why VMs that run tasks may be missing from the registry, if there is one.
-    fn registry_gap_reason(&self) -> Option<&'static str> {
-        let previous = self.previous_renewal?;
-        if previous.unlisted > 0 {
-            Some("the previous leader knew of VMs missing from it")
-        } else if self.started_at.since(previous.at) > MAX_RENEWAL_AGE {
-            Some("the previous leader's last renewal is old")
-        } else if previous.registry_digest != self.registry_digest() {
-            Some("the previous leader knew a different set of VMs")
-        } else {
-            None
+    /// Reads the list of VMs that may have runs. The takeover has fenced its lane.
+    async fn load_vm_list(&self) -> Vec<Row> {
+        self.read_table(VM_LIST_LANE, Table::Vms).await
+    }
+
+    fn restore_vm_list(&self, rows: &[Row], now: Millis) {
+        let mut cell = self.cell.borrow_mut();
+        let mut complete = self.term == 1 || !rows.is_empty();
+        let mut listed = 0;
+        for row in rows {
+            if let Some(records) = decode::<Vec<VmRecord>>(&row.value) {
+                listed += records.len();
+                cell.restore_vm_list(&records, now);
+            } else {
+                log::error!(key = row.key.as_str(), table = "vms"; "failed to decode row");
+                complete = false;
+            }
+        }
+        if !complete {
+            log::warn!(
+                cell = self.cell_no.0;
+                "list of VMs incomplete, waiting for all VMs of the registry");
+            cell.await_all_vms();
         }
+        let unregistered = cell.vms().filter(|(_, vm)| !vm.listed).count();
+        log::info!(
+            cell = self.cell_no.0, listed, unregistered; "VMs that may have runs");
     }
 
     async fn load_lane(&self, lane: u8) -> Option<LaneRows> {
@@ -114,6 +123,7 @@
                     expected = row.version;
                 }
                 Commit::NotDone | Commit::Unknown => {
+                    self.note_store_failure();
                     log::warn!(cell = self.cell_no.0, lane; "lane not fenced yet, retrying");
                     tokio::time::sleep(RETRY_INTERVAL.duration()).await;
                 }
@@ -151,6 +161,13 @@
         ended
     }
 
+    /// Records that a call to the store has failed, so that fronts are told if it lasts.
+    fn note_store_failure(&self) {
+        if self.unavailable_since.get().is_none() {
+            self.unavailable_since.set(Some(self.clock.now()));
+        }
+    }
+
     async fn read_table(&self, lane: u8, table: Table) -> Vec<Row> {
         let part = self.cell_no.part(lane);
         let mut rows: Vec<Row> = Vec::new();
@@ -162,6 +179,7 @@
                 .await
             {
                 Ok(page) => {
+                    self.unavailable_since.set(None);
                     rows.extend(page.rows);
                     if !page.has_more {
                         return rows;
@@ -172,6 +190,7 @@
                     }
                 }
                 Err(err) => {
+                    self.note_store_failure();
                     log::warn!(
                         cell = self.cell_no.0, fault:? = err;
                         "failed to read the cell's rows, retrying");
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -94,13 +94,6 @@
         Ok(version)
     }
 
-    /// Returns a digest of the set of listed VMs.
-    pub(super) fn registry_digest(&self) -> u64 {
-        let cell = self.cell.borrow();
-        let listed = cell.vms().filter(|(_, vm)| vm.listed);
-        ids_digest(listed.map(|(_, vm)| vm.info.id.as_str()))
-    }
-
     /// Returns true when a VM belongs to this cell.
     fn owns_vm(&self, _id: &str) -> bool {
         self.cell_no == CellNo(0)
@@ -238,10 +231,3 @@
         }
     }
 }
-
-/// Returns a digest of a set of ids that doesn't depend on their order.
-pub(crate) fn ids_digest<'a>(ids: impl Iterator<Item = &'a str>) -> u64 {
-    ids.fold(0, |digest, id| {
-        digest ^ xxhash_rust::xxh3::xxh3_64(id.as_bytes())
-    })
-}
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -152,9 +152,6 @@
         let renewal = RenewalRow {
             term: self.term,
             count,
-            unlisted: u32::try_from(self.cell.borrow().unlisted_busy_vms()).unwrap_or(u32::MAX),
-            at: self.clock.now(),
-            registry_digest: self.registry_digest(),
         };
         let leader_version = self.lane_versions.borrow()[usize::from(lane)];
         let mut tx = Tx {
@@ -299,5 +296,9 @@
         RowWrite::Progress(id, value) => tx.puts.push((Table::Progress, key(id), value.clone())),
         RowWrite::DropProgress(id) => tx.removes.push((Table::Progress, key(id))),
         RowWrite::DropJob(id) => tx.removes.push((Table::Jobs, key(id))),
+        RowWrite::VmList(row, value) => {
+            let key = format_compact!("{row:02}");
+            tx.puts.push((Table::Vms, key, value.clone()));
+        }
     }
 }
--- a/crates/dotterel-node/tests/restarted_vm.rs
+++ b/crates/dotterel-node/tests/restarted_vm.rs
@@ -229,7 +229,6 @@
             largest_node: 1000,
         },
         fence: 1,
-        previous_renewal: None,
     });
     compact_str::format_compact!("{address}")
 }
