Use the store again as soon as it replies, and keep the leadership while it is slow

Reads now probe the store meanwhile, and the transaction is sent again once a probe succeeds after one that failed. - The next call then took an idle connection that had fallen silent too, and fronts took over after another second. A timeout now drops all idle connections to the address. - A planned stop released the leadership while the store was slow; the successor needed 2 s for the takeover, in which nothing was accepted. The leader now keeps serving until the store is fast again, or until 2.5 s before the end of the grace period. - A leader that the store rejects reported this with the reply to the next ping, and fronts waited for another 0.6 s. It now tells them at once, and they wait for two reads.

Each has a test in dotterel-node/tests that fails with the change taken out.

--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -40,9 +40,9 @@
 const SLOW_READ_FACTOR: u64 = 6;
 /// Timeout of the takeover write. A slow store needs most of a second.
 const ACQUIRE_TIMEOUT: Millis = Millis(1500);
-/// A leader that is alive but can't write to the store for this long is replaced by a node that
-/// can.
-const STORE_OUTAGE_TIMEOUT: Millis = Millis(600);
+/// A leader that is alive but reports that it can't write to the store is replaced by a node that
+/// can after this time: two reads that show the same rows.
+const STORE_OUTAGE_TIMEOUT: Millis = Millis(200);
 /// After a store outage seen by this node as well, the leader has this long to commit a
 /// transaction.
 const OUTAGE_RECOVERY_TIMEOUT: Millis = Millis(2400);
--- a/crates/dotterel-node/src/http/client.rs
+++ b/crates/dotterel-node/src/http/client.rs
@@ -127,10 +127,15 @@
     pub async fn call(&self, call: Call<'_>) -> Result<Reply, CallError> {
         let limit = call.timeout.duration();
         let mut sent = false;
+        let address = call.address;
         let outcome = timeout(limit, self.exchange(call, &mut sent)).await;
         match outcome {
             Ok(outcome) => outcome,
-            Err(_) if sent => Err(CallError::NoResponse),
+            Err(_) if sent => {
+                // Whatever silenced this connection may have silenced the others.
+                self.idle.borrow_mut().remove(address);
+                Err(CallError::NoResponse)
+            }
             Err(_) => Err(CallError::NotSent),
         }
     }
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -31,6 +31,9 @@
 const DRAIN_TIME: Millis = Millis(2600);
 /// Time before the end of the grace period at which the process exits, so that it isn't killed.
 const SHUTDOWN_MARGIN: Millis = Millis(700);
+/// The leadership is released at least this long before the grace period ends: the release itself
+/// and the requests in flight take that long.
+const RELEASE_MARGIN: Millis = Millis(2500);
 /// Pause after a failed read of the configuration.
 const CONFIG_RETRY_INTERVAL: Millis = Millis(150);
 
@@ -154,7 +157,7 @@
     let stopping_since = clock.now();
     log::info!(node = settings.node.as_str(), in_flight = in_flight.get(); "stopping");
     stopping.set(true);
-    host.release_all().await;
+    host.release_all(settings.grace - RELEASE_MARGIN).await;
     clock.sleep_until(stopping_since + DRAIN_TIME).await;
     stop_front.send_replace(true);
     let deadline = stopping_since + (settings.grace - SHUTDOWN_MARGIN);
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -120,6 +120,8 @@
     renewed_at: StdCell<Millis>,
     /// Since when the store has rejected or not answered transactions.
     unavailable_since: StdCell<Option<Millis>>,
+    /// Set while fronts know that the store is unavailable.
+    outage_reported: StdCell<bool>,
     /// No run is started before this time, unless the leadership is confirmed earlier.
     unconfirmed_until: StdCell<Option<Millis>>,
     releasing: StdCell<bool>,
@@ -195,6 +197,7 @@
             last_tick = now;
             self.cell.borrow_mut().tick(now);
             self.yield_to_larger_node(now);
+            self.report_store_state();
             self.expire_advice_calls(now);
             self.update_gauges();
             if now.since(logged_at) >= LOAD_LOG_INTERVAL {
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -100,6 +100,7 @@
             largest_node: StdCell::new(self.settings.milli_cores),
             renewed_at: StdCell::new(now),
             unavailable_since: StdCell::new(None),
+            outage_reported: StdCell::new(false),
             unconfirmed_until: StdCell::new(None),
             releasing: StdCell::new(false),
             recovered: StdCell::new(false),
@@ -222,8 +223,21 @@
     }
 
     /// Releases the leadership of all cells, so that successors need not wait for a timeout.
-    pub async fn release_all(&self) {
+    ///
+    /// A successor restores the cell's state within a fraction of a second, but needs seconds while
+    /// the store is slow. Meanwhile the leadership is kept, for at most `patience`.
+    pub async fn release_all(&self, patience: Millis) {
+        const CHECK_INTERVAL: Millis = Millis(50);
         let schedulers = self.schedulers.borrow().clone();
+        let until = self.clock.now() + patience;
+        let is_slow =
+            |scheduler: &Rc<Scheduler<P>>| !*scheduler.ended.borrow() && scheduler.is_store_slow();
+        if schedulers.iter().any(is_slow) {
+            log::info!("store slow, keeping the leadership for now");
+        }
+        while schedulers.iter().any(is_slow) && self.clock.now() < until {
+            tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        }
         for scheduler in schedulers {
             scheduler.releasing.set(true);
             scheduler.write_wakeup.notify_one();
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -129,6 +129,18 @@
         unavailable_since.is_none_or(|since| self.clock.now().since(since) < STORE_REPORT_DELAY)
     }
 
+    /// Tells all fronts when the store has become unavailable, without waiting for their pings.
+    pub(super) fn report_store_state(&self) {
+        let store_available = self.reports_store_available();
+        if !store_available && !self.outage_reported.get() {
+            let fronts: Vec<u64> = self.peers.borrow().iter().map(|peer| peer.id).collect();
+            for id in fronts {
+                self.send_message(id, SchedulerMessage::Pong { store_available });
+            }
+        }
+        self.outage_reported.set(!store_available);
+    }
+
     fn add_waiter(&self, peer: u64, request_id: u64, id: dotterel_cell::JobId, is_cancel: bool) {
         let waiter = Waiter {
             peer,
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -6,6 +6,7 @@
 //! is fast. When it is slow the other lanes are used as well, since a partition executes
 //! transactions one after the other.
 
+use std::cell::Cell as StdCell;
 use std::rc::Rc;
 
 use compact_str::{CompactString, format_compact};
@@ -42,6 +43,16 @@
 const SLOW_STORE_FACTOR: u64 = 3;
 const MAX_SLOW_TIMEOUT: Millis = Millis(3000);
 
+/// After this long without a reply to a transaction, reads probe whether the store has failed: several
+/// times the usual duration.
+const PROBE_DELAY: Millis = Millis(250);
+/// Timeout of a probe, unless the last transaction took longer, and the pause after one.
+const PROBE_TIMEOUT: Millis = Millis(200);
+const PROBE_INTERVAL: Millis = Millis(50);
+
+/// A transaction that takes this long shows a slow store: ten times the usual duration.
+const SLOW_COMMIT: Millis = Millis(120);
+
 /// Outcome of a transaction.
 enum TxOutcome {
     /// Committed as this version.
@@ -186,9 +197,13 @@
             Millis(self.commit_time.get().0 * SLOW_STORE_FACTOR).min(MAX_SLOW_TIMEOUT);
         let mut commit_timeout = COMMIT_TIMEOUT.max(slow_timeout);
         let mut is_rejected = true;
+        let probe_failed = StdCell::new(false);
         loop {
             let sent_at = self.clock.now();
-            let commit = self.platform.commit(tx, commit_timeout).await;
+            let commit = tokio::select! {
+                commit = self.platform.commit(tx, commit_timeout) => commit,
+                () = self.store_revived(&probe_failed) => Commit::Unknown,
+            };
             let now = self.clock.now();
             self.metrics.record_call("commit", now.since(sent_at));
             let result = match &commit {
@@ -228,6 +243,30 @@
         }
     }
 
+    /// Returns once probes have found that the store stopped replying and replies again: a call sent
+    /// before that gets no reply any more. `failed` is set while the last probe has failed.
+    async fn store_revived(&self, failed: &StdCell<bool>) {
+        let part = self.cell_no.part(0);
+        let probe_timeout = PROBE_TIMEOUT.max(self.commit_time.get());
+        if !failed.get() {
+            tokio::time::sleep(PROBE_DELAY.duration()).await;
+        }
+        loop {
+            let probe = self.platform.scan(Table::Role, &part, RENEWAL_KEY, 1);
+            let replied = matches!(timeout(probe_timeout.duration(), probe).await, Ok(Ok(_)));
+            if failed.replace(!replied) && replied {
+                return;
+            }
+            tokio::time::sleep(PROBE_INTERVAL.duration()).await;
+        }
+    }
+
+    /// Returns true while the store takes so long for transactions that a successor would need
+    /// seconds to restore the state of the cell.
+    pub(super) fn is_store_slow(&self) -> bool {
+        self.commit_time.get() >= SLOW_COMMIT
+    }
+
     /// Returns true when the store has been unavailable for so long that jobs are refused.
     pub(super) fn is_store_unavailable(&self) -> bool {
         let unavailable_since = self.unavailable_since.get();
--- /dev/null
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the scheduler on a platform in memory.
+
+mod outages;
+mod restarted_vm;
+mod support;
--- /dev/null
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -0,0 +1,127 @@
+//! A store that is silent, slow, or rejects the leader.
+
+use std::time::Duration;
+
+use dotterel_kernel::Millis;
+use dotterel_node::link::{CellNo, SchedulerMessage};
+use tokio::time::{Instant, sleep};
+
+use crate::support::{OneVm, connect, next_message, run, start_scheduler, submit};
+
+/// Pattern: callers wait for an outage of the store to end, and the scheduler waits for the reply to
+/// a transaction that was lost in it.
+#[test]
+fn a_silent_store_is_used_again_as_soon_as_it_replies() {
+    let platform = OneVm::new();
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        submit(&mut front, 1).await;
+        platform.store_silent.set(true);
+        sleep(Duration::from_millis(900)).await;
+        platform.store_silent.set(false);
+        let ended_at = Instant::now();
+
+        submit(&mut front, 2).await;
+
+        let waited = ended_at.elapsed();
+        assert!(
+            waited < Duration::from_millis(600),
+            "accepted after {waited:?}"
+        );
+    });
+}
+
+/// Pattern: the store is slow, so that a new leader needs seconds to restore the cell's state; the
+/// fronts take it for dead and take over one after the other.
+#[test]
+fn waiting_fronts_are_told_that_the_state_is_being_restored() {
+    let platform = OneVm::new();
+    platform.store_delay.set(Millis(700));
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        let mut last = Instant::now();
+        let mut longest = Duration::ZERO;
+
+        let welcome = loop {
+            let message = next_message(&mut front).await;
+            longest = longest.max(last.elapsed());
+            last = Instant::now();
+            match message {
+                SchedulerMessage::Pong { store_available } => assert!(store_available),
+                other => break other,
+            }
+        };
+
+        assert!(matches!(welcome, SchedulerMessage::Welcome { .. }));
+        assert!(
+            longest < dotterel_node::link::IDLE_TIMEOUT.duration(),
+            "no message for {longest:?}"
+        );
+    });
+}
+
+/// Pattern: a planned stop of the leader while the store is slow leaves the callers without a
+/// scheduler for seconds.
+#[test]
+fn a_planned_stop_keeps_the_leadership_while_the_store_is_slow() {
+    let platform = OneVm::new();
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        platform.store_delay.set(Millis(200));
+        submit(&mut front, 1).await;
+        let release = scheduler.host.release_all(Millis(3000));
+        let watch = async {
+            sleep(Duration::from_millis(800)).await;
+            let kept = scheduler.host.leads(CellNo(0));
+            platform.store_delay.set(Millis(5));
+            kept
+        };
+
+        let started_at = Instant::now();
+        let ((), kept) = futures_util::future::join(release, watch).await;
+
+        assert!(kept, "released while the store was slow");
+        assert!(started_at.elapsed() < Duration::from_millis(2500));
+    });
+}
+
+#[test]
+fn a_planned_stop_gives_up_waiting_for_a_slow_store() {
+    let platform = OneVm::new();
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        platform.store_delay.set(Millis(200));
+        submit(&mut front, 1).await;
+
+        let started_at = Instant::now();
+        scheduler.host.release_all(Millis(600)).await;
+
+        assert!(started_at.elapsed() < Duration::from_millis(2200));
+    });
+}
+
+#[test]
+fn fronts_are_told_without_asking_when_the_store_rejects_the_leader() {
+    let platform = OneVm::new();
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        submit(&mut front, 1).await;
+        platform.store_rejects.set(true);
+        let since = Instant::now();
+
+        while !matches!(
+            next_message(&mut front).await,
+            SchedulerMessage::Pong {
+                store_available: false
+            }
+        ) {}
+
+        // Renewals are 400 ms apart, and the report follows 250 ms after the first rejection.
+        assert!(since.elapsed() < Duration::from_millis(1200));
+    });
+}
--- a/crates/dotterel-node/tests/restarted_vm.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -1,7 +1,8 @@
-//! A VM that restarts under its id between two polls.
+//! Fixtures: a scheduler on a platform with one VM, and a link to it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 use dotterel_node::{Platform, Settings};
 use http::HeaderMap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const SETTINGS: &str = r#"
     node = "entry-1"
@@ -35,20 +36,32 @@
     store = "127.0.0.1:8169"
 "#;
 
-/// A platform with a store that accepts everything, and one VM on which tasks are done at once.
+/// A platform with a store, and one VM on which tasks are done at once.
 #[derive(Default)]
-struct OneVm {
+pub(crate) struct OneVm {
     version: Cell<u64>,
-    incarnation: Cell<u64>,
+    /// Time that the store takes for each call.
+    pub(crate) store_delay: Cell<Millis>,
+    /// Calls to the store sent while this is set get no reply.
+    pub(crate) store_silent: Cell<bool>,
+    /// The store rejects transactions.
+    pub(crate) store_rejects: Cell<bool>,
+    pub(crate) incarnation: Cell<u64>,
     /// The next start order reaches the VM just after it has restarted.
-    restarts: Cell<bool>,
+    pub(crate) restarts: Cell<bool>,
     ends: RefCell<Vec<ReportedEnd>>,
     last_end: Cell<u64>,
     /// Number of completed runs, by task.
-    done: RefCell<BTreeMap<TaskName, u32>>,
+    pub(crate) done: RefCell<BTreeMap<TaskName, u32>>,
 }
 
 impl OneVm {
+    pub(crate) fn new() -> Rc<Self> {
+        let platform = Self::default();
+        platform.incarnation.set(7);
+        Rc::new(platform)
+    }
+
     fn restart(&self) {
         self.incarnation.set(self.incarnation.get() + 1);
         self.ends.borrow_mut().clear();
@@ -69,12 +82,25 @@
     /// The incarnation that accepted the connection.
     type VmConnection = u64;
 
-    async fn commit(&self, _: &Tx, _: Millis) -> Commit {
+    async fn commit(&self, _: &Tx, timeout: Millis) -> Commit {
+        if self.store_silent.get() {
+            sleep(timeout.duration()).await;
+            return Commit::Unknown;
+        }
+        if self.store_rejects.get() {
+            return Commit::NotDone;
+        }
+        sleep(self.store_delay.get().duration()).await;
         self.version.set(self.version.get() + 1);
         Commit::Done(self.version.get())
     }
 
     async fn scan(&self, _: Table, _: &str, _: &str, _: u32) -> Result<Page, StoreError> {
+        if self.store_silent.get() {
+            sleep(Duration::from_millis(900)).await;
+            return Err(StoreError::Away);
+        }
+        sleep(self.store_delay.get().duration()).await;
         Ok(Page::default())
     }
 
@@ -204,8 +230,14 @@
     }
 }
 
-/// Starts a scheduler for the first term and returns the address for fronts.
-async fn start_scheduler(platform: &Rc<OneVm>) -> CompactString {
+/// A scheduler, and the address on which it accepts fronts.
+pub(crate) struct Running {
+    pub(crate) host: Rc<SchedulerHost<OneVm>>,
+    pub(crate) address: CompactString,
+}
+
+/// Starts a scheduler for the first term.
+pub(crate) async fn start_scheduler(platform: &Rc<OneVm>) -> Running {
     let settings = Settings::parse(SETTINGS).expect("the settings are valid");
     let host = Rc::new(SchedulerHost::new(
         Rc::clone(platform),
@@ -218,7 +250,7 @@
         .expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
     tokio::task::spawn_local(Rc::clone(&host).listen(listener));
-    host.start_term(Takeover {
+    Rc::clone(&host).start_term(Takeover {
         cell: CellNo(0),
         leader: LeaderRow {
             node: "entry-1".into(),
@@ -230,74 +262,66 @@
         },
         fence: 1,
     });
-    compact_str::format_compact!("{address}")
+    Running {
+        host,
+        address: compact_str::format_compact!("{address}"),
+    }
 }
 
-/// Submits a job and waits until it is accepted.
-async fn submit(stream: &mut TcpStream, id: u64) {
-    let (sender, mut queue) = tokio::sync::mpsc::channel(4);
-    let request = Request::Submit(JobId(id), Box::new(record()));
-    sender
-        .try_send(FrontMessage::Request(id, request))
-        .expect("the queue has room");
-    drop(sender);
-    link::write_queue(stream, &mut queue)
-        .await
-        .expect("the link is open");
+/// Runs a test on the current thread.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Reads the next message of the scheduler.
+pub(crate) async fn next_message(stream: &mut TcpStream) -> SchedulerMessage {
+    let message = timeout(Duration::from_secs(5), link::read(stream)).await;
+    message
+        .expect("a message arrives")
+        .expect("the link is open")
+}
+
+/// Submits a job, again after each refusal, until it is accepted.
+pub(crate) async fn submit(stream: &mut TcpStream, id: u64) {
     loop {
-        let message = link::read::<SchedulerMessage, _>(stream).await;
-        if let SchedulerMessage::Reply(_, reply) = message.expect("the link is open") {
-            assert_eq!(reply, Reply::Accepted);
+        let request = Request::Submit(JobId(id), Box::new(record()));
+        send(stream, FrontMessage::Request(id, request)).await;
+        let reply = loop {
+            if let SchedulerMessage::Reply(_, reply) = next_message(stream).await {
+                break reply;
+            }
+        };
+        if reply == Reply::Accepted {
             return;
         }
+        assert!(matches!(reply, Reply::Refused(_)), "{reply:?}");
+        sleep(Duration::from_millis(50)).await;
     }
 }
 
-async fn connect(address: &str) -> TcpStream {
+async fn send(stream: &mut TcpStream, message: FrontMessage) {
+    let (sender, mut queue) = tokio::sync::mpsc::channel(1);
+    sender.try_send(message).expect("the queue has room");
+    drop(sender);
+    link::write_queue(stream, &mut queue)
+        .await
+        .expect("the link is open");
+}
+
+/// Opens a link to the scheduler.
+pub(crate) async fn connect(address: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address)
         .await
         .expect("the scheduler listens");
-    let (sender, mut queue) = tokio::sync::mpsc::channel(4);
     let hello = FrontMessage::Hello {
         node: "entry-2".into(),
         cell: CellNo(0),
         milli_cores: 1000,
     };
-    sender.try_send(hello).expect("the queue has room");
-    drop(sender);
-    link::write_queue(&mut stream, &mut queue)
-        .await
-        .expect("the link is open");
+    send(&mut stream, hello).await;
     stream
 }
-
-#[test]
-fn ends_of_a_restarted_vm_are_not_acknowledged_before_they_are_read() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    let platform = Rc::new(OneVm::default());
-    platform.incarnation.set(7);
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let address = start_scheduler(&platform).await;
-        let mut front = connect(&address).await;
-        for id in 1..=3 {
-            submit(&mut front, id).await;
-            sleep(Duration::from_millis(150)).await;
-        }
-
-        // The scheduler has acknowledged three ends; the restarted VM numbers its ends from 1.
-        platform.restarts.set(true);
-        submit(&mut front, 4).await;
-        sleep(Duration::from_millis(1500)).await;
-    });
-
-    assert_eq!(platform.incarnation.get(), 8, "the VM has restarted");
-    let done = platform.done.borrow();
-    assert_eq!(done.len(), 4);
-    assert!(
-        done.values().all(|runs| *runs == 1),
-        "a task ran again: {done:?}"
-    );
-}
