Replace runs on slow, stalled and silent VMs; detect a dead leader sooner

A VM on which the runs of two jobs or more make less than 30 % of their estimated progress, and few others don't, is chosen last for 2 s, and tasks that would take twice as long as elsewhere are moved once.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -10,7 +10,7 @@
 use crate::plan::advice::Adviser;
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{RunPhase, Vm, VmKey, VmRun};
+use crate::vm::{RunPhase, Speed, Vm, VmKey, VmRun};
 
 mod admission;
 mod batch;
@@ -18,6 +18,7 @@
 mod load;
 mod orders;
 mod registry;
+mod replace;
 mod reports;
 mod tick;
 mod vm_list;
@@ -396,6 +397,7 @@
                 }
             }
         }
+        placed.append(&mut self.replaced_runs(key));
         for (vm, name, run) in placed {
             self.order_stop(vm, name, run, "job ended");
         }
@@ -448,6 +450,7 @@
             reported: false,
             confirmed_at: now,
             percent: 0,
+            speed: Speed::Unknown,
             progressed_at: now,
         }
     }
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -3,6 +3,7 @@
 use dotterel_kernel::Millis;
 
 use super::Cell;
+use super::replace::copies_allowed;
 use crate::job::{JobKey, JobState, Phase};
 use crate::spec::TaskName;
 use crate::vm::{ReportedEnd, RunOutcome, VmKey};
@@ -27,14 +28,20 @@
         // has not been restarted since.
         let already_counted = task.failed_runs.contains(&end.run);
         let is_late = !had_run && task.phase == Phase::Waiting;
-        if already_counted || !(is_current || is_late || end.outcome == RunOutcome::Failed) {
-            return;
-        }
-        task.last_run = task.last_run.max(end.run);
         let spec = self.jobs[key].spec.clone();
         let Some(step) = spec.steps.get(usize::from(end.task.step)) else {
             return;
         };
+        // The first copy that is done counts.
+        let counts_as_copy = copies_allowed(step) && end.outcome == RunOutcome::Done;
+        let is_failure = end.outcome == RunOutcome::Failed;
+        if already_counted || !(is_current || is_late || is_failure || counts_as_copy) {
+            return;
+        }
+        let Some(task) = self.task_mut(end.task) else {
+            return;
+        };
+        task.last_run = task.last_run.max(end.run);
         if step.checkpoint && !end.saved.is_empty() && (is_current || is_late) {
             self.save_state(key, end, step.gang);
             self.mark_changed(key, now);
@@ -44,9 +51,12 @@
             RunOutcome::Done if !step.long_running => {
                 self.vms[vm].health.run_succeeded();
                 self.task_done(key, end.task, step.gang, now);
+                if copies_allowed(step) {
+                    self.stop_copies(end.task);
+                }
             }
             RunOutcome::Failed if !step.long_running => {
-                self.vms[vm].health.run_failed(end.task.job, now);
+                self.vms[vm].health.run_failed(end.task, now);
                 self.task_failed(vm, key, end, step.gang, now);
             }
             _ => self.task_interrupted(vm, end.task, is_current),
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -2,6 +2,7 @@
 
 use dotterel_kernel::Millis;
 
+use super::replace::copies_allowed;
 use super::{Cell, Order};
 use crate::job::Phase;
 use crate::spec::TaskName;
@@ -59,6 +60,9 @@
                 // The order may still be carried out, so the run is stopped before the task is
                 // placed elsewhere.
                 target.health.run_stalled(now);
+                if self.step_of(task).is_some_and(copies_allowed) {
+                    self.start_copy(vm, task, run);
+                }
                 self.order_stop(vm, task, run, "start not acknowledged");
                 self.stop_gang_run(task, run);
                 return;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -12,8 +12,6 @@
 const STOP_RETRY_INTERVAL: Millis = Millis(700);
 /// Time after which an idle VM that left the registry is removed.
 const UNLISTED_VM_RETENTION: Millis = Millis::secs(10);
-/// Shortest time without progress after which a run counts as stalled.
-const MIN_STALL_TIME: Millis = Millis(2500);
 /// Time after a takeover for VMs to report the members of a gang.
 const GANG_RECOVERY_TIMEOUT: Millis = Millis(1500);
 
@@ -24,7 +22,7 @@
         self.expire_leases(now);
         self.update_vm_list();
         self.retry_stops(now);
-        self.stop_stalled(now);
+        self.replace_failing_runs(now);
         self.preempt_on_draining_vms();
         self.stop_partial_gangs(now);
         self.start_scheduled_rounds(now);
@@ -99,45 +97,6 @@
         }
     }
 
-    /// Stops runs that make no progress, so that another VM can do the work.
-    fn stop_stalled(&mut self, now: Millis) {
-        let mut stalled = Vec::new();
-        for (key, vm) in &self.vms {
-            for vm_run in &vm.runs {
-                // A gang member that has finished its part waits for the others.
-                let is_complete = vm_run.percent >= 100;
-                if vm_run.phase != RunPhase::Running
-                    || is_complete
-                    || now.since(vm_run.progressed_at) < MIN_STALL_TIME
-                {
-                    continue;
-                }
-                // One percent of the work can itself take long, and estimates are often far off, so
-                // the limit scales with the estimate.
-                let step = self.step_of(vm_run.task);
-                let Some(step) = step.filter(|step| !step.long_running && !step.best_effort) else {
-                    continue;
-                };
-                let stall_time = Millis(step.estimate.0 / 5);
-                if now.since(vm_run.progressed_at) >= MIN_STALL_TIME.max(stall_time)
-                    && now.since(vm.answered_at) < MIN_STALL_TIME
-                {
-                    stalled.push((key, vm_run.task, vm_run.run, step.gang));
-                }
-            }
-        }
-        for (vm, task, run, gang) in stalled {
-            if !gang {
-                self.vms[vm].health.run_stalled(now);
-                if let Some(task_state) = self.task_mut(task) {
-                    task_state.avoided_vms.push(vm);
-                }
-            }
-            self.order_stop(vm, task, run, "stalled");
-            self.stop_gang_run(task, run);
-        }
-    }
-
     /// Stops runs that can resume elsewhere and won't finish before their draining VM leaves.
     fn preempt_on_draining_vms(&mut self) {
         let mut leaving = Vec::new();
--- a/crates/dotterel-cell/src/health.rs
+++ b/crates/dotterel-cell/src/health.rs
@@ -1,4 +1,4 @@
-//! Ejection of VMs whose runs fail or stall.
+//! Ejection of VMs whose runs fail or stall, and detection of slow ones.
 //!
 //! Some VMs fail everything they start while their heartbeats look healthy, and tasks have few
 //! attempts. A VM with consecutive failures is ejected for a while, then probed with a single task
@@ -6,9 +6,9 @@
 
 use dotterel_kernel::Millis;
 
-use crate::spec::JobId;
+use crate::spec::TaskName;
 
-/// Consecutive failures of different jobs after which a VM is ejected. About one run in twenty
+/// Consecutive failures of different tasks after which a VM is ejected. About one run in twenty
 /// fails through the caller's own fault, so three in a row by chance are about one in eight
 /// thousand.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
@@ -17,23 +17,27 @@
 /// Longest ejection.
 const MAX_EJECTION_TIME: Millis = Millis(8000);
 
+/// How long a VM counts as slow after its runs were seen to be.
+const SLOW_TIME: Millis = Millis(2000);
+
 /// Health of a VM, judged by its runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VmHealth {
     failures: u32,
-    last_failed_job: Option<JobId>,
+    last_failed_task: Option<TaskName>,
     ejected_until: Millis,
     probing: bool,
     ejection_time: Millis,
+    slow_until: Millis,
 }
 
 impl VmHealth {
     /// Records a failed run.
-    pub fn run_failed(&mut self, job: JobId, now: Millis) {
-        if self.last_failed_job == Some(job) {
+    pub fn run_failed(&mut self, task: TaskName, now: Millis) {
+        if self.last_failed_task == Some(task) {
             return;
         }
-        self.last_failed_job = Some(job);
+        self.last_failed_task = Some(task);
         self.failures += 1;
         if self.probing || self.failures >= MAX_CONSECUTIVE_FAILURES {
             self.eject(now);
@@ -47,7 +51,21 @@
 
     /// Records a completed run.
     pub fn run_succeeded(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            slow_until: self.slow_until,
+            ..Self::default()
+        };
+    }
+
+    /// Records that the VM's runs make far less progress than estimated.
+    pub fn found_slow(&mut self, now: Millis) {
+        self.slow_until = now + SLOW_TIME;
+    }
+
+    /// Returns true if other VMs should be preferred.
+    #[must_use]
+    pub fn is_slow(&self, now: Millis) -> bool {
+        now < self.slow_until
     }
 
     /// Returns true if the VM may be given another task while it has `running` runs.
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod durable;
 mod gangs;
+mod replace;
 mod stall;
 mod support;
 mod takeover;
--- a/crates/dotterel-cell/tests/cell/stall.rs
+++ b/crates/dotterel-cell/tests/cell/stall.rs
@@ -50,3 +50,23 @@
 
     assert_eq!(count_stalled_stops(&mut bench, 100), 0);
 }
+
+/// Pattern: the tasks of some VMs stand still, and callers wait for seconds until they are replaced.
+#[test]
+fn a_short_task_that_stands_still_is_stopped_after_two_reports() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.plan();
+    bench.confirm_starts();
+    let mut stopped = 0;
+
+    for _ in 0..3 {
+        bench.advance(500);
+        bench.report_running(0);
+        bench.cell.tick(bench.now);
+        stopped += stops(&mut bench);
+    }
+
+    assert_eq!(stopped, 1);
+}
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -31,10 +31,10 @@
 
 /// A leader whose renewal row has not changed for this long is presumed dead: one renewal interval
 /// plus one store call.
-const RENEWAL_TIMEOUT: Millis = Millis(600);
+const RENEWAL_TIMEOUT: Millis = Millis(400);
 /// After this long without a message on the link, a front starts to watch the leader's renewals: at
 /// least one ping has gone unanswered.
-const LINK_SUSPECT_DELAY: Millis = Millis(350);
+const LINK_SUSPECT_DELAY: Millis = Millis(250);
 /// While the store is slow, a renewal must be overdue by at least this many times the duration of a
 /// read.
 const SLOW_READ_FACTOR: u64 = 6;
--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -14,8 +14,8 @@
 use tokio::sync::mpsc;
 
 /// Interval between a front's pings.
-pub const PING_INTERVAL: Millis = Millis(300);
-/// A link without a message for this long is broken: two ping intervals and a round trip.
+pub const PING_INTERVAL: Millis = Millis(200);
+/// A link without a message for this long is broken: three ping intervals and a round trip.
 pub const IDLE_TIMEOUT: Millis = Millis(700);
 /// Messages queued for a peer that doesn't read; a link with a full queue is dropped.
 pub const QUEUE_CAPACITY: usize = 4096;
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -21,7 +21,7 @@
 use crate::platform::{Commit, Platform, Row, Table, Tx};
 
 /// Maximum interval between renewals of the leadership.
-const RENEW_INTERVAL: Millis = Millis(400);
+const RENEW_INTERVAL: Millis = Millis(250);
 /// Pause between transactions of a lane, in which further writes join the next one.
 const BATCH_INTERVAL: Millis = Millis(12);
 /// A lane takes new rows once all lanes before it have been busy for this long: several times the
