Take back the detection of slow VMs; start copies only after two lost polls

It finds the VMs, but the tasks placed on others instead gain no more than the moved ones lose, so it isn't worth its code.

They now start after 2 s, when the next poll has failed too.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -10,7 +10,7 @@
 use crate::plan::advice::Adviser;
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{RunPhase, Speed, Vm, VmKey, VmRun};
+use crate::vm::{RunPhase, Vm, VmKey, VmRun};
 
 mod admission;
 mod batch;
@@ -397,7 +397,7 @@
                 }
             }
         }
-        placed.append(&mut self.replaced_runs(key));
+        placed.append(&mut self.runs_with_copies(key));
         for (vm, name, run) in placed {
             self.order_stop(vm, name, run, "job ended");
         }
@@ -450,7 +450,6 @@
             reported: false,
             confirmed_at: now,
             percent: 0,
-            speed: Speed::Unknown,
             progressed_at: now,
         }
     }
--- a/crates/dotterel-cell/src/cell/replace.rs
+++ b/crates/dotterel-cell/src/cell/replace.rs
@@ -1,4 +1,4 @@
-//! Replacement of runs that stall, are far too slow, or are on a VM that doesn't reply.
+//! Replacement of runs that stall or are on a VM that doesn't reply.
 //!
 //! A run is stopped before its task starts elsewhere, unless copies of the task may run in parallel.
 //! Then the task starts elsewhere at once, the first copy that is done counts, and the others are
@@ -9,7 +9,7 @@
 use super::Cell;
 use crate::job::{JobKey, Phase};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{RunPhase, Speed, Vm, VmKey, VmRun};
+use crate::vm::{RunPhase, Vm, VmKey, VmRun};
 
 /// Time without progress after which a run counts as stalled: half of its estimated duration,
 /// within these limits. Progress is reported at least once a second, and a step of one percent takes
@@ -18,108 +18,49 @@
 const MAX_STALL_TIME: Millis = Millis(2500);
 /// A VM that has not replied for longer doesn't show whether its runs stall.
 const MAX_STALL_REPLY_AGE: Millis = Millis(2500);
-/// Copies of tasks are started elsewhere once a VM has not replied for this long: the wait and the
-/// timeout of a poll.
-const SILENT_AFTER: Millis = Millis(1500);
-/// A slow run is replaced if the rest of it takes this many times as long as a new run.
-const MOVE_FACTOR: u64 = 2;
+/// Copies of tasks are started elsewhere once a VM has not replied for this long. A single lost poll
+/// shows after 1.5 s, and the next one is answered within 0.2 s.
+const SILENT_AFTER: Millis = Millis(2000);
 
 /// Why a run is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failing {
     Stalled,
-    Slow,
     Silent,
 }
 
 impl Cell {
     /// Replaces runs that won't end in time.
     pub(super) fn replace_failing_runs(&mut self, now: Millis) {
-        for vm in self.vms.values_mut() {
-            if vm.has_slow_runs() {
-                vm.health.found_slow(now);
-            }
-        }
         let mut failing = Vec::new();
         for (key, vm) in &self.vms {
-            for vm_run in vm.runs.iter().filter(|run| run.phase == RunPhase::Running) {
+            let running = |vm_run: &&VmRun| vm_run.phase == RunPhase::Running;
+            for vm_run in vm.runs.iter().filter(running) {
                 let step = self.step_of(vm_run.task);
                 let Some(step) = step.filter(|step| !step.long_running && !step.best_effort) else {
                     continue;
                 };
-                if let Some(why) = self.judge(vm, vm_run, step, now) {
-                    failing.push((
-                        key,
-                        vm_run.task,
-                        vm_run.run,
-                        why,
-                        copies_allowed(step),
-                        step.gang,
-                    ));
+                if let Some(reason) = judge(vm, vm_run, step, now) {
+                    let (task, run) = (vm_run.task, vm_run.run);
+                    failing.push((key, task, run, reason, copies_allowed(step), step.gang));
                 }
             }
         }
-        for (vm, task, run, why, copies_allowed, gang) in failing {
+        for (vm, task, run, reason, copies_allowed, gang) in failing {
             if copies_allowed {
                 self.start_copy(vm, task, run);
             }
-            match why {
-                Failing::Stalled => {
-                    if !gang {
-                        self.vms[vm].health.run_stalled(now);
-                        self.avoid(vm, task);
-                    }
-                    self.order_stop(vm, task, run, "stalled");
-                    self.stop_gang_run(task, run);
-                }
-                Failing::Slow if !copies_allowed => {
+            if reason == Failing::Stalled {
+                if !gang {
+                    self.vms[vm].health.run_stalled(now);
                     self.avoid(vm, task);
-                    self.order_stop(vm, task, run, "VM too slow");
                 }
-                Failing::Slow | Failing::Silent => {}
+                self.order_stop(vm, task, run, "stalled");
+                self.stop_gang_run(task, run);
             }
         }
     }
 
-    /// Returns why a run should be replaced, if it should.
-    fn judge(&self, vm: &Vm, vm_run: &VmRun, step: &Step, now: Millis) -> Option<Failing> {
-        let reply_age = now.since(vm.answered_at);
-        if reply_age >= SILENT_AFTER && copies_allowed(step) {
-            return Some(Failing::Silent);
-        }
-        // A gang member that has finished its part waits for the others.
-        if vm_run.percent >= 100 || reply_age >= MAX_STALL_REPLY_AGE {
-            return None;
-        }
-        if vm.answered_at.since(vm_run.progressed_at) >= stall_time(step.estimate) {
-            return Some(Failing::Stalled);
-        }
-        let is_slow = vm_run.speed == Speed::Slow && vm.health.is_slow(now);
-        let moves = is_slow && !step.gang && self.may_move(vm_run.task);
-        (moves && self.gains_by_move(vm_run, step, now)).then_some(Failing::Slow)
-    }
-
-    /// Returns true if the task has not been moved or failed yet. The estimate may be wrong, so a
-    /// task is moved once.
-    fn may_move(&self, name: TaskName) -> bool {
-        let task = self.job_key(name.job).and_then(|key| {
-            let round = self.jobs[key].round(name.round)?;
-            round
-                .steps
-                .get(usize::from(name.step))?
-                .tasks
-                .get(name.index as usize)
-        });
-        task.is_some_and(|task| task.avoided_vms.is_empty())
-    }
-
-    fn gains_by_move(&self, vm_run: &VmRun, step: &Step, now: Millis) -> bool {
-        let age = now.since(vm_run.confirmed_at).0;
-        let done = u64::from(vm_run.percent.max(1));
-        let rest = age * (100 - done) / done;
-        rest > (step.estimate + self.limits.stop_timeout).0 * MOVE_FACTOR
-    }
-
     /// Lets a task start elsewhere while its current run goes on.
     pub(super) fn start_copy(&mut self, vm: VmKey, name: TaskName, run: u32) {
         let Some(task) = self.task_mut(name) else {
@@ -150,8 +91,8 @@
         }
     }
 
-    /// Returns the runs of a job that are not known from its tasks alone: copies that were replaced.
-    pub(super) fn replaced_runs(&self, key: JobKey) -> Vec<(VmKey, TaskName, u32)> {
+    /// Returns all runs of a job whose tasks may have copies. Tasks name only their latest run.
+    pub(super) fn runs_with_copies(&self, key: JobKey) -> Vec<(VmKey, TaskName, u32)> {
         let job = &self.jobs[key];
         if job.spec.steps.iter().any(copies_allowed) {
             self.runs_of_job(job.id)
@@ -169,6 +110,20 @@
     }
 }
 
+/// Returns why a run should be replaced, if it should.
+fn judge(vm: &Vm, vm_run: &VmRun, step: &Step, now: Millis) -> Option<Failing> {
+    let reply_age = now.since(vm.answered_at);
+    if reply_age >= SILENT_AFTER && copies_allowed(step) {
+        return Some(Failing::Silent);
+    }
+    // A gang member that has finished its part waits for the others.
+    if vm_run.percent >= 100 || reply_age >= MAX_STALL_REPLY_AGE {
+        return None;
+    }
+    let unchanged = vm.answered_at.since(vm_run.progressed_at);
+    (unchanged >= stall_time(step.estimate)).then_some(Failing::Stalled)
+}
+
 /// Returns true if copies of a step's tasks may run in parallel.
 pub(super) const fn copies_allowed(step: &Step) -> bool {
     step.speculative && !step.gang && !step.long_running
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -4,9 +4,7 @@
 
 use super::{Cell, Order};
 use crate::job::Phase;
-use crate::vm::{
-    PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, Speed, VmInfo, VmKey, VmRun,
-};
+use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
 
 /// Added to the stop timeout after a takeover: a stop order of the previous leader may still have
 /// been in flight.
@@ -18,28 +16,6 @@
 /// have passed.
 const RENEWAL_MAX_REPLY_AGE: Millis = Millis(1400);
 
-/// A run that makes less than this percentage of its estimated progress is slow. Estimates are off by
-/// a factor of two at times.
-const SLOW_RUN_PCT: u64 = 30;
-/// Runs are judged from this age on, or from a quarter of their estimated duration.
-const MIN_JUDGED_AGE: Millis = Millis(600);
-
-/// Compares a run's progress with its estimated duration.
-fn speed(vm_run: &VmRun, estimate: Millis, now: Millis) -> Speed {
-    let age = now.since(vm_run.confirmed_at);
-    let is_judged =
-        vm_run.phase == RunPhase::Running && age >= MIN_JUDGED_AGE && age.0 >= estimate.0 / 4;
-    if !is_judged {
-        return Speed::Unknown;
-    }
-    let expected_pct = (age.0 * 100 / estimate.0.max(1)).min(100);
-    if u64::from(vm_run.percent) * 100 < expected_pct * SLOW_RUN_PCT {
-        Speed::Slow
-    } else {
-        Speed::Normal
-    }
-}
-
 impl Cell {
     /// Applies a VM's report; `sent` is when the VM was polled.
     ///
@@ -146,7 +122,6 @@
                 vm_run.percent = reported.percent;
                 vm_run.progressed_at = now;
             }
-            self.judge_speed(key, at, now);
             if let Some(job) = self.job_key(reported.task.job) {
                 self.jobs[job].started = true;
             }
@@ -185,17 +160,6 @@
         }
     }
 
-    /// Compares a run's progress with its estimate.
-    fn judge_speed(&mut self, key: VmKey, at: usize, now: Millis) {
-        let vm_run = &self.vms[key].runs[at];
-        let step = self.step_of(vm_run.task);
-        let Some(step) = step.filter(|step| !step.long_running && !step.best_effort) else {
-            return;
-        };
-        let speed = speed(vm_run, step.estimate, now);
-        self.vms[key].runs[at].speed = speed;
-    }
-
     /// Releases runs that the report would list if they still existed.
     fn drop_absent_runs(&mut self, key: VmKey, report: &Report, sent: Millis) {
         let mut absent = Vec::new();
--- a/crates/dotterel-cell/src/health.rs
+++ b/crates/dotterel-cell/src/health.rs
@@ -1,4 +1,4 @@
-//! Ejection of VMs whose runs fail or stall, and detection of slow ones.
+//! Ejection of VMs whose runs fail or stall.
 //!
 //! Some VMs fail everything they start while their heartbeats look healthy, and tasks have few
 //! attempts. A VM with consecutive failures is ejected for a while, then probed with a single task
@@ -17,9 +17,6 @@
 /// Longest ejection.
 const MAX_EJECTION_TIME: Millis = Millis(8000);
 
-/// How long a VM counts as slow after its runs were seen to be.
-const SLOW_TIME: Millis = Millis(2000);
-
 /// Health of a VM, judged by its runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VmHealth {
@@ -28,7 +25,6 @@
     ejected_until: Millis,
     probing: bool,
     ejection_time: Millis,
-    slow_until: Millis,
 }
 
 impl VmHealth {
@@ -51,21 +47,7 @@
 
     /// Records a completed run.
     pub fn run_succeeded(&mut self) {
-        *self = Self {
-            slow_until: self.slow_until,
-            ..Self::default()
-        };
-    }
-
-    /// Records that the VM's runs make far less progress than estimated.
-    pub fn found_slow(&mut self, now: Millis) {
-        self.slow_until = now + SLOW_TIME;
-    }
-
-    /// Returns true if other VMs should be preferred.
-    #[must_use]
-    pub fn is_slow(&self, now: Millis) -> bool {
-        now < self.slow_until
+        *self = Self::default();
     }
 
     /// Returns true if the VM may be given another task while it has `running` runs.
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -231,7 +231,6 @@
             return Vec::new();
         };
         let (mut expired, mut unknown) = (Vec::new(), Vec::new());
-        let is_slow = |key: VmKey| self.vms[key].health.is_slow(now);
         let mut valid = 0;
         let avoid = self.avoided_by_all(step_ref);
         for (key, vm) in &self.vms {
@@ -260,8 +259,8 @@
         }
         let need = to_f32(unplaced) * CAPACITY_FACTOR;
         let first = state.advice.requested.is_empty();
-        expired.sort_by_key(|(slots, key)| (is_slow(*key), std::cmp::Reverse(*slots)));
-        unknown.sort_by_key(|(slots, key)| (is_slow(*key), std::cmp::Reverse(*slots)));
+        expired.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        unknown.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
         let mut sum: f32 = to_f32(valid);
         let mut chosen = Vec::new();
         let chances = expired.iter().map(|(slots, key)| (*slots, *key, 1.0));
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -17,8 +17,6 @@
 /// Penalty for capacity reserved by a gang: more than any leftover capacity, less than another
 /// rack.
 const RESERVED_WEIGHT: u64 = 10_000;
-/// Penalty for a slow VM: more than any leftover capacity and than reserved capacity.
-const SLOW_WEIGHT: u64 = 100_000;
 /// Penalty for a VM outside the rack that holds the data: more than any leftover capacity.
 const OTHER_RACK_WEIGHT: u64 = 1_000_000;
 
@@ -184,9 +182,6 @@
             if !size.fits(&self.unreserved_capacity(key, vm)) {
                 weight += RESERVED_WEIGHT;
             }
-            if vm.health.is_slow(now) {
-                weight += SLOW_WEIGHT;
-            }
             if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
                 best = Some((weight, key, ticket));
             }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -144,8 +144,7 @@
             let slots = offer.slots;
             unknown.push((slots, members_per_vm(vm, &size, step), key));
         }
-        let is_slow = |key: VmKey| self.vms[key].health.is_slow(now);
-        unknown.sort_by_key(|(slots, _, key)| (is_slow(*key), std::cmp::Reverse(*slots)));
+        unknown.sort_by_key(|(slots, ..)| std::cmp::Reverse(*slots));
         let mut sum = 0.0;
         let mut chosen = Vec::new();
         for (slots, max_members, key) in unknown {
@@ -183,12 +182,7 @@
             return count;
         }
         // Use as few VMs as possible, so that a failing VM breaks few gangs.
-        slots.sort_by_key(|(key, members, _)| {
-            (
-                self.vms[*key].health.is_slow(now),
-                std::cmp::Reverse(*members),
-            )
-        });
+        slots.sort_by_key(|(_, members, _)| std::cmp::Reverse(*members));
         let last_run = self.step_state(step_ref).map_or(1, |state| {
             state
                 .tasks
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -8,7 +8,7 @@
 
 use crate::health::VmHealth;
 use crate::job::{Job, JobKey};
-use crate::spec::{JobId, TaskName};
+use crate::spec::TaskName;
 
 new_key_type! {
     /// Key of a VM in the cell.
@@ -24,9 +24,6 @@
 /// and both attempts.
 const START_ORDER_TIMEOUT: Millis = Millis(2000);
 
-/// Number of jobs whose runs have to be slow before the VM counts as slow.
-const MIN_SLOW_JOBS: usize = 2;
-
 /// A VM's entry in the registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmInfo {
@@ -151,18 +148,6 @@
     },
 }
 
-/// Progress of a run compared with its estimated duration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Speed {
-    /// The run is too young to be judged, or has no estimate.
-    #[default]
-    Unknown,
-    /// The run makes progress as estimated, or not much slower.
-    Normal,
-    /// The run makes far less progress than estimated.
-    Slow,
-}
-
 /// A run that occupies capacity on a VM.
 #[derive(Clone, Debug)]
 pub struct VmRun {
@@ -186,8 +171,6 @@
     pub confirmed_at: Millis,
     /// Progress in percent.
     pub percent: u8,
-    /// Progress compared with the estimate.
-    pub speed: Speed,
     /// Time of the last progress, or of the last repeated stop order.
     pub progressed_at: Millis,
 }
@@ -315,21 +298,6 @@
         self.durable_end = self.last_end;
     }
 
-    /// Returns true if the runs of several jobs are slow and few others are not: then the VM is the
-    /// cause, rather than a wrong estimate.
-    #[must_use]
-    pub fn has_slow_runs(&self) -> bool {
-        let count_jobs = |speed: Speed| {
-            let runs = self.runs.iter().filter(|vm_run| vm_run.speed == speed);
-            let mut jobs: Vec<JobId> = runs.map(|vm_run| vm_run.task.job).collect();
-            jobs.sort_unstable();
-            jobs.dedup();
-            jobs.len()
-        };
-        let slow = count_jobs(Speed::Slow);
-        slow >= MIN_SLOW_JOBS && count_jobs(Speed::Normal) < slow
-    }
-
     /// Adds a run and occupies its capacity.
     pub fn add(&mut self, run: VmRun) {
         self.used = self.used.plus(&run.size);
