--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -40,8 +40,9 @@
 /// do nothing else.
 const SHORT_CALL_MAX_WAIT: Millis = Millis(250);
 const LONG_CALL_MAX_WAIT: Millis = Millis(100);
-/// One in this many nodes takes no long calls, so that short ones find a free node.
-const RESERVED_DIVISOR: usize = 4;
+/// One in this many nodes, but at least one, takes no long calls, so that short ones find a free
+/// node.
+const RESERVED_DIVISOR: usize = 6;
 
 /// A node that makes advice calls, one at a time.
 #[derive(Clone, Copy, Debug)]
@@ -172,7 +173,8 @@
                 .advisers
                 .iter()
                 .filter(|adviser| adviser.busy_until <= now);
-            if self.advisers.len() > 1 && free.count() <= self.advisers.len() / RESERVED_DIVISOR {
+            let reserved = (self.advisers.len() / RESERVED_DIVISOR).max(1);
+            if self.advisers.len() > 1 && free.count() <= reserved {
                 return None;
             }
         }
--- a/crates/dotterel-cell/tests/cell/advice.rs
+++ b/crates/dotterel-cell/tests/cell/advice.rs
@@ -50,6 +50,29 @@
     }
 }
 
+/// Pattern: jobs of a slow queue wait for advice while nodes and VMs are idle.
+#[test]
+fn a_backlog_of_long_calls_uses_all_advisers_but_one_in_six() {
+    let mut bench = Bench::new(32);
+    for adviser in 0..12 {
+        bench.cell.adviser_joined(adviser);
+    }
+    for id in 0..100 {
+        bench.submit(id, slow_advice_job(1));
+    }
+    bench.commit_all();
+
+    bench.plan();
+
+    let mut busy: Vec<u64> = advice_requests(&mut bench)
+        .iter()
+        .map(|request| request.adviser)
+        .collect();
+    busy.sort_unstable();
+    busy.dedup();
+    assert_eq!(busy.len(), 10);
+}
+
 #[test]
 fn an_urgent_job_finds_a_free_adviser_during_a_backlog() {
     let mut bench = backlog();
