--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -522,3 +522,65 @@
     );
     assert!(bench.vm(1).recorded);
 }
+
+#[test]
+fn a_vm_that_has_left_the_registry_gets_no_new_runs_after_a_takeover() {
+    let mut bench = Bench::successor(0);
+    bench
+        .cell
+        .restore_vm_list(&[support::vm_record(0)], bench.now);
+    let key = bench.cell.vm_by_id("vm-000").expect("the VM is polled");
+    bench.vms.push(key);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.advance(10);
+    bench.report(0, &[], &[]);
+    bench.advance(600);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+
+    bench.plan();
+
+    assert!(bench.take_starts().is_empty());
+}
+
+#[test]
+fn an_older_registry_entry_does_not_bring_back_a_previous_incarnation() {
+    let mut bench = Bench::new(1);
+    let mut restarted = support::vm_info(0);
+    restarted.incarnation += 1;
+    let current = bench.cell.vm_listed(restarted);
+
+    let listed = bench.cell.vm_listed(support::vm_info(0));
+
+    assert_eq!(listed, current);
+    let vm = bench.cell.vm(current).expect("the VM is known");
+    assert_eq!(vm.info.incarnation, 8);
+}
+
+#[test]
+fn a_vm_that_is_silent_for_less_than_its_lease_keeps_its_runs() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.confirm_starts().remove(0);
+    let silent = bench.index_of(start.vm);
+    bench.cell.extend_lease(start.vm, bench.now);
+    let mut orders = Vec::new();
+
+    for _ in 0..7 {
+        bench.advance(500);
+        bench.report_runs(1 - silent, 10);
+        bench.cell.tick(bench.now);
+        bench.plan();
+        orders.extend(bench.cell.take_orders());
+    }
+    bench.report(silent, &[running(start.task, start.run, 20)], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    orders.extend(bench.cell.take_orders());
+
+    assert!(orders.is_empty(), "{orders:?}");
+    assert_eq!(bench.vm(silent).runs.len(), 1);
+}
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -16,7 +16,7 @@
 use dotterel_cell::{Cell, JobId, StepRef, VmKey};
 use dotterel_kernel::{Clock, Millis};
 use tokio::sync::{Notify, mpsc, watch as channel};
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 
 use crate::election::{LANES, LeaderRow, is_undersized};
 use crate::link::{CellNo, SchedulerMessage};
@@ -141,13 +141,25 @@
         tasks.spawn_local(Rc::clone(&self).run_planner());
         tasks.spawn_local(Rc::clone(&self).run_timer());
         let mut ended = self.ended.subscribe();
-        // `self` owns the sender, so the wait only ends with the term.
-        let _ = ended.wait_for(|ended| *ended).await;
+        tokio::select! {
+            // `self` owns the sender, so the wait only ends with the term.
+            _ = ended.wait_for(|ended| *ended) => {}
+            Some(result) = tasks.join_next() => self.task_ended(result),
+        }
         drop(tasks);
         self.order_queues.borrow_mut().clear();
         self.peers.borrow_mut().clear();
     }
 
+    /// Ends the term after one of its tasks has ended by itself. A writer ends with the term; any
+    /// other end is a panic, after which another node had better restore the cell's state.
+    fn task_ended(&self, result: Result<(), JoinError>) {
+        if let Err(err) = result {
+            log::error!(cell = self.cell_no.0, fault:% = err; "scheduler task panicked");
+        }
+        self.end("a task of the scheduler has ended");
+    }
+
     /// Ends the term.
     fn end(&self, reason: &'static str) {
         if !*self.ended.borrow() {
--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler on a platform in memory.
 
+mod faults;
 mod outages;
 mod restarted_vm;
 mod support;
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterel_cell::{
-    JobId, JobRecord, JobSpec, JobState, Policy, RawJob, Report, ReportedEnd, RunOutcome,
-    StartAnswer, Step, TaskName, VmInfo,
+    JobId, JobRecord, JobSpec, JobState, Policy, RawJob, Report, ReportedEnd, ReportedRun,
+    RunOutcome, StartAnswer, Step, TaskName, VmInfo,
 };
 use dotterel_kernel::{Clock, Millis, Size};
 use dotterel_node::election::LeaderRow;
@@ -47,10 +47,19 @@
     /// The store rejects transactions.
     pub(crate) store_rejects: Cell<bool>,
     pub(crate) incarnation: Cell<u64>,
+    /// The VM has seen a newer leader's fencing token.
+    pub(crate) fenced: Cell<bool>,
+    /// Tasks run until `finish_runs` is called.
+    pub(crate) runs_last: Cell<bool>,
+    /// The task that reads the registry panics.
+    pub(crate) panics: Cell<bool>,
+    running: RefCell<Vec<(TaskName, u32)>>,
     /// The next start order reaches the VM just after it has restarted.
     pub(crate) restarts: Cell<bool>,
     ends: RefCell<Vec<ReportedEnd>>,
     last_end: Cell<u64>,
+    /// Number of start orders received.
+    pub(crate) starts: Cell<u32>,
     /// Number of completed runs, by task.
     pub(crate) done: RefCell<BTreeMap<TaskName, u32>>,
 }
@@ -62,6 +71,24 @@
         Rc::new(platform)
     }
 
+    pub(crate) fn finish_runs(&self) {
+        for (task, run) in self.running.take() {
+            self.finish(task, run);
+        }
+    }
+
+    fn finish(&self, task: TaskName, run: u32) {
+        self.last_end.set(self.last_end.get() + 1);
+        self.ends.borrow_mut().push(ReportedEnd {
+            number: self.last_end.get(),
+            task,
+            run,
+            outcome: RunOutcome::Done,
+            saved: CompactString::default(),
+        });
+        *self.done.borrow_mut().entry(task).or_default() += 1;
+    }
+
     fn restart(&self) {
         self.incarnation.set(self.incarnation.get() + 1);
         self.ends.borrow_mut().clear();
@@ -72,7 +99,7 @@
         Report {
             incarnation: self.incarnation.get(),
             clock: Millis(1000),
-            running: Vec::new(),
+            running: self.running.borrow().iter().map(reported).collect(),
             ended: self.ends.borrow().clone(),
         }
     }
@@ -109,6 +136,7 @@
     }
 
     async fn vm_changes(&self, after: Option<u64>) -> Result<VmChanges, StoreError> {
+        assert!(!self.panics.get(), "injected fault");
         let info = VmInfo {
             id: "vm-1".into(),
             incarnation: self.incarnation.get(),
@@ -160,15 +188,15 @@
         if self.restarts.take() {
             self.restart();
         }
-        self.last_end.set(self.last_end.get() + 1);
-        self.ends.borrow_mut().push(ReportedEnd {
-            number: self.last_end.get(),
-            task: order.task,
-            run: order.run,
-            outcome: RunOutcome::Done,
-            saved: CompactString::default(),
-        });
-        *self.done.borrow_mut().entry(order.task).or_default() += 1;
+        self.starts.set(self.starts.get() + 1);
+        if self.fenced.get() {
+            return StartAnswer::Fenced;
+        }
+        if self.runs_last.get() {
+            self.running.borrow_mut().push((order.task, order.run));
+        } else {
+            self.finish(order.task, order.run);
+        }
         StartAnswer::Started
     }
 
@@ -202,6 +230,16 @@
     }
 }
 
+fn reported((task, run): &(TaskName, u32)) -> ReportedRun {
+    ReportedRun {
+        task: *task,
+        run: *run,
+        saved: CompactString::default(),
+        percent: 100,
+        gauge: None,
+    }
+}
+
 fn size(milli_cores: u32) -> Size {
     Size {
         milli_cores,
@@ -285,10 +323,21 @@
         .expect("the link is open")
 }
 
+/// Submits a job whose task takes `milli_cores`, and returns once it is accepted.
+pub(crate) async fn submit_sized(stream: &mut TcpStream, id: u64, milli_cores: u32) {
+    let mut record = record();
+    record.spec.steps[0].size = size(milli_cores);
+    submit_record(stream, id, record).await;
+}
+
 /// Submits a job, again after each refusal, until it is accepted.
 pub(crate) async fn submit(stream: &mut TcpStream, id: u64) {
+    submit_record(stream, id, record()).await;
+}
+
+async fn submit_record(stream: &mut TcpStream, id: u64, record: JobRecord) {
     loop {
-        let request = Request::Submit(JobId(id), Box::new(record()));
+        let request = Request::Submit(JobId(id), Box::new(record.clone()));
         send(stream, FrontMessage::Request(id, request)).await;
         let reply = loop {
             if let SchedulerMessage::Reply(_, reply) = next_message(stream).await {
