Record stops before they are sent, so that a new leader uses the other VMs at once

A run that is being stopped occupies capacity without being listed, so a new leader left every VM unused for the stop timeout, 0.96 s on the sites where that is 0.9 s, after each takeover and after each power loss.

The leader now stores on which VMs runs may be stopping, sends a stop only once the store names its VM (one transaction, 10 to 20 ms), and a successor spares only these. While the store is away no stops are sent. Without a stored list all VMs are spared, as before.

Tests of the cell commit before they look for stops.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -20,6 +20,7 @@
 mod registry;
 mod replace;
 mod reports;
+mod stop_list;
 mod tick;
 mod vm_list;
 
@@ -152,6 +153,10 @@
     expired_jobs: Vec<(JobId, u8)>,
     /// Rows of the list of VMs that have to be rewritten, sorted.
     changed_vm_rows: Vec<u8>,
+    /// The list of VMs on which runs may be stopping has to be rewritten.
+    stops_changed: bool,
+    /// Stops that wait until the list names their VMs.
+    held_stops: Vec<Order>,
     /// Sequence number of the last job change that has to be written.
     seq: u64,
     pub(crate) plan_needed: bool,
@@ -188,6 +193,9 @@
             ending_jobs: Vec::new(),
             expired_jobs: Vec::new(),
             changed_vm_rows: Vec::new(),
+            // A successor that finds no list spares all VMs.
+            stops_changed: true,
+            held_stops: Vec::new(),
             seq: 0,
             plan_needed: true,
             approval_rates: Vec::new(),
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -38,12 +38,17 @@
     DropJob(JobId),
     /// Writes a row of the list of VMs that may have runs.
     VmList(u8, Vec<u8>),
+    /// Writes the list of VMs on which runs may be stopping.
+    StopList(Vec<u8>),
 }
 
 impl RowWrite {
     const fn bytes(&self) -> usize {
         match self {
-            Self::Job(_, bytes) | Self::Progress(_, bytes) | Self::VmList(_, bytes) => bytes.len(),
+            Self::Job(_, bytes)
+            | Self::Progress(_, bytes)
+            | Self::VmList(_, bytes)
+            | Self::StopList(bytes) => bytes.len(),
             Self::DropProgress(_) | Self::DropJob(_) => 0,
         }
     }
@@ -65,6 +70,8 @@
     ended_jobs: Vec<JobKey>,
     /// VMs that the batch lists.
     listed_vms: Vec<VmKey>,
+    /// VMs that the batch names as possibly stopping runs.
+    stopping_vms: Option<Vec<VmKey>>,
 }
 
 impl Cell {
@@ -83,7 +90,7 @@
                 .expired_jobs
                 .iter()
                 .any(|(_, row_lane)| *row_lane == lane)
-            || (lane == VM_LIST_LANE && !self.changed_vm_rows.is_empty())
+            || (lane == VM_LIST_LANE && (self.stops_changed || !self.changed_vm_rows.is_empty()))
     }
 
     /// Returns true if there are rows that any lane may write.
@@ -103,7 +110,7 @@
         };
         let mut budget = BatchBudget::default();
         if lane == VM_LIST_LANE {
-            self.take_vm_list(&mut batch, &mut budget);
+            self.take_vm_lists(&mut batch, &mut budget, now);
         }
         // Progress goes first when it is due: it becomes due less often than the other rows, and
         // until it is written the ends stay on the VMs, which list at most 500.
@@ -119,9 +126,17 @@
         batch
     }
 
-    /// Takes the changed rows of the list of VMs. VMs can't be used before they are listed, so these
-    /// rows go first.
-    fn take_vm_list(&mut self, batch: &mut Batch, budget: &mut BatchBudget) {
+    /// Takes the changed rows of the lists of VMs. VMs can't be used, and runs not stopped, before
+    /// they are listed, so these rows go first.
+    fn take_vm_lists(&mut self, batch: &mut Batch, budget: &mut BatchBudget, now: Millis) {
+        if self.stops_changed {
+            let (ids, keys) = self.take_stop_list(now);
+            let write = RowWrite::StopList(encode(&ids));
+            // The first rows of a batch always fit.
+            budget.try_add(std::slice::from_ref(&write));
+            batch.stopping_vms = Some(keys);
+            batch.writes.push(write);
+        }
         let mut remaining = Vec::new();
         for row in std::mem::take(&mut self.changed_vm_rows) {
             let (records, mut keys) = self.vm_list_content(row);
@@ -260,6 +275,7 @@
             match write {
                 RowWrite::DropJob(id) => self.expired_jobs.push((*id, batch.lane)),
                 RowWrite::VmList(row, _) => self.mark_vm_list_row(*row),
+                RowWrite::StopList(_) => self.stops_changed = true,
                 _ => {}
             }
         }
@@ -281,6 +297,9 @@
                 job.spec = std::sync::Arc::default();
             }
         }
+        if let Some(keys) = &batch.stopping_vms {
+            self.stop_list_committed(keys);
+        }
         for key in &batch.listed_vms {
             if let Some(vm) = self.vms.get_mut(*key) {
                 vm.recorded = true;
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -2,8 +2,8 @@
 
 use dotterel_kernel::Millis;
 
+use super::Cell;
 use super::replace::copies_allowed;
-use super::{Cell, Order};
 use crate::job::Phase;
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, StartAnswer, VmKey};
@@ -19,12 +19,7 @@
         };
         if !matches!(target.runs[at].phase, RunPhase::Stopping { .. }) {
             target.runs[at].phase = RunPhase::Stopping { acked_at: None };
-            self.orders.push(Order::Stop {
-                vm,
-                task,
-                run,
-                reason,
-            });
+            self.push_stop(vm, task, run, reason);
         }
     }
 
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, Order};
+use super::Cell;
 use crate::job::Phase;
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, Vm, VmInfo, VmKey, VmRun};
@@ -67,13 +67,9 @@
             {
                 task.phase = Phase::Placed(key);
             }
-            self.orders.push(Order::Stop {
-                vm: key,
-                task: vm_run.task,
-                run: vm_run.run,
-                reason: "VM restarted",
-            });
+            let (task, run) = (vm_run.task, vm_run.run);
             self.vms[key].add(vm_run);
+            self.push_stop(key, task, run, "VM restarted");
         }
     }
 
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, Order};
+use super::Cell;
 use crate::job::Phase;
 use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
 
@@ -51,7 +51,7 @@
                 self.limits.lease_max
             };
             vm.lease_end = vm.lease_end.max(report.clock + lease);
-            if self.term > 1 {
+            if std::mem::take(&mut vm.may_be_stopping) {
                 vm.not_before = now + self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
             }
             self.update_vm_list();
@@ -151,12 +151,8 @@
         } else {
             run.phase = RunPhase::Stopping { acked_at: None };
             self.vms[key].add(run);
-            self.orders.push(Order::Stop {
-                vm: key,
-                task: reported.task,
-                run: reported.run,
-                reason: "task not expected on this VM",
-            });
+            let reason = "task not expected on this VM";
+            self.push_stop(key, reported.task, reported.run, reason);
         }
     }
 
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -5,7 +5,7 @@
 use super::{Cell, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
-use crate::vm::RunPhase;
+use crate::vm::{RunPhase, StopRecord, Vm};
 
 /// Interval between retries of an unacknowledged stop: slightly more than a round trip between
 /// regions plus the call's timeout.
@@ -80,7 +80,8 @@
     }
 
     fn retry_stops(&mut self, now: Millis) {
-        for (key, vm) in &mut self.vms {
+        let recorded = |vm: &Vm| vm.stops == StopRecord::Durable;
+        for (key, vm) in self.vms.iter_mut().filter(|(_, vm)| recorded(vm)) {
             for vm_run in &mut vm.runs {
                 if vm_run.phase == (RunPhase::Stopping { acked_at: None })
                     && now.since(vm_run.ordered_at.max(vm_run.progressed_at)) >= STOP_RETRY_INTERVAL
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -148,6 +148,18 @@
     },
 }
 
+/// Whether the store names a VM as one on which runs may be stopping.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StopRecord {
+    /// It doesn't, and no stop is ordered.
+    #[default]
+    None,
+    /// Stops wait until it does.
+    Pending,
+    /// It does.
+    Durable,
+}
+
 /// A run that occupies capacity on a VM.
 #[derive(Clone, Debug)]
 pub struct VmRun {
@@ -202,6 +214,10 @@
     /// Set on VMs that an earlier term may have given runs, until they reply or their leases have
     /// expired: recovery waits for them.
     pub awaited: bool,
+    /// Set if an earlier term may have ordered stops whose runs still occupy capacity.
+    pub may_be_stopping: bool,
+    /// Whether the store names the VM as one on which runs may be stopping.
+    pub stops: StopRecord,
     /// No run is started before this time: runs that a previous leader ordered to stop occupy
     /// capacity without being listed until their ends are.
     pub not_before: Millis,
@@ -236,6 +252,8 @@
             fenced: false,
             recorded: false,
             awaited: false,
+            may_be_stopping: false,
+            stops: StopRecord::None,
             not_before: Millis::ZERO,
             used: Size::ZERO,
             runs: Vec::new(),
--- a/crates/dotterel-cell/tests/cell/replace.rs
+++ b/crates/dotterel-cell/tests/cell/replace.rs
@@ -124,6 +124,7 @@
     let copy = starts(&silence(&mut bench, &silent, 12)).remove(0);
 
     bench.cell.cancel(JobId(1), bench.now);
+    bench.commit_all();
 
     let mut stopped: Vec<VmKey> = stops(&bench.cell.take_orders())
         .into_iter()
--- a/crates/dotterel-cell/tests/cell/stall.rs
+++ b/crates/dotterel-cell/tests/cell/stall.rs
@@ -4,6 +4,7 @@
 use dotterel_cell::Order;
 
 fn stops(bench: &mut Bench) -> usize {
+    bench.commit_all();
     let orders = bench.cell.take_orders();
     // Unacknowledged stops are retried with a different reason.
     let stalled = orders.iter().filter(|order| {
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -8,6 +8,7 @@
 use futures_util::future::{join, join_all, join3};
 
 use super::Scheduler;
+use super::writer::STOP_LIST_KEY;
 use crate::election::{LANES, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
 use crate::platform::{Commit, Platform, Row, Table, Tx};
 
@@ -57,7 +58,9 @@
         let mut cell = self.cell.borrow_mut();
         let mut complete = self.term == 1 || !rows.is_empty();
         let mut listed = 0;
-        for row in rows {
+        let stop_list = rows.iter().find(|row| row.key == STOP_LIST_KEY);
+        let stopping = stop_list.and_then(|row| decode::<Vec<CompactString>>(&row.value));
+        for row in rows.iter().filter(|row| row.key != STOP_LIST_KEY) {
             if let Some(records) = decode::<Vec<VmRecord>>(&row.value) {
                 listed += records.len();
                 cell.restore_vm_list(&records, now);
@@ -72,9 +75,19 @@
                 "list of VMs incomplete, waiting for all VMs of the registry");
             cell.await_all_vms();
         }
+        let stopping_vms = stopping.as_ref().map_or(listed, Vec::len);
+        match stopping {
+            Some(ids) => cell.restore_stop_list(&ids),
+            None if self.term > 1 => {
+                log::warn!(cell = self.cell_no.0; "no list of VMs that may be stopping runs");
+                cell.spare_all_vms();
+            }
+            None => {}
+        }
         let unregistered = cell.vms().filter(|(_, vm)| !vm.listed).count();
         log::info!(
-            cell = self.cell_no.0, listed, unregistered; "VMs that may have runs");
+            cell = self.cell_no.0, listed, unregistered, stopping = stopping_vms;
+            "VMs that may have runs");
     }
 
     async fn load_lane(&self, lane: u8) -> Option<LaneRows> {
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -20,6 +20,8 @@
 use crate::link::Reply;
 use crate::platform::{Commit, Platform, Row, Table, Tx};
 
+/// Key of the list of VMs on which runs may be stopping; the other rows of the table have numbers.
+pub(super) const STOP_LIST_KEY: &str = "stops";
 /// Maximum interval between renewals of the leadership.
 const RENEW_INTERVAL: Millis = Millis(250);
 /// Pause between transactions of a lane, in which further writes join the next one.
@@ -335,6 +337,10 @@
         RowWrite::Progress(id, value) => tx.puts.push((Table::Progress, key(id), value.clone())),
         RowWrite::DropProgress(id) => tx.removes.push((Table::Progress, key(id))),
         RowWrite::DropJob(id) => tx.removes.push((Table::Jobs, key(id))),
+        RowWrite::StopList(value) => {
+            tx.puts
+                .push((Table::Vms, STOP_LIST_KEY.into(), value.clone()))
+        }
         RowWrite::VmList(row, value) => {
             let key = format_compact!("{row:02}");
             tx.puts.push((Table::Vms, key, value.clone()));
