--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -338,8 +338,8 @@
         RowWrite::DropProgress(id) => tx.removes.push((Table::Progress, key(id))),
         RowWrite::DropJob(id) => tx.removes.push((Table::Jobs, key(id))),
         RowWrite::StopList(value) => {
-            tx.puts
-                .push((Table::Vms, STOP_LIST_KEY.into(), value.clone()))
+            let key = STOP_LIST_KEY.into();
+            tx.puts.push((Table::Vms, key, value.clone()));
         }
         RowWrite::VmList(row, value) => {
             let key = format_compact!("{row:02}");
