--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -131,6 +131,15 @@
     Pending,
 }
 
+/// A VM whose lease has certainly expired, and the number of runs released with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredLease {
+    /// Id of the VM.
+    pub vm: CompactString,
+    /// Number of runs released.
+    pub runs: usize,
+}
+
 /// Scheduler state of one cell: its jobs, VMs and pending orders.
 #[derive(Debug)]
 pub struct Cell {
@@ -155,6 +164,8 @@
     changed_vm_rows: Vec<u8>,
     /// The list of VMs on which runs may be stopping has to be rewritten.
     stops_changed: bool,
+    /// Leases that expired since the last call of `take_expired_leases`.
+    expired_leases: Vec<ExpiredLease>,
     /// Stops that wait until the list names their VMs.
     held_stops: Vec<Order>,
     /// Sequence number of the last job change that has to be written.
@@ -195,6 +206,7 @@
             changed_vm_rows: Vec::new(),
             // A successor that finds no list spares all VMs.
             stops_changed: true,
+            expired_leases: Vec::new(),
             held_stops: Vec::new(),
             seq: 0,
             plan_needed: true,
@@ -295,6 +307,11 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Returns the leases that expired since the last call, for the log.
+    pub fn take_expired_leases(&mut self) -> Vec<ExpiredLease> {
+        std::mem::take(&mut self.expired_leases)
+    }
+
     /// Returns true if anything has changed since the last plan.
     #[must_use]
     pub const fn needs_plan(&self) -> bool {
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, Order};
+use super::{Cell, ExpiredLease, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, StopRecord, Vm};
@@ -64,6 +64,10 @@
             };
             if expires_at.is_some_and(|expires_at| now >= expires_at) {
                 vm.fenced = false;
+                self.expired_leases.push(ExpiredLease {
+                    vm: vm.info.id.clone(),
+                    runs: vm.runs.len(),
+                });
                 lost.extend(vm.runs.iter().map(|vm_run| (key, vm_run.task, vm_run.run)));
             }
             let is_removable = !vm.listed && vm.runs.is_empty() && !vm.fenced;
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -601,6 +601,9 @@
     bench.cell.tick(bench.now);
 
     assert!(!changed_early);
+    let expired = bench.cell.take_expired_leases();
+    assert_eq!(expired.len(), 1);
+    assert_eq!((expired[0].vm.as_str(), expired[0].runs), ("vm-000", 0));
     assert!(bench.cell.has_rows(0, bench.now), "its row is rewritten");
     assert!(listed_ids(&mut bench).is_empty());
 }
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -208,6 +208,12 @@
             }
             last_tick = now;
             self.cell.borrow_mut().tick(now);
+            let expired = self.cell.borrow_mut().take_expired_leases();
+            for lease in expired {
+                log::warn!(
+                    cell = self.cell_no.0, vm = lease.vm.as_str(), runs = lease.runs;
+                    "lease expired, runs released");
+            }
             self.yield_to_larger_node(now);
             self.report_store_state();
             self.expire_advice_calls(now);
