--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -43,9 +43,9 @@
 /// A leader that is alive but reports that it can't write to the store is replaced by a node that
 /// can after this time: two reads that show the same rows.
 const STORE_OUTAGE_TIMEOUT: Millis = Millis(200);
-/// After a store outage seen by this node as well, the leader has this long to commit a
-/// transaction.
-const OUTAGE_RECOVERY_TIMEOUT: Millis = Millis(2400);
+/// After a store outage seen by this node as well, the leader has this long to commit a transaction:
+/// three times what its probes take to find that the store replies again.
+const OUTAGE_RECOVERY_TIMEOUT: Millis = Millis(900);
 /// Interval between reads of the leader and renewal rows.
 const POLL_INTERVAL: Millis = Millis(200);
 /// Timeout for connecting to the leader.
