Replace a leader that is lost just after an outage of the store within a second and a half

Nodes that watch its renewals had reads in flight that hung until their timeout of 0.9 s; that time, though the read had failed, counted as the duration of a read, so the leader was given six times as long, 5.4 s, and 2.4 s at least.

A failed read no longer counts as a slow one, a read while watching takes at most 0.6 s, and the leader has 0.9 s after an outage: it finds within 0.3 s that the store replies again.

The new test fails with 2.4 s.

--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -38,6 +38,9 @@
 /// While the store is slow, a renewal must be overdue by at least this many times the duration of a
 /// read.
 const SLOW_READ_FACTOR: u64 = 6;
+/// Timeout of a read while a node watches for renewals: twice what a slow store takes. After an outage
+/// it bounds the time until the next read.
+const WATCH_READ_TIMEOUT: Millis = Millis(600);
 /// Timeout of the takeover write. A slow store needs most of a second.
 const ACQUIRE_TIMEOUT: Millis = Millis(1500);
 /// A leader that is alive but reports that it can't write to the store is replaced by a node that
@@ -161,26 +164,22 @@
         Ok(RoleRows::read(&page.rows))
     }
 
-    /// Watches the renewal row and takes over when it stays unchanged for `timeout`. Returns true
+    /// Watches the renewal row and takes over when it stays unchanged for `max_age`. Returns true
     /// if a takeover was tried, and false once the leader has renewed.
-    async fn watch_renewals(&self, timeout: Millis) -> bool {
+    async fn watch_renewals(&self, max_age: Millis) -> bool {
         let mut baseline: Option<(u64, Millis)> = None;
-        let mut timeout = timeout;
+        let mut max_age = max_age;
         loop {
             let started_at = self.clock.now();
-            let result = self.read_rows().await;
-            let read_time = self.clock.now().since(started_at);
-            timeout = timeout.max(Millis(read_time.0 * SLOW_READ_FACTOR));
-            if result.is_err() {
-                // This node can't reach the store either, so the leader may be healthy.
-                timeout = timeout.max(OUTAGE_RECOVERY_TIMEOUT);
-            }
-            if let Ok(rows) = result {
-                let now = self.clock.now();
+            let read = timeout(WATCH_READ_TIMEOUT.duration(), self.read_rows()).await;
+            let now = self.clock.now();
+            if let Ok(Ok(rows)) = read {
+                let read_time = now.since(started_at);
+                max_age = max_age.max(Millis(read_time.0 * SLOW_READ_FACTOR));
                 let version = rows.version();
                 match baseline {
                     Some((seen, since)) if seen == version => {
-                        if now.since(since) >= timeout {
+                        if now.since(since) >= max_age {
                             self.try_acquire(&rows, "leader stopped renewing").await;
                             return true;
                         }
@@ -188,6 +187,9 @@
                     Some(_) => return false,
                     None => baseline = Some((version, now)),
                 }
+            } else {
+                // This node can't reach the store either, so the leader may be healthy.
+                max_age = max_age.max(OUTAGE_RECOVERY_TIMEOUT);
             }
             self.sleep(POLL_INTERVAL).await;
         }
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -4,9 +4,10 @@
 
 use dotterel_kernel::Millis;
 use dotterel_node::link::{CellNo, SchedulerMessage};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::support::{OneVm, connect, next_message, run, start_scheduler, submit};
+use crate::support::{OneVm, connect, follow, next_message, run, start_scheduler, submit};
 
 /// Pattern: callers wait for an outage of the store to end, and the scheduler waits for the reply to
 /// a transaction that was lost in it.
@@ -125,3 +126,37 @@
         assert!(since.elapsed() < Duration::from_millis(1200));
     });
 }
+
+/// Pattern: the leader's node loses power just after an outage of the store, and the others still wait
+/// for it to recover.
+#[test]
+fn a_leader_lost_in_an_outage_is_replaced_soon_after_it() {
+    let platform = OneVm::new();
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        // Accepts links and never replies, like a node without power.
+        tokio::task::spawn_local(async move {
+            let mut links = Vec::new();
+            while let Ok((link, _)) = listener.accept().await {
+                links.push(link);
+            }
+        });
+        let host = follow(&platform, &address.to_string());
+        sleep(Duration::from_millis(100)).await;
+        platform.store_silent.set(true);
+        sleep(Duration::from_millis(1500)).await;
+        platform.store_silent.set(false);
+        let ended_at = Instant::now();
+
+        while !host.leads(CellNo(0)) && ended_at.elapsed() < Duration::from_secs(5) {
+            sleep(Duration::from_millis(20)).await;
+        }
+
+        // A read in flight, the next one, and the time that the leader has to recover.
+        let waited = ended_at.elapsed();
+        assert!(waited < Duration::from_millis(2100), "after {waited:?}");
+    });
+}
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -8,16 +8,20 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use dotterel_cell::record;
 use dotterel_cell::{
     JobId, JobRecord, JobSpec, JobState, Policy, RawJob, Report, ReportedEnd, ReportedRun,
     RunOutcome, StartAnswer, Step, TaskName, VmInfo,
 };
 use dotterel_kernel::{Clock, Millis, Size};
-use dotterel_node::election::LeaderRow;
+use dotterel_node::election::{
+    Election, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow, advice_limiter,
+};
+use dotterel_node::front::Relay;
 use dotterel_node::link::{self, CellNo, FrontMessage, Reply, Request, SchedulerMessage};
 use dotterel_node::metrics::Metrics;
 use dotterel_node::platform::{
-    AdviceError, AdvisedVm, Commit, ConfigChange, Page, StartOrder, StoreError, Table, Tx,
+    AdviceError, AdvisedVm, Commit, ConfigChange, Page, Row, StartOrder, StoreError, Table, Tx,
     VmChanges, VmError, VmTarget,
 };
 use dotterel_node::scheduler::{SchedulerHost, Takeover};
@@ -40,6 +44,7 @@
 #[derive(Default)]
 pub(crate) struct OneVm {
     version: Cell<u64>,
+    role_rows: RefCell<Vec<Row>>,
     /// Time that the store takes for each call.
     pub(crate) store_delay: Cell<Millis>,
     /// Calls to the store sent while this is set get no reply.
@@ -71,6 +76,16 @@
         Rc::new(platform)
     }
 
+    pub(crate) fn put_role(&self, key: &str, value: &[u8]) {
+        let mut rows = self.role_rows.borrow_mut();
+        rows.retain(|row| row.key != key);
+        rows.push(Row {
+            key: key.into(),
+            value: Bytes::copy_from_slice(value),
+            version: self.version.get(),
+        });
+    }
+
     pub(crate) fn finish_runs(&self) {
         for (task, run) in self.running.take() {
             self.finish(task, run);
@@ -109,7 +124,7 @@
     /// The incarnation that accepted the connection.
     type VmConnection = u64;
 
-    async fn commit(&self, _: &Tx, timeout: Millis) -> Commit {
+    async fn commit(&self, tx: &Tx, timeout: Millis) -> Commit {
         if self.store_silent.get() {
             sleep(timeout.duration()).await;
             return Commit::Unknown;
@@ -119,16 +134,23 @@
         }
         sleep(self.store_delay.get().duration()).await;
         self.version.set(self.version.get() + 1);
+        for (_, key, value) in tx.puts.iter().filter(|put| put.0 == Table::Role) {
+            self.put_role(key, value);
+        }
         Commit::Done(self.version.get())
     }
 
-    async fn scan(&self, _: Table, _: &str, _: &str, _: u32) -> Result<Page, StoreError> {
+    async fn scan(&self, table: Table, _: &str, _: &str, _: u32) -> Result<Page, StoreError> {
         if self.store_silent.get() {
             sleep(Duration::from_millis(900)).await;
             return Err(StoreError::Away);
         }
         sleep(self.store_delay.get().duration()).await;
-        Ok(Page::default())
+        let mut page = Page::default();
+        if table == Table::Role {
+            page.rows.clone_from(&self.role_rows.borrow());
+        }
+        Ok(page)
     }
 
     async fn config_changes(&self, _: Option<u64>) -> Result<ConfigChange, StoreError> {
@@ -247,7 +269,7 @@
     }
 }
 
-fn record() -> JobRecord {
+fn job_record() -> JobRecord {
     let step = Step {
         count: 1,
         size: size(100),
@@ -274,15 +296,49 @@
     pub(crate) address: CompactString,
 }
 
+fn settings() -> Rc<Settings> {
+    Rc::new(Settings::parse(SETTINGS).expect("the settings are valid"))
+}
+
+fn new_host(platform: &Rc<OneVm>) -> Rc<SchedulerHost<OneVm>> {
+    let metrics = Rc::new(Metrics::new());
+    let host = SchedulerHost::new(Rc::clone(platform), settings(), metrics, Clock::system());
+    Rc::new(host)
+}
+
+/// Starts the election of a node that follows the leader at `address`, and returns its host.
+pub(crate) fn follow(platform: &Rc<OneVm>, address: &str) -> Rc<SchedulerHost<OneVm>> {
+    let leader = LeaderRow {
+        node: "entry-9".into(),
+        incarnation: 1,
+        address: address.into(),
+        term: 1,
+        released: false,
+        largest_node: 1000,
+    };
+    platform.put_role(LEADER_KEY, &record::encode(&leader));
+    platform.put_role(RENEWAL_KEY, &record::encode(&RenewalRow::default()));
+    let host = new_host(platform);
+    let clock = Clock::system();
+    let election = Election {
+        platform: Rc::clone(platform),
+        settings: settings(),
+        incarnation: 1,
+        cell: CellNo(0),
+        relay: Rc::new(Relay::new(clock)),
+        host: Rc::clone(&host),
+        metrics: Rc::new(Metrics::new()),
+        clock,
+        stopping: Rc::default(),
+        advice_limiter: advice_limiter(),
+    };
+    tokio::task::spawn_local(election.run());
+    host
+}
+
 /// Starts a scheduler for the first term.
 pub(crate) async fn start_scheduler(platform: &Rc<OneVm>) -> Running {
-    let settings = Settings::parse(SETTINGS).expect("the settings are valid");
-    let host = Rc::new(SchedulerHost::new(
-        Rc::clone(platform),
-        Rc::new(settings),
-        Rc::new(Metrics::new()),
-        Clock::system(),
-    ));
+    let host = new_host(platform);
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
@@ -325,14 +381,14 @@
 
 /// Submits a job whose task takes `milli_cores`, and returns once it is accepted.
 pub(crate) async fn submit_sized(stream: &mut TcpStream, id: u64, milli_cores: u32) {
-    let mut record = record();
+    let mut record = job_record();
     record.spec.steps[0].size = size(milli_cores);
     submit_record(stream, id, record).await;
 }
 
 /// Submits a job, again after each refusal, until it is accepted.
 pub(crate) async fn submit(stream: &mut TcpStream, id: u64) {
-    submit_record(stream, id, record()).await;
+    submit_record(stream, id, job_record()).await;
 }
 
 async fn submit_record(stream: &mut TcpStream, id: u64, record: JobRecord) {
