Read on at once when a response of the registry's feed is full

One read every 0.41 s keeps up with 1,830 VMs at a heartbeat every 1.5 s; with 3,000 the leader fell behind by 0.4 s each second. Measured on 540 VMs: 150 rows in each read, and 500 in each once the pause was 2.4 s.

--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -106,6 +106,8 @@
     pub removed: Vec<CompactString>,
     /// Set when `listed` holds the whole registry.
     pub is_full: bool,
+    /// Set when there may be further changes that the response had no room for.
+    pub has_more: bool,
     /// The version to continue from.
     pub version: u64,
 }
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -22,6 +22,13 @@
 /// Minimum interval between polls of a VM whose reply reports no new ends.
 const MIN_POLL_INTERVAL: Millis = Millis(60);
 
+/// How far a read of the registry has got.
+struct RegistryRead {
+    version: u64,
+    /// There may be further changes.
+    has_more: bool,
+}
+
 impl<P: Platform> Scheduler<P> {
     /// Reads the whole registry, retrying without limit.
     pub(super) async fn load_vms(&self) {
@@ -36,9 +43,11 @@
         let mut after = None;
         let mut unavailable = false;
         loop {
+            let mut has_more = false;
             match self.read_registry(after).await {
-                Ok(version) => {
-                    after = Some(version);
+                Ok(read) => {
+                    after = Some(read.version);
+                    has_more = read.has_more;
                     if unavailable {
                         log::info!(cell = self.cell_no.0; "registry readable again");
                     }
@@ -61,15 +70,20 @@
             }
             self.sync_watchers();
             self.plan_wakeup.notify_one();
-            tokio::time::sleep(REGISTRY_POLL_INTERVAL.duration()).await;
+            // Each heartbeat is a change: with thousands of VMs there are more between two polls than
+            // fit into a response.
+            if !has_more {
+                tokio::time::sleep(REGISTRY_POLL_INTERVAL.duration()).await;
+            }
         }
     }
 
-    async fn read_registry(&self, after: Option<u64>) -> Result<u64, StoreError> {
+    async fn read_registry(&self, after: Option<u64>) -> Result<RegistryRead, StoreError> {
         let VmChanges {
             listed,
             removed,
             is_full,
+            has_more,
             version,
         } = self.platform.vm_changes(after).await?;
         let now = self.clock.now();
@@ -91,7 +105,7 @@
             log::info!(vm = id.as_str(); "VM removed from the registry");
             cell.vm_unlisted(&id, now);
         }
-        Ok(version)
+        Ok(RegistryRead { version, has_more })
     }
 
     /// Returns true when a VM belongs to this cell.
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -58,6 +58,8 @@
     pub(crate) runs_last: Cell<bool>,
     /// The task that reads the registry panics.
     pub(crate) panics: Cell<bool>,
+    /// Responses that the changes of the registry still fill.
+    pub(crate) registry_backlog: Cell<u32>,
     running: RefCell<Vec<(TaskName, u32)>>,
     /// The next start order reaches the VM just after it has restarted.
     pub(crate) restarts: Cell<bool>,
@@ -172,9 +174,12 @@
         } else {
             Vec::new()
         };
+        let backlog = self.registry_backlog.get().saturating_sub(1);
+        self.registry_backlog.set(backlog);
         Ok(VmChanges {
             listed,
             is_full: after.is_none(),
+            has_more: backlog > 0,
             version: 1,
             ..VmChanges::default()
         })
