--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -14,6 +14,9 @@
 /// Interval between reads of the registry: well within the time for which a VM that is about to
 /// leave still accepts work.
 const REGISTRY_POLL_INTERVAL: Millis = Millis(400);
+/// Pause after a full response, which leaves time for other work: 500 changes in 0.1 s are the heartbeats
+/// of 7,500 VMs.
+const CATCH_UP_PAUSE: Millis = Millis(100);
 /// How long a VM may delay its reply to a poll until a run ends.
 const HOLD_WAIT: Millis = Millis(1000);
 /// Backoff between polls of a VM that doesn't reply: doubles from the minimum up to the maximum.
@@ -72,9 +75,12 @@
             self.plan_wakeup.notify_one();
             // Each heartbeat is a change: with thousands of VMs there are more between two polls than
             // fit into a response.
-            if !has_more {
-                tokio::time::sleep(REGISTRY_POLL_INTERVAL.duration()).await;
-            }
+            let pause = if has_more {
+                CATCH_UP_PAUSE
+            } else {
+                REGISTRY_POLL_INTERVAL
+            };
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 
