Take over thousands of VMs without work that grows with their square

A leader that holds its thread for longer than fronts wait is taken for dead, and its successor does the same work again.

Each reply now looks at its own VM, the feed goes on from the first reading, and the lookup is a binary search. A leader counts as dead after 0.5 s without a renewal instead of 0.4 s.

--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -54,7 +54,7 @@
             if std::mem::take(&mut vm.may_be_stopping) {
                 vm.not_before = now + self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
             }
-            self.update_vm_list();
+            self.update_vm_record(key);
         }
         let vm = &mut self.vms[key];
         if report.clock >= vm.clock {
--- a/crates/dotterel-cell/src/cell/vm_list.rs
+++ b/crates/dotterel-cell/src/cell/vm_list.rs
@@ -65,15 +65,21 @@
 
     /// Marks the rows of the list that have to be rewritten.
     pub(super) fn update_vm_list(&mut self) {
-        let mut changed = Vec::new();
-        for vm in self.vms.values_mut() {
-            // The entry of a VM that still has one may name its previous incarnation.
-            if vm.may_have_runs() != vm.recorded {
-                vm.recorded = false;
-                changed.push(vm_list_row(&vm.info.id));
-            }
+        let is_changed = |vm: &Vm| vm.may_have_runs() != vm.recorded;
+        let changed = self.vms.iter().filter(|(_, vm)| is_changed(vm));
+        let changed: Vec<VmKey> = changed.map(|(key, _)| key).collect();
+        for key in changed {
+            self.update_vm_record(key);
         }
-        for row in changed {
+    }
+
+    /// Marks the row of a VM if it has to be rewritten.
+    pub(super) fn update_vm_record(&mut self, key: VmKey) {
+        let vm = &mut self.vms[key];
+        if vm.may_have_runs() != vm.recorded {
+            // The entry of a VM that still has one may name its previous incarnation.
+            vm.recorded = false;
+            let row = vm_list_row(&vm.info.id);
             self.mark_vm_list_row(row);
         }
     }
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -31,7 +31,7 @@
 
 /// A leader whose renewal row has not changed for this long is presumed dead: one renewal interval
 /// plus one store call.
-const RENEWAL_TIMEOUT: Millis = Millis(400);
+const RENEWAL_TIMEOUT: Millis = Millis(500);
 /// After this long without a message on the link, a front starts to watch the leader's renewals: at
 /// least one ping has gone unanswered.
 const LINK_SUSPECT_DELAY: Millis = Millis(250);
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -125,6 +125,8 @@
     /// No run is started before this time, unless the leadership is confirmed earlier.
     unconfirmed_until: StdCell<Option<Millis>>,
     releasing: StdCell<bool>,
+    /// Version of the registry up to which its changes are known.
+    registry_version: StdCell<Option<u64>>,
     /// Set once the state of the cell is restored.
     recovered: StdCell<bool>,
     ended: channel::Sender<bool>,
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -103,6 +103,7 @@
             outage_reported: StdCell::new(false),
             unconfirmed_until: StdCell::new(None),
             releasing: StdCell::new(false),
+            registry_version: StdCell::new(None),
             recovered: StdCell::new(false),
             ended: watch::Sender::new(false),
         });
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -35,16 +35,23 @@
 impl<P: Platform> Scheduler<P> {
     /// Reads the whole registry, retrying without limit.
     pub(super) async fn load_vms(&self) {
-        while let Err(err) = self.read_registry(None).await {
-            log::warn!(
-                cell = self.cell_no.0, fault:? = err; "failed to read the registry, retrying");
+        loop {
+            match self.read_registry(None).await {
+                Ok(read) => {
+                    self.registry_version.set(Some(read.version));
+                    return;
+                }
+                Err(err) => log::warn!(
+                    cell = self.cell_no.0, fault:? = err; "failed to read the registry, retrying"),
+            }
             tokio::time::sleep(REGISTRY_POLL_INTERVAL.duration()).await;
         }
     }
 
     pub(super) async fn poll_registry(self: Rc<Self>) {
-        let mut after = None;
+        let mut after = self.registry_version.get();
         let mut unavailable = false;
+        self.sync_watchers();
         loop {
             let mut has_more = false;
             match self.read_registry(after).await {
@@ -95,9 +102,11 @@
         let now = self.clock.now();
         let mut cell = self.cell.borrow_mut();
         if is_full {
+            let mut ids: Vec<_> = listed.iter().map(|info| info.id.clone()).collect();
+            ids.sort_unstable();
             let known: Vec<_> = cell.vms().map(|(_, vm)| vm.info.id.clone()).collect();
             for id in known {
-                if !listed.iter().any(|info| info.id == id) {
+                if ids.binary_search(&id).is_err() {
                     cell.vm_unlisted(&id, now);
                 }
             }
