--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -204,7 +204,7 @@
             ending_jobs: Vec::new(),
             expired_jobs: Vec::new(),
             changed_vm_rows: Vec::new(),
-            // A successor that finds no list spares all VMs.
+            // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
             expired_leases: Vec::new(),
             held_stops: Vec::new(),
--- a/crates/dotterel-cell/src/cell/stop_list.rs
+++ b/crates/dotterel-cell/src/cell/stop_list.rs
@@ -2,8 +2,8 @@
 //!
 //! A run that is being stopped occupies capacity without being listed by its VM, for up to the stop
 //! timeout. A successor that doesn't know of such runs would have to leave all VMs unused for that
-//! long. The leader therefore sends a stop only once the store names the VM, and a successor spares
-//! the VMs that it finds there.
+//! long. The leader therefore sends a stop only once the store names the VM, and a successor delays its
+//! first starts only on the VMs that it finds there.
 
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
@@ -22,8 +22,8 @@
         }
     }
 
-    /// Spares all VMs, for when an earlier term stored no list.
-    pub fn spare_all_vms(&mut self) {
+    /// Assumes that runs may be stopping on all VMs, for when an earlier term stored no list.
+    pub fn assume_stops_on_all(&mut self) {
         for vm in self.vms.values_mut() {
             vm.may_be_stopping = true;
         }
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -6,5 +6,6 @@
 mod gangs;
 mod replace;
 mod stall;
+mod stored_lists;
 mod support;
 mod takeover;
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -80,7 +80,7 @@
             Some(ids) => cell.restore_stop_list(&ids),
             None if self.term > 1 => {
                 log::warn!(cell = self.cell_no.0; "no list of VMs that may be stopping runs");
-                cell.spare_all_vms();
+                cell.assume_stops_on_all();
             }
             None => {}
         }
