Show that a VM stays on the stop list until it has replied

Taking vm.may_be_stopping out of may_have_stops failed no test: the one for a second takeover had the VM reply first. The new one fails then.

--- a/crates/dotterel-cell/tests/cell/stored_lists.rs
+++ b/crates/dotterel-cell/tests/cell/stored_lists.rs
@@ -61,6 +61,18 @@
     assert_eq!(stop_list(&batch), Some(vec!["vm-000".to_owned()]));
 }
 
+#[test]
+fn a_vm_that_has_not_replied_stays_on_the_stop_list() {
+    let mut bench = Bench::successor(1);
+    bench
+        .cell
+        .restore_stop_list(&[CompactString::from("vm-000")]);
+
+    let batch = bench.cell.take_batch(0, bench.now);
+
+    assert_eq!(stop_list(&batch), Some(vec!["vm-000".to_owned()]));
+}
+
 fn stop_list(batch: &Batch) -> Option<Vec<String>> {
     batch.writes.iter().find_map(|write| match write {
         RowWrite::StopList(bytes) => decode::<Vec<String>>(bytes),
