Log which runs are lost with a VM, why, and which VM takes its address

The lines on an expired lease gave the number of runs only, and a VM that joins left no line, so neither the task that was lost with one VM after the other nor a crash could be told from the log. A lost VM now leaves a line with the reason and the time since its last reply, one line for each of its first 32 runs, and dotterel_lost_runs_total counts them by reason. A VM that joins leaves its address and incarnation. Registering a VM takes the time, which the line on a restart needs.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -131,13 +131,26 @@
     Pending,
 }
 
-/// A VM whose lease has certainly expired, and the number of runs released with it.
+/// A VM that was lost, and the runs released with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ExpiredLease {
+pub struct LostVm {
     /// Id of the VM.
     pub vm: CompactString,
-    /// Number of runs released.
-    pub runs: usize,
+    /// Why the runs on it have certainly ended.
+    pub reason: LossReason,
+    /// Time since its last reply.
+    pub silent: Millis,
+    /// Runs released, with the time since each was ordered to start.
+    pub runs: Vec<(TaskName, u32, Millis)>,
+}
+
+/// Why the runs on a VM have certainly ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// Its lease has expired; the VM may have crashed or be disconnected.
+    LeaseExpired,
+    /// Another incarnation runs under its id.
+    Restarted,
 }
 
 /// Scheduler state of one cell: its jobs, VMs and pending orders.
@@ -164,8 +177,8 @@
     changed_vm_rows: Vec<u8>,
     /// The list of VMs on which runs may be stopping has to be rewritten.
     stops_changed: bool,
-    /// Leases that expired since the last call of `take_expired_leases`.
-    expired_leases: Vec<ExpiredLease>,
+    /// VMs lost since the last call of `take_lost_vms`.
+    lost_vms: Vec<LostVm>,
     /// Stops that wait until the list names their VMs.
     held_stops: Vec<Order>,
     /// Sequence number of the last job change that has to be written.
@@ -206,7 +219,7 @@
             changed_vm_rows: Vec::new(),
             // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
-            expired_leases: Vec::new(),
+            lost_vms: Vec::new(),
             held_stops: Vec::new(),
             seq: 0,
             plan_needed: true,
@@ -307,9 +320,9 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Returns the leases that expired since the last call, for the log.
-    pub fn take_expired_leases(&mut self) -> Vec<ExpiredLease> {
-        std::mem::take(&mut self.expired_leases)
+    /// Returns the VMs lost since the last call, for the log.
+    pub fn take_lost_vms(&mut self) -> Vec<LostVm> {
+        std::mem::take(&mut self.lost_vms)
     }
 
     /// Returns true if anything has changed since the last plan.
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -2,14 +2,13 @@
 
 use dotterel_kernel::Millis;
 
-use super::Cell;
+use super::{Cell, LossReason, LostVm};
 use crate::job::Phase;
-use crate::spec::TaskName;
 use crate::vm::{RunPhase, Vm, VmInfo, VmKey, VmRun};
 
 impl Cell {
     /// Adds or updates a VM from its registry entry.
-    pub fn vm_listed(&mut self, info: VmInfo) -> VmKey {
+    pub fn vm_listed(&mut self, info: VmInfo, now: Millis) -> VmKey {
         if let Some(key) = self.vm_by_id(&info.id) {
             let incarnation = self.vms[key].info.incarnation;
             if incarnation == info.incarnation {
@@ -24,6 +23,7 @@
                 return key;
             }
             let unreported = self.take_unreported(key);
+            self.release_lost_runs(key, LossReason::Restarted, now);
             self.remove_vm(key);
             let key = self.add_vm(info);
             self.stop_on_restarted_vm(key, unreported);
@@ -93,19 +93,27 @@
         at.ok().map(|at| self.vm_index[at].1)
     }
 
-    /// Removes a VM that is known to be gone, and releases its runs.
-    pub(crate) fn remove_vm(&mut self, key: VmKey) {
-        let runs: Vec<(TaskName, u32)> = match self.vms.get(key) {
-            Some(vm) => vm
-                .runs
-                .iter()
-                .map(|vm_run| (vm_run.task, vm_run.run))
-                .collect(),
-            None => return,
+    /// Releases the runs of a VM on which they have certainly ended, and notes the loss for the log.
+    pub(super) fn release_lost_runs(&mut self, key: VmKey, reason: LossReason, now: Millis) {
+        let Some(vm) = self.vms.get(key) else {
+            return;
         };
-        for (task, run) in runs {
-            self.release(key, task, run);
+        let runs = vm.runs.iter();
+        let runs = runs.map(|vm_run| (vm_run.task, vm_run.run, now.since(vm_run.ordered_at)));
+        let lost = LostVm {
+            vm: vm.info.id.clone(),
+            reason,
+            silent: now.since(vm.answered_at),
+            runs: runs.collect(),
+        };
+        for (task, run, _) in &lost.runs {
+            self.release(key, *task, *run);
         }
+        self.lost_vms.push(lost);
+    }
+
+    /// Removes a VM without runs.
+    pub(super) fn remove_vm(&mut self, key: VmKey) {
         if let Some(vm) = self.vms.remove(key)
             && vm.recorded
         {
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -30,7 +30,7 @@
                 incarnation: report.incarnation,
                 ..vm.info.clone()
             };
-            let key = self.vm_listed(info);
+            let key = self.vm_listed(info, now);
             self.apply_report(key, report, sent, now);
             return;
         }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, ExpiredLease, Order};
+use super::{Cell, LossReason, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, StopRecord, Vm};
@@ -53,7 +53,7 @@
     /// Releases the runs of VMs that did not reply before their leases expired, and removes idle
     /// VMs that left the registry.
     fn expire_leases(&mut self, now: Millis) {
-        let mut lost = Vec::new();
+        let mut expired = Vec::new();
         let mut removable = Vec::new();
         let lease_max = self.limits.lease_max;
         for (key, vm) in &mut self.vms {
@@ -64,19 +64,15 @@
             };
             if expires_at.is_some_and(|expires_at| now >= expires_at) {
                 vm.fenced = false;
-                self.expired_leases.push(ExpiredLease {
-                    vm: vm.info.id.clone(),
-                    runs: vm.runs.len(),
-                });
-                lost.extend(vm.runs.iter().map(|vm_run| (key, vm_run.task, vm_run.run)));
+                expired.push(key);
             }
             let is_removable = !vm.listed && vm.runs.is_empty() && !vm.fenced;
             if is_removable && now.since(vm.unlisted_at) > UNLISTED_VM_RETENTION {
                 removable.push(key);
             }
         }
-        for (vm, task, run) in lost {
-            self.release(vm, task, run);
+        for key in expired {
+            self.release_lost_runs(key, LossReason::LeaseExpired, now);
         }
         for key in removable {
             self.remove_vm(key);
--- a/crates/dotterel-cell/src/cell/vm_list.rs
+++ b/crates/dotterel-cell/src/cell/vm_list.rs
@@ -41,12 +41,13 @@
     pub fn restore_vm_list(&mut self, records: &[VmRecord], now: Millis) {
         for record in records {
             let key = self.vm_by_id(&record.id).unwrap_or_else(|| {
-                let key = self.vm_listed(VmInfo {
+                let info = VmInfo {
                     id: record.id.clone(),
                     address: record.address.clone(),
                     incarnation: record.incarnation,
                     ..VmInfo::default()
-                });
+                };
+                let key = self.vm_listed(info, now);
                 self.vm_unlisted(&record.id, now);
                 key
             });
--- a/crates/dotterel-cell/tests/cell/capacity.rs
+++ b/crates/dotterel-cell/tests/cell/capacity.rs
@@ -73,7 +73,7 @@
 #[test]
 fn a_run_of_an_ended_job_occupies_the_whole_vm() {
     let mut bench = Bench::with_term(0, 2);
-    let key = bench.cell.vm_listed(vm_info(0));
+    let key = bench.cell.vm_listed(vm_info(0), bench.now);
     bench.vms.push(key);
     let end = EndRecord {
         state: JobState::Cancelled,
--- a/crates/dotterel-cell/tests/cell/stored_lists.rs
+++ b/crates/dotterel-cell/tests/cell/stored_lists.rs
@@ -1,7 +1,7 @@
 //! The stored lists that tell a successor which VMs may have runs, and on which runs may be stopping.
 
 use compact_str::CompactString;
-use dotterel_cell::cell::{Batch, VmRecord};
+use dotterel_cell::cell::{Batch, LossReason, VmRecord};
 use dotterel_cell::record::decode;
 use dotterel_cell::{JobId, RowWrite, RunOutcome};
 
@@ -138,7 +138,7 @@
 #[test]
 fn a_vm_gets_no_run_before_the_store_names_it() {
     let mut bench = Bench::new(0);
-    let key = bench.cell.vm_listed(support::vm_info(0));
+    let key = bench.cell.vm_listed(support::vm_info(0), bench.now);
     bench.vms.push(key);
     bench.submit(1, independent_tasks(1, 1000));
     bench.commit_all();
@@ -156,7 +156,7 @@
 #[test]
 fn recovery_waits_only_for_vms_that_may_have_runs() {
     let mut bench = Bench::successor(1);
-    let silent = bench.cell.vm_listed(support::vm_info(1));
+    let silent = bench.cell.vm_listed(support::vm_info(1), bench.now);
     bench.vms.push(silent);
     bench
         .cell
@@ -220,9 +220,10 @@
     bench.cell.tick(bench.now);
 
     assert!(!changed_early);
-    let expired = bench.cell.take_expired_leases();
-    assert_eq!(expired.len(), 1);
-    assert_eq!((expired[0].vm.as_str(), expired[0].runs), ("vm-000", 0));
+    let lost = bench.cell.take_lost_vms();
+    assert_eq!(lost.len(), 1);
+    assert_eq!((lost[0].vm.as_str(), lost[0].runs.len()), ("vm-000", 0));
+    assert_eq!(lost[0].reason, LossReason::LeaseExpired);
     assert!(bench.cell.has_rows(0, bench.now), "its row is rewritten");
     assert!(listed_ids(&mut bench).is_empty());
 }
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -60,7 +60,7 @@
             vms: Vec::new(),
         };
         for index in 0..vms {
-            let key = bench.cell.vm_listed(vm_info(index));
+            let key = bench.cell.vm_listed(vm_info(index), bench.now);
             bench.vms.push(key);
         }
         bench
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -269,7 +269,7 @@
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
 
-    let key = bench.cell.vm_listed(restarted);
+    let key = bench.cell.vm_listed(restarted, bench.now);
     bench.commit_all();
     bench.plan();
     let orders = bench.cell.take_orders();
@@ -309,7 +309,7 @@
     let vm_index = bench.index_of(start.vm);
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
-    let key = bench.cell.vm_listed(restarted);
+    let key = bench.cell.vm_listed(restarted, bench.now);
     (bench, key, 1 - vm_index)
 }
 
@@ -369,7 +369,7 @@
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
 
-    bench.cell.vm_listed(restarted);
+    bench.cell.vm_listed(restarted, bench.now);
     bench.plan();
 
     assert_eq!(bench.take_starts().len(), 1);
@@ -403,9 +403,9 @@
     let mut bench = Bench::new(1);
     let mut restarted = support::vm_info(0);
     restarted.incarnation += 1;
-    let current = bench.cell.vm_listed(restarted);
+    let current = bench.cell.vm_listed(restarted, bench.now);
 
-    let listed = bench.cell.vm_listed(support::vm_info(0));
+    let listed = bench.cell.vm_listed(support::vm_info(0), bench.now);
 
     assert_eq!(listed, current);
     let vm = bench.cell.vm(current).expect("the VM is known");
--- a/crates/dotterel-node/src/metrics.rs
+++ b/crates/dotterel-node/src/metrics.rs
@@ -26,6 +26,7 @@
     orders: IntCounterVec,
     call_time: HistogramVec,
     plan_time: Histogram,
+    lost_runs: IntCounterVec,
     gauges: IntGaugeVec,
 }
 
@@ -92,6 +93,11 @@
                 "Orders to VMs, by kind and outcome.",
                 &["kind", "outcome"],
             ),
+            lost_runs: counter(
+                "dotterel_lost_runs_total",
+                "Runs lost with their VM, by reason.",
+                &["reason"],
+            ),
             call_time: histogram(
                 "dotterel_platform_call_seconds",
                 "Duration of calls to the platform, by kind.",
@@ -123,6 +129,12 @@
             .observe(duration.duration().as_secs_f64());
     }
 
+    /// Counts runs that were lost with their VM.
+    pub fn record_lost_runs(&self, reason: &str, runs: usize) {
+        let runs = u64::try_from(runs).unwrap_or(u64::MAX);
+        self.lost_runs.with_label_values(&[reason]).inc_by(runs);
+    }
+
     /// Records the duration of a plan.
     pub fn record_plan(&self, duration: Duration) {
         self.plan_time.observe(duration.as_secs_f64());
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use dotterel_cell::cell::LostVm;
 use dotterel_cell::{Cell, JobId, StepRef, VmKey};
 use dotterel_kernel::{Clock, Millis};
 use tokio::sync::{Notify, mpsc, watch as channel};
@@ -51,6 +52,8 @@
 const PLAN_PAUSE_FACTOR: u32 = 3;
 /// Interval of the timer that drives timeouts.
 const TICK_INTERVAL: Millis = Millis(150);
+/// Lost runs logged for each VM; a crash of many VMs must not fill the log.
+const MAX_LOGGED_LOST_RUNS: usize = 32;
 /// Interval between log lines on the load of the cell.
 const LOAD_LOG_INTERVAL: Millis = Millis::secs(1);
 /// A longer gap between two ticks means that the process was suspended.
@@ -210,11 +213,9 @@
             }
             last_tick = now;
             self.cell.borrow_mut().tick(now);
-            let expired = self.cell.borrow_mut().take_expired_leases();
-            for lease in expired {
-                log::warn!(
-                    cell = self.cell_no.0, vm = lease.vm.as_str(), runs = lease.runs;
-                    "lease expired, runs released");
+            let lost_vms = self.cell.borrow_mut().take_lost_vms();
+            for lost in &lost_vms {
+                self.log_lost_vm(lost);
             }
             self.yield_to_larger_node(now);
             self.report_store_state();
@@ -236,6 +237,19 @@
         }
     }
 
+    fn log_lost_vm(&self, lost: &LostVm) {
+        let vm = lost.vm.as_str();
+        log::warn!(
+            cell = self.cell_no.0, vm, reason:? = lost.reason, silent_ms = lost.silent.0,
+            runs = lost.runs.len();
+            "VM lost, runs released");
+        for (task, run, age) in lost.runs.iter().take(MAX_LOGGED_LOST_RUNS) {
+            log::info!(task:% = task, run, vm, ordered_ms_ago = age.0; "run lost");
+        }
+        let reason = format!("{:?}", lost.reason);
+        self.metrics.record_lost_runs(&reason, lost.runs.len());
+    }
+
     /// Releases the leadership when a much larger node is connected.
     fn yield_to_larger_node(&self, now: Millis) {
         let largest = self
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -113,7 +113,13 @@
         }
         for info in listed {
             if self.owns_vm(&info.id) {
-                cell.vm_listed(info);
+                if cell.vm_by_id(&info.id).is_none() && !is_full {
+                    log::info!(
+                        vm = info.id.as_str(), address = info.address.as_str(),
+                        incarnation = info.incarnation;
+                        "VM joined the registry");
+                }
+                cell.vm_listed(info, now);
             }
         }
         for id in removed {
