Show with a test that a task that crashes its VMs is started without limit

The fixture plays VMs that run tasks to their end, crash when they start certain tasks, and return under another id.

--- /dev/null
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -0,0 +1,209 @@
+//! Fixture: a cell whose VMs run their tasks to the end, and crash when they start certain tasks.
+//!
+//! A VM that has crashed is silent, and returns after a while at its address under another id.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use compact_str::format_compact;
+use dotterel_cell::{
+    JobId, JobRecord, Order, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, TaskName,
+    VmKey,
+};
+use dotterel_kernel::Millis;
+
+use crate::support::{Bench, ended, running, task, vm_info};
+
+const STEP_MS: u64 = 50;
+const RETURN_DELAY: Millis = Millis(4000);
+const FIRST_INCARNATION: u64 = 7;
+
+/// A VM process between two restarts.
+struct Process {
+    key: VmKey,
+    incarnation: u64,
+    /// Set while it is down: when it returns.
+    returns_at: Option<Millis>,
+    runs: Vec<(TaskName, u32, Millis)>,
+    ends: Vec<ReportedEnd>,
+    last_end: u64,
+}
+
+/// A cell, its VMs and the tasks that crash them.
+pub(crate) struct World {
+    pub(crate) bench: Bench,
+    processes: Vec<Process>,
+    crashing: BTreeSet<TaskName>,
+    durations: BTreeMap<JobId, Millis>,
+    /// Starts by task.
+    pub(crate) starts: BTreeMap<TaskName, usize>,
+    /// Runs that were lost with a VM although they didn't crash it.
+    pub(crate) victims: usize,
+    /// While set, nothing is written to the store.
+    pub(crate) store_away: bool,
+}
+
+impl World {
+    pub(crate) fn new(vms: usize) -> Self {
+        Self::on(Bench::new(vms))
+    }
+
+    /// Returns a world on the VMs of a cell, which have no runs.
+    pub(crate) fn on(bench: Bench) -> Self {
+        let processes = bench.vms.iter().map(|key| Process {
+            key: *key,
+            incarnation: FIRST_INCARNATION,
+            returns_at: None,
+            runs: Vec::new(),
+            ends: Vec::new(),
+            last_end: 0,
+        });
+        Self {
+            processes: processes.collect(),
+            bench,
+            crashing: BTreeSet::new(),
+            durations: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            victims: 0,
+            store_away: false,
+        }
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, record: JobRecord) {
+        self.durations
+            .insert(JobId(id), record.spec.steps[0].estimate);
+        self.bench.submit(id, record);
+    }
+
+    /// Submits a job whose first task crashes each VM that starts it.
+    pub(crate) fn submit_crashing(&mut self, id: u64, record: JobRecord) {
+        self.crashing.insert(task(id, 0));
+        self.submit(id, record);
+    }
+
+    /// Returns the number of starts of crashing tasks.
+    pub(crate) fn crashes(&self) -> usize {
+        let starts = self.starts.iter();
+        let crashing = starts.filter(|(name, _)| self.crashing.contains(*name));
+        crashing.map(|(_, starts)| *starts).sum()
+    }
+
+    pub(crate) fn run_for(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.bench.advance(STEP_MS);
+        self.restart_vms();
+        self.end_runs();
+        self.report();
+        self.bench.cell.tick(self.bench.now);
+        if !self.store_away {
+            self.bench.commit_all();
+        }
+        self.bench.plan();
+        for order in self.bench.cell.take_orders() {
+            self.carry_out(&order);
+        }
+    }
+
+    fn restart_vms(&mut self) {
+        let now = self.bench.now;
+        for (index, process) in self.processes.iter_mut().enumerate() {
+            if process.returns_at.is_none_or(|at| now < at) {
+                continue;
+            }
+            let old = self.bench.cell.vm(process.key);
+            if let Some(id) = old.map(|vm| vm.info.id.clone()) {
+                self.bench.cell.vm_unlisted(&id, now);
+            }
+            process.incarnation += 1;
+            process.returns_at = None;
+            let mut info = vm_info(index);
+            info.id = format_compact!("vm-{index:03}-{}", process.incarnation);
+            info.incarnation = process.incarnation;
+            process.key = self.bench.cell.vm_listed(info, now);
+            process.ends.clear();
+            process.last_end = 0;
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.bench.now;
+        for process in &mut self.processes {
+            let durations = &self.durations;
+            let is_done = |run: &(TaskName, u32, Millis)| now.since(run.2) >= durations[&run.0.job];
+            for (task, run, _) in process.runs.extract_if(.., |run| is_done(run)) {
+                process.last_end += 1;
+                let end = ended(process.last_end, task, run, RunOutcome::Done);
+                process.ends.push(end);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        let now = self.bench.now;
+        for process in &mut self.processes {
+            if process.returns_at.is_some() {
+                continue;
+            }
+            let durations = &self.durations;
+            let progress = |(task, run, since): &(TaskName, u32, Millis)| -> ReportedRun {
+                let percent = now.since(*since).0 * 100 / durations[&task.job].0.max(1);
+                running(*task, *run, u8::try_from(percent).unwrap_or(100))
+            };
+            let report = Report {
+                incarnation: process.incarnation,
+                clock: now,
+                running: process.runs.iter().map(progress).collect(),
+                ended: process.ends.clone(),
+            };
+            self.bench.cell.apply_report(process.key, &report, now, now);
+            let acked = self.bench.cell.vm(process.key).map(|vm| vm.durable_end);
+            process
+                .ends
+                .retain(|end| acked.is_none_or(|acked| end.number > acked));
+            self.bench.cell.extend_lease(process.key, now);
+        }
+    }
+
+    fn carry_out(&mut self, order: &Order) {
+        let now = self.bench.now;
+        match order {
+            Order::Start { vm, task, run, .. } => {
+                let process = self.processes.iter_mut().find(|process| process.key == *vm);
+                let Some(process) = process.filter(|process| process.returns_at.is_none()) else {
+                    return;
+                };
+                *self.starts.entry(*task).or_default() += 1;
+                let answer = StartAnswer::Started;
+                self.bench
+                    .cell
+                    .start_answered(*vm, *task, *run, answer, now);
+                if self.crashing.contains(task) {
+                    process.returns_at = Some(now + RETURN_DELAY);
+                    self.victims += process.runs.len();
+                    process.runs.clear();
+                } else {
+                    process.runs.push((*task, *run, now));
+                }
+            }
+            Order::Stop { vm, task, run, .. } => {
+                let process = self.processes.iter_mut().find(|process| process.key == *vm);
+                let Some(process) = process.filter(|process| process.returns_at.is_none()) else {
+                    return;
+                };
+                let is_stopped =
+                    |known: &mut (TaskName, u32, Millis)| known.0 == *task && known.1 == *run;
+                for (task, run, _) in process.runs.extract_if(.., is_stopped) {
+                    process.last_end += 1;
+                    let end = ended(process.last_end, task, run, RunOutcome::Stopped);
+                    process.ends.push(end);
+                }
+                self.bench.cell.stop_answered(*vm, *task, *run, now);
+            }
+            Order::RequestAdvice(_) => {}
+        }
+    }
+}
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -2,6 +2,8 @@
 
 mod advice;
 mod capacity;
+mod crashes;
+mod crashing_vms;
 mod durable;
 mod gangs;
 mod replace;
