Release the runs of a VM once another VM answers at its address

Callers saw: runs on a crashed VM start again 0.7 to 1.2 s later than they could. The scheduler kept polling a VM that had been replaced, got 421 (another VM uses this address) and treated it like silence until the lease had expired. Two processes can't listen at one address, so the reply shows that the VM and all that ran on it is gone.

The reply comes from the address itself and not from the registry, where an entry may come from another writer.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -151,6 +151,8 @@
     LeaseExpired,
     /// Another incarnation runs under its id.
     Restarted,
+    /// Another VM uses its address.
+    Replaced,
 }
 
 /// Scheduler state of one cell: its jobs, VMs and pending orders.
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -93,6 +93,14 @@
         at.ok().map(|at| self.vm_index[at].1)
     }
 
+    /// Records that another VM uses a VM's address, so that the VM is gone.
+    pub fn vm_replaced(&mut self, key: VmKey, now: Millis) {
+        if self.vms.contains_key(key) {
+            self.release_lost_runs(key, LossReason::Replaced, now);
+            self.remove_vm(key);
+        }
+    }
+
     /// Releases the runs of a VM on which they have certainly ended, and notes the loss for the log.
     pub(super) fn release_lost_runs(&mut self, key: VmKey, reason: LossReason, now: Millis) {
         let Some(vm) = self.vms.get(key) else {
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -237,6 +237,12 @@
                     self.end("a VM has seen a higher fencing token");
                     return;
                 }
+                Err(VmError::OtherVm) => {
+                    log::warn!(vm = target.id.as_str(); "another VM uses this VM's address");
+                    self.cell.borrow_mut().vm_replaced(key, now);
+                    self.plan_wakeup.notify_one();
+                    return;
+                }
                 Err(err) => {
                     session = Session::default();
                     if !unavailable {
