Count the crashes of VMs under a task, start suspects alone, and fail jobs that crash VMs

Cause: a run that was lost with its VM was released and its task placed again, as after any lost VM. Only ends that a VM reports as failed count as attempts, and a crashed VM reports nothing.

Now each run lost with a VM is noted with its task. Runs that had just started when the VM was last known to be up are suspects, the others bystanders. A suspect is started again alone: on a VM without other runs if there is one within 8 s, nothing else starts there for 150 ms, and at most one in six VMs is used this way (a third while half of the capacity is free, all while three quarters are). Two crashes that only one job can have caused make it fail; five of any kind do, for tasks that crash a VM later on. A loss counts once another incarnation is found in the VM's place, and is forgotten when the VM responds. The other tasks of a job wait while it has such a suspect.

The count outlasts the leader: losses are part of the job's progress row, and an isolated run is started only once that row names it, as a successor can't see what ran on a VM that is gone. While the store is away, suspects wait.

Four tests of takeovers now write rows before they expect the restart of a run that had just started when its VM restarted, or let that run go on for 300 ms; what they check is unchanged.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -8,12 +8,14 @@
 
 use crate::job::{Job, JobKey, JobState, StepRef};
 use crate::plan::advice::Adviser;
+use crate::plan::caution::RiskBudget;
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{RunPhase, Vm, VmKey, VmRun};
+use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
 
 mod admission;
 mod batch;
+mod crashes;
 mod ends;
 mod load;
 mod orders;
@@ -25,6 +27,8 @@
 mod vm_list;
 
 pub use batch::{Batch, RowWrite, VM_LIST_LANE};
+pub use crashes::CrashVerdict;
+pub(crate) use crashes::HeldStart;
 pub use load::Load;
 pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
 
@@ -181,6 +185,14 @@
     stops_changed: bool,
     /// VMs lost since the last call of `take_lost_vms`.
     lost_vms: Vec<LostVm>,
+    /// Lost runs for which it isn't known yet whether their VMs have crashed.
+    open_losses: Vec<crashes::OpenLoss>,
+    /// Jobs given up since the last call of `take_crash_verdicts`.
+    crash_verdicts: Vec<CrashVerdict>,
+    /// Starts of isolated runs that wait until their records are durable.
+    pub(crate) held_starts: Vec<HeldStart>,
+    /// What may be risked in this planning pass.
+    pub(crate) risk: RiskBudget,
     /// Stops that wait until the list names their VMs.
     held_stops: Vec<Order>,
     /// Sequence number of the last job change that has to be written.
@@ -222,6 +234,10 @@
             // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
             lost_vms: Vec::new(),
+            open_losses: Vec::new(),
+            crash_verdicts: Vec::new(),
+            held_starts: Vec::new(),
+            risk: RiskBudget::default(),
             held_stops: Vec::new(),
             seq: 0,
             plan_needed: true,
@@ -262,6 +278,7 @@
         }
         let key = self.insert_job(job);
         self.start_due_rounds(key, now);
+        self.restore_losses(key, now);
     }
 
     /// Restores a job that ended in an earlier term, from the rows of a lane.
@@ -491,6 +508,7 @@
             confirmed_at: now,
             percent: 0,
             progressed_at: now,
+            caution: Caution::None,
         }
     }
 }
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -305,6 +305,7 @@
                 vm.recorded = true;
             }
         }
+        self.issue_held_starts();
         for vm in self.vms.values_mut() {
             vm.update_durable_end(&self.jobs);
         }
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -13,6 +13,7 @@
     pub(crate) fn apply_end(&mut self, vm: VmKey, end: &ReportedEnd, now: Millis) {
         let had_run = self.vms[vm].remove(end.task, end.run).is_some();
         self.plan_needed = true;
+        self.forget_loss(end.task, end.run, now);
         let Some(key) = self.job_key(end.task.job) else {
             return;
         };
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -45,6 +45,7 @@
                     vm_run.phase = RunPhase::Running;
                     vm_run.confirmed_at = now;
                     vm_run.progressed_at = now;
+                    target.start_probation(at, now);
                 }
                 if let Some(key) = self.job_key(task.job) {
                     self.jobs[key].started = true;
@@ -76,6 +77,8 @@
             | StartAnswer::Reborn
             | StartAnswer::Malformed => {}
         }
+        // It has not started, so it has not crashed the VM either.
+        self.forget_loss(task, run, now);
         self.release(vm, task, run);
     }
 
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -22,6 +22,7 @@
             if incarnation > info.incarnation {
                 return key;
             }
+            self.note_lost_runs(key, LossReason::Restarted, now);
             let unreported = self.take_unreported(key);
             self.release_lost_runs(key, LossReason::Restarted, now);
             self.remove_vm(key);
@@ -103,6 +104,7 @@
 
     /// Releases the runs of a VM on which they have certainly ended, and notes the loss for the log.
     pub(super) fn release_lost_runs(&mut self, key: VmKey, reason: LossReason, now: Millis) {
+        self.note_lost_runs(key, reason, now);
         let Some(vm) = self.vms.get(key) else {
             return;
         };
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -57,6 +57,8 @@
             self.update_vm_record(key);
         }
         let vm = &mut self.vms[key];
+        vm.silent_since = None;
+        vm.is_suspected = false;
         if report.clock >= vm.clock {
             vm.clock = report.clock;
             vm.answered_at = now;
@@ -117,7 +119,9 @@
             if vm_run.phase == RunPhase::Starting {
                 vm_run.phase = RunPhase::Running;
                 vm_run.confirmed_at = now;
+                vm.start_probation(at, now);
             }
+            let vm_run = &mut vm.runs[at];
             if reported.percent != vm_run.percent {
                 vm_run.percent = reported.percent;
                 vm_run.progressed_at = now;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -20,6 +20,7 @@
     pub fn tick(&mut self, now: Millis) {
         self.update_recovery(now);
         self.expire_leases(now);
+        self.settle_losses(now);
         self.update_vm_list();
         self.retry_stops(now);
         self.replace_failing_runs(now);
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -113,12 +113,10 @@
     /// Returns a job that was just submitted or restored.
     #[must_use]
     pub fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
-        let critical_path =
-            record.spec.critical_path().0 * u64::from(record.policy.stretch_pct) / 100;
         let steps = 0u16..u16::try_from(record.spec.steps.len()).unwrap_or(u16::MAX);
         Self {
             id,
-            objective: Millis(critical_path) + record.policy.allowance,
+            objective: record.objective(),
             remaining: steps
                 .map(|step| record.spec.critical_path_from(step))
                 .collect(),
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -3,10 +3,20 @@
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
 
-use crate::record::{StepProgress, TaskMark};
+use crate::record::{LostRun, StepProgress, Suspicion, TaskMark};
 use crate::spec::Step;
 use crate::vm::VmKey;
 
+/// Crashes that only one task can have caused, after which its job fails. A VM that crashes by itself
+/// just after a start looks the same, but hardly twice for one task.
+const MAX_SOLE_CRASHES: usize = 2;
+/// Crashes under a task after which its job fails, whatever else was running.
+const MAX_CRASHES: usize = 5;
+/// After this many losses a task runs alone, even if none of them had just started it.
+const MAX_LOSSES_AS_BYSTANDER: usize = 3;
+/// After this many losses the next start waits until all of them are known to be crashes or not.
+const MAX_UNCONFIRMED_LOSSES: usize = 3;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -31,6 +41,44 @@
     pub saved: CompactString,
     /// VMs on which the task failed or stalled.
     pub avoided_vms: Vec<VmKey>,
+    /// Runs lost with their VM, and isolated runs that may be.
+    pub lost_runs: Vec<LostRun>,
+    /// Time of the last loss.
+    pub lost_at: Millis,
+}
+
+impl Task {
+    fn has_history(&self) -> bool {
+        !self.failed_runs.is_empty() || !self.saved.is_empty() || !self.lost_runs.is_empty()
+    }
+
+    /// Returns true if the task may have crashed a VM and is to run alone.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.lost_runs.len() >= MAX_LOSSES_AS_BYSTANDER || self.is_suspected_of(Suspicion::Shared)
+    }
+
+    /// Returns true if some loss of the task is at least this suspicious.
+    #[must_use]
+    pub fn is_suspected_of(&self, least: Suspicion) -> bool {
+        self.lost_runs.iter().any(|lost| lost.suspicion >= least)
+    }
+
+    /// Returns true if the next start has to wait until it is known whether earlier runs have
+    /// crashed their VMs.
+    #[must_use]
+    pub fn awaits_verdict(&self) -> bool {
+        let is_open = |lost: &LostRun| !lost.confirmed;
+        self.lost_runs.len() >= MAX_UNCONFIRMED_LOSSES && self.lost_runs.iter().any(is_open)
+    }
+
+    /// Returns true if the task has certainly crashed several VMs.
+    #[must_use]
+    pub fn crashes_vms(&self) -> bool {
+        let confirmed = || self.lost_runs.iter().filter(|lost| lost.confirmed);
+        let sole = confirmed().filter(|lost| lost.suspicion == Suspicion::Sole);
+        sole.count() >= MAX_SOLE_CRASHES || confirmed().count() >= MAX_CRASHES
+    }
 }
 
 /// A VM that may run a step.
@@ -101,6 +149,8 @@
             failed_runs: Vec::new(),
             saved: CompactString::default(),
             avoided_vms: Vec::new(),
+            lost_runs: Vec::new(),
+            lost_at: Millis::ZERO,
         };
         Self {
             tasks: vec![task; step.count as usize],
@@ -136,12 +186,13 @@
         for (index, task) in self.tasks.iter().enumerate() {
             if task.phase == Phase::Done {
                 done[index / 8] |= 1 << (index % 8);
-            } else if !task.failed_runs.is_empty() || !task.saved.is_empty() {
+            } else if task.has_history() {
                 marks.push(TaskMark {
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                     failed_runs: task.failed_runs.clone(),
                     last_run: task.last_run,
                     saved: task.saved.clone(),
+                    lost_runs: task.lost_runs.clone(),
                 });
             }
         }
@@ -166,6 +217,7 @@
                 task.failed_runs = mark.failed_runs.clone();
                 task.last_run = mark.last_run;
                 task.saved = mark.saved.clone();
+                task.lost_runs = mark.lost_runs.clone();
             }
         }
     }
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -6,15 +6,18 @@
 //! - [`reserve`]: reservation of capacity for gangs.
 //! - [`preempt`]: preemption of less urgent runs that can resume.
 //! - [`advice`]: requests to the advice service.
+//! - [`caution`]: tasks that may crash their VMs.
 
+use compact_str::CompactString;
 use dotterel_kernel::{Millis, Size};
 
-use crate::cell::{Cell, Order};
+use crate::cell::{Cell, HeldStart, Order};
 use crate::job::{Phase, StepRef};
 use crate::spec::{Step, TaskName};
-use crate::vm::VmKey;
+use crate::vm::{Caution, VmKey};
 
 pub mod advice;
+pub mod caution;
 pub mod fit;
 pub mod gang;
 pub mod order;
@@ -40,6 +43,28 @@
     size
 }
 
+/// A VM on which tasks of a step are started that may crash it.
+#[derive(Clone, Debug)]
+struct RiskedVm {
+    vm: VmKey,
+    ticket: CompactString,
+    caution: Caution,
+}
+
+/// Waiting tasks of a step that found no VM.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unplaced {
+    ordinary: u32,
+    /// Tasks that may crash their VMs.
+    cautious: u32,
+}
+
+impl Unplaced {
+    const fn total(self) -> u32 {
+        self.ordinary + self.cautious
+    }
+}
+
 impl Cell {
     /// Starts the tasks that fit, preempts for more urgent ones and requests advice.
     pub fn plan(&mut self, now: Millis) {
@@ -47,6 +72,7 @@
         self.prune_open_steps();
         self.held.clear();
         self.collect_reserved(now);
+        self.update_risk_budget(now);
         let mut queue = self.ranked_queue(now);
         queue.sort_unstable();
         let backlog = queue.len() > BACKLOG_STEPS;
@@ -72,11 +98,15 @@
                 continue;
             }
             let unplaced = self.place_tasks(step_ref, step, now);
-            if unplaced > 0 {
-                self.request_more_advice(step_ref, step, unplaced, now);
-                if preempting_left > 0 && self.preempt_for(step_ref, step, unplaced, now) {
-                    preempting_left -= 1;
-                }
+            if unplaced.total() > 0 {
+                self.request_more_advice(step_ref, step, unplaced.total(), now);
+            }
+            // Preemption would not free the VMs that tasks under caution need.
+            if unplaced.ordinary > 0
+                && preempting_left > 0
+                && self.preempt_for(step_ref, step, unplaced.ordinary, now)
+            {
+                preempting_left -= 1;
             }
         }
     }
@@ -101,43 +131,132 @@
     }
 
     /// Starts waiting tasks one by one and returns how many tasks found no VM.
-    fn place_tasks(&mut self, step_ref: StepRef, step: &Step, now: Millis) -> u32 {
+    fn place_tasks(&mut self, step_ref: StepRef, step: &Step, now: Millis) -> Unplaced {
+        let mut unplaced = Unplaced::default();
         let Some(state) = self.step_state(step_ref) else {
-            return 0;
+            return unplaced;
         };
         let waiting: Vec<u32> = (0u32..)
             .zip(&state.tasks)
             .filter(|(_, task)| task.phase == Phase::Waiting)
             .map(|(index, _)| index)
             .collect();
-        let mut unplaced = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
         let mut none_fits = false;
+        let mut risked = None;
+        let step_caution = self.step_caution(step_ref);
         for index in waiting {
+            let task = self
+                .step_state(step_ref)
+                .map(|state| &state.tasks[index as usize]);
+            let caution = match task.filter(|task| task.is_suspect()) {
+                Some(suspect) => caution::suspect_caution(suspect),
+                None => step_caution,
+            };
+            match caution {
+                Some(Caution::None) => {}
+                Some(caution) if self.risk.allows(caution) || risked.is_some() => {
+                    if !self.place_cautiously(step_ref, step, index, caution, &mut risked, now) {
+                        unplaced.cautious += 1;
+                        self.risk.take_attempt();
+                    }
+                    continue;
+                }
+                // Advice and preemption are of no use to a task that has to wait.
+                Some(_) | None => continue,
+            }
             // The tasks of a step differ only in the VMs that they avoid.
             let avoids_vms = self
                 .step_state(step_ref)
                 .is_some_and(|state| !state.tasks[index as usize].avoided_vms.is_empty());
             if none_fits && !avoids_vms {
+                unplaced.ordinary += 1;
                 continue;
             }
             match self.best_vm(step_ref, step, index, now) {
-                Some((vm, ticket)) => {
-                    self.start_task(step_ref, index, vm, ticket, now);
-                    unplaced -= 1;
+                Some((vm, ticket)) => self.start_task(step_ref, index, vm, ticket, now),
+                None => {
+                    unplaced.ordinary += 1;
+                    none_fits |= !avoids_vms;
                 }
-                None => none_fits |= !avoids_vms,
             }
         }
         unplaced
     }
 
+    /// Places a task that may crash its VM, if possible beside others of its step: a crash costs the
+    /// work of the whole job in any case. `risked` is the VM that the step uses in this pass.
+    fn place_cautiously(
+        &mut self,
+        step_ref: StepRef,
+        step: &Step,
+        index: u32,
+        caution: Caution,
+        risked: &mut Option<RiskedVm>,
+        now: Millis,
+    ) -> bool {
+        let same = risked.as_ref().filter(|same| {
+            let vm = &self.vms[same.vm];
+            let available = self.free_capacity(same.vm, vm);
+            same.caution == caution && self.count_slots(step_ref, step, vm, &available) > 0
+        });
+        let found = match same {
+            Some(same) => Some((same.vm, same.ticket.clone())),
+            None => self.least_exposed_vm(step_ref, step, index, caution, now),
+        };
+        let same_vm = same.map(|same| same.vm);
+        let Some((vm, ticket)) = found else {
+            return false;
+        };
+        self.start_cautiously(step_ref, index, vm, ticket.clone(), caution, now);
+        if same_vm.is_none() {
+            self.risk.take(caution);
+        }
+        *risked = Some(RiskedVm {
+            vm,
+            ticket,
+            caution,
+        });
+        true
+    }
+
+    /// Places a task that may crash its VM. If it is a suspect, its start order is issued once the
+    /// store names the run: a successor could not tell otherwise that it was started.
+    pub(crate) fn start_cautiously(
+        &mut self,
+        step_ref: StepRef,
+        index: u32,
+        vm: VmKey,
+        ticket: CompactString,
+        caution: Caution,
+        now: Millis,
+    ) {
+        self.start_task(step_ref, index, vm, ticket, now);
+        let Some(vm_run) = self.vms[vm].runs.last_mut() else {
+            return;
+        };
+        vm_run.caution = caution;
+        let vm_run = vm_run.clone();
+        // Ends when the run is confirmed or gone.
+        self.vms[vm].exclusive_until = Millis(u64::MAX);
+        if caution >= Caution::Isolated
+            && let Some(order) = self.orders.pop()
+        {
+            let seq = self.note_isolated_run(vm, &vm_run, now);
+            self.held_starts.push(HeldStart {
+                order,
+                job: step_ref.job,
+                seq,
+            });
+        }
+    }
+
     /// Places one task and issues its start order.
     pub(crate) fn start_task(
         &mut self,
         step_ref: StepRef,
         index: u32,
         vm: VmKey,
-        ticket: compact_str::CompactString,
+        ticket: CompactString,
         now: Millis,
     ) {
         let Some(job) = self.jobs.get_mut(step_ref.job) else {
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -28,6 +28,7 @@
             && vm.listed
             && !vm.info.draining
             && now >= vm.not_before
+            && now >= vm.exclusive_until
             && now.since(vm.answered_at) < MAX_REPLY_AGE
             && vm.info.service == service
             && (step.label.is_empty() || vm.info.labels.contains(&step.label))
@@ -199,7 +200,7 @@
 }
 
 /// Returns the remaining capacity in thousandths of the VM, summed over CPU and memory.
-fn leftover(rest: &Size, capacity: &Size) -> u64 {
+pub(crate) fn leftover(rest: &Size, capacity: &Size) -> u64 {
     let share = |part: u32, whole: u32| u64::from(part) * 1000 / u64::from(whole.max(1));
     share(rest.milli_cores, capacity.milli_cores) + share(rest.memory_mb, capacity.memory_mb)
 }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -11,7 +11,7 @@
 use crate::plan::advice::to_f32;
 use crate::plan::occupied_size;
 use crate::spec::Step;
-use crate::vm::{Vm, VmKey};
+use crate::vm::{Caution, Vm, VmKey};
 
 /// A gang has enough choice if its allowed VMs, when empty, could hold it this many times.
 const CHOICE_FACTOR: u32 = 3;
@@ -66,6 +66,12 @@
         else {
             return;
         };
+        let Some(caution) = self.gang_caution(step_ref) else {
+            return;
+        };
+        if !self.risk.allows(caution) {
+            return;
+        }
         let position = gangs.next_position(job.policy.priority);
         if state.reservation.shortage > 0 {
             gangs.lacking += 1;
@@ -81,14 +87,21 @@
         if let Some(state) = self.step_state_mut(step_ref) {
             state.planned_at = now;
         }
-        let unplaced = self.place_gang(step_ref, step, now);
+        let unplaced = self.place_gang(step_ref, step, caution, now);
         if unplaced == 0 {
+            self.risk.take(caution);
             if let Some(state) = self.step_state_mut(step_ref) {
                 state.reservation = Reservation::default();
                 state.planned_at = Millis::ZERO;
             }
             return;
         }
+        if caution > Caution::None {
+            // A reservation would not keep the VMs free of runs that have just started.
+            self.risk.take_attempt();
+            self.request_more_advice(step_ref, step, step.count, now);
+            return;
+        }
         let shortage = self.reserve_gang(step_ref, step, position, now);
         if let Some(state) = self.step_state_mut(step_ref) {
             state.reservation.shortage = shortage;
@@ -163,7 +176,7 @@
     }
 
     /// Starts all members or none; returns how many still wait.
-    fn place_gang(&mut self, step_ref: StepRef, step: &Step, now: Millis) -> u32 {
+    fn place_gang(&mut self, step_ref: StepRef, step: &Step, caution: Caution, now: Millis) -> u32 {
         let Some(state) = self.step_state(step_ref) else {
             return 0;
         };
@@ -172,7 +185,7 @@
             // The previous run has members that have not ended yet.
             return 0;
         }
-        let mut slots = self.gang_slots(step_ref, step, now);
+        let mut slots = self.gang_slots(step_ref, step, caution, now);
         let count = step.count;
         if step.one_rack {
             let rack = self.densest_rack(slots.iter().map(|(key, members, _)| (*key, *members)));
@@ -202,7 +215,11 @@
                 if index == count {
                     return 0;
                 }
-                self.start_task(step_ref, index, vm, ticket.clone(), now);
+                if caution == Caution::None {
+                    self.start_task(step_ref, index, vm, ticket.clone(), now);
+                } else {
+                    self.start_cautiously(step_ref, index, vm, ticket.clone(), caution, now);
+                }
                 index += 1;
             }
         }
@@ -235,15 +252,22 @@
         &self,
         step_ref: StepRef,
         step: &Step,
+        caution: Caution,
         now: Millis,
     ) -> Vec<(VmKey, u32, CompactString)> {
         let avoid = self.avoided_by_gang(step_ref, step, now);
+        let tasks = self.step_state(step_ref).map(|state| &state.tasks);
+        let lost_at = tasks.and_then(|tasks| tasks.iter().map(|task| task.lost_at).max());
+        let lost_at = lost_at.unwrap_or_default();
         let mut slots = Vec::new();
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             if avoid.contains(&key) {
                 continue;
             }
             let vm = &self.vms[key];
+            if !self.may_risk(vm, caution, lost_at, now) {
+                continue;
+            }
             let capacity = self.free_capacity(key, vm);
             let members = self.count_slots(step_ref, step, vm, &capacity);
             if members > 0 {
--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -20,6 +20,15 @@
     pub term: u32,
 }
 
+impl JobRecord {
+    /// Returns the job's target duration.
+    #[must_use]
+    pub fn objective(&self) -> Millis {
+        let stretched = self.spec.critical_path().0 * u64::from(self.policy.stretch_pct) / 100;
+        Millis(stretched) + self.policy.allowance
+    }
+}
+
 /// Progress of a job, rewritten while the job runs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
@@ -61,6 +70,36 @@
     pub last_run: u32,
     /// Saved state to resume from.
     pub saved: CompactString,
+    /// Runs lost with their VM, and isolated runs that may be.
+    pub lost_runs: Vec<LostRun>,
+}
+
+/// A run that was lost with its VM, or is about to start in isolation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRun {
+    /// Run number.
+    pub run: u32,
+    /// Id of the VM.
+    pub vm: CompactString,
+    /// Address of the VM.
+    pub address: CompactString,
+    /// Incarnation of the VM.
+    pub incarnation: u64,
+    /// How likely the run is to have crashed the VM, if the VM has crashed.
+    pub suspicion: Suspicion,
+    /// Set once the VM has certainly crashed; it may only be disconnected before.
+    pub confirmed: bool,
+}
+
+/// How likely a run is to have crashed its VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Suspicion {
+    /// The run had been going on for a while, beside others.
+    Bystander,
+    /// The run had just started, and so had runs of other jobs.
+    Shared,
+    /// No run of another job had just started.
+    Sole,
 }
 
 /// Main row of a job, rewritten when the job ends.
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -24,6 +24,10 @@
 /// and both attempts.
 const START_ORDER_TIMEOUT: Millis = Millis(2000);
 
+/// Time for which a run has to go on before others are started beside it if it may crash the VM. A
+/// crash at the start shows within a round trip, as the connection breaks.
+pub const PROBATION: Millis = Millis(150);
+
 /// A VM's entry in the registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmInfo {
@@ -185,6 +189,28 @@
     pub percent: u8,
     /// Time of the last progress, or of the last repeated stop order.
     pub progressed_at: Millis,
+    /// Nothing else is started on the VM at first, or as long as the run lasts.
+    pub caution: Caution,
+}
+
+/// What may be started beside a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Caution {
+    /// Any other run.
+    #[default]
+    None,
+    /// Nothing until the run has been going on for a while, and the VM should have no other runs.
+    Isolated,
+    /// Nothing as long as the run lasts.
+    Solitary,
+}
+
+impl VmRun {
+    /// Returns true if the run had not been going on for long at `time`.
+    #[must_use]
+    pub fn is_young(&self, time: Millis) -> bool {
+        self.phase == RunPhase::Starting || time < self.confirmed_at + PROBATION
+    }
 }
 
 /// An end that may not be acknowledged until its job's rows are durable.
@@ -239,6 +265,12 @@
     pub lease_end: Millis,
     /// Health of the VM, from the outcomes of its runs.
     pub health: VmHealth,
+    /// Set while the VM doesn't respond: the last time at which it was known to be up.
+    pub silent_since: Option<Millis>,
+    /// Set if runs that had just started may have crashed the VM.
+    pub is_suspected: bool,
+    /// Nothing is started before this time, for the sake of a run that may crash the VM.
+    pub exclusive_until: Millis,
 }
 
 impl Vm {
@@ -264,6 +296,9 @@
             answered_at: Millis::ZERO,
             lease_end: Millis::ZERO,
             health: VmHealth::default(),
+            silent_since: None,
+            is_suspected: false,
+            exclusive_until: Millis::ZERO,
         }
     }
 
@@ -327,9 +362,26 @@
         let at = self.find(task, run)?;
         let removed = self.runs.swap_remove(at);
         self.used = self.used.minus(&removed.size);
+        if removed.caution > Caution::None {
+            self.exclusive_until = Millis::ZERO;
+        }
         Some(removed)
     }
 
+    /// Limits the time for which a confirmed run that may crash the VM keeps others away.
+    pub fn start_probation(&mut self, at: usize, now: Millis) {
+        match self.runs[at].caution {
+            Caution::Isolated => self.exclusive_until = now + PROBATION,
+            Caution::None | Caution::Solitary => {}
+        }
+    }
+
+    /// Returns true if a run on the VM has not been going on for long.
+    #[must_use]
+    pub fn has_young_runs(&self, now: Millis) -> bool {
+        self.runs.iter().any(|vm_run| vm_run.is_young(now))
+    }
+
     /// Returns the index of a run in `runs`.
     #[must_use]
     pub fn find(&self, task: TaskName, run: u32) -> Option<usize> {
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -1,9 +1,11 @@
 //! Tasks that crash the VMs that start them.
 
-use dotterel_cell::{JobId, JobState};
+use dotterel_cell::record::{Progress, Suspicion, decode};
+use dotterel_cell::vm::Caution;
+use dotterel_cell::{JobId, JobState, RowWrite, StartAnswer};
 
 use crate::crashing_vms::World;
-use crate::support::{Bench, independent_tasks};
+use crate::support::{Bench, Start, gang, independent_tasks, running, vm_info};
 
 /// Runs of a task that crashes its VMs: three, and at most two more after the third crash.
 const MAX_CRASHING_RUNS: usize = 5;
@@ -20,6 +22,86 @@
     assert!(world.crashes() <= MAX_CRASHING_RUNS, "{}", world.crashes());
 }
 
+/// Guards against giving up jobs that only ran beside a task that crashes its VMs.
+#[test]
+fn jobs_beside_a_task_that_crashes_its_vms_complete() {
+    let mut world = World::new(4);
+    for id in 2..20 {
+        world.submit(id, independent_tasks(3, 2000));
+    }
+    world.submit_crashing(1, independent_tasks(1, 1000));
+
+    world.run_for(90_000);
+
+    assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Failed));
+    for id in 2..20 {
+        let state = world.bench.cell.state(JobId(id));
+        assert_eq!(state, Some(JobState::Completed), "job {id}");
+    }
+}
+
+/// Returns a cell in which a task has just started and its VM stops responding.
+fn with_silent_vm() -> (Bench, Start) {
+    let mut bench = Bench::new(3);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.confirm_starts().remove(0);
+    bench.advance(20);
+    let broken_at = bench.now;
+    bench
+        .cell
+        .vm_unresponsive(start.vm, Some(broken_at), bench.now);
+    (bench, start)
+}
+
+fn lost_runs(bench: &Bench, id: u64) -> Vec<(Suspicion, bool)> {
+    let job = bench.cell.job(JobId(id)).expect("the job is known");
+    let lost = job.rounds[0].steps[0].tasks[0].lost_runs.iter();
+    lost.map(|lost| (lost.suspicion, lost.confirmed)).collect()
+}
+
+/// Reports of all VMs but one, for a while.
+fn others_report(bench: &mut Bench, silent: usize, ms: u64) {
+    for _ in 0..ms / 200 {
+        bench.advance(200);
+        for index in (0..bench.vms.len()).filter(|index| *index != silent) {
+            bench.report_runs(index, 50);
+        }
+        bench.cell.tick(bench.now);
+    }
+}
+
+/// Guards against counting a VM that was only disconnected as one that its task has crashed.
+#[test]
+fn a_vm_that_responds_again_has_not_crashed() {
+    let (mut bench, start) = with_silent_vm();
+    let silent = bench.index_of(start.vm);
+    let suspected = lost_runs(&bench, 1);
+
+    bench.advance(500);
+    bench.report(silent, &[running(start.task, start.run, 20)], &[]);
+    bench.cell.tick(bench.now);
+
+    assert_eq!(suspected, [(Suspicion::Sole, false)]);
+    assert!(lost_runs(&bench, 1).is_empty());
+}
+
+#[test]
+fn a_vm_that_returns_under_another_id_has_crashed() {
+    let (mut bench, start) = with_silent_vm();
+    let silent = bench.index_of(start.vm);
+    others_report(&mut bench, silent, 1000);
+    let mut successor = vm_info(silent);
+    successor.id = "vm-new".into();
+    successor.incarnation += 1;
+
+    bench.cell.vm_listed(successor, bench.now);
+    bench.cell.tick(bench.now);
+
+    assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
+}
+
 /// Guards against waiting for the lease of a VM that no longer exists.
 #[test]
 fn runs_are_released_once_another_vm_answers_at_the_address() {
@@ -38,3 +120,182 @@
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].vm, start.vm);
 }
+
+#[test]
+fn a_run_that_has_gone_on_for_a_while_is_no_suspect() {
+    let mut bench = Bench::new(3);
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.confirm_starts().remove(0);
+    bench.advance(400);
+    bench.report_running(10);
+
+    let broken_at = bench.now;
+    bench
+        .cell
+        .vm_unresponsive(start.vm, Some(broken_at), bench.now);
+
+    assert!(lost_runs(&bench, 1).is_empty());
+}
+
+/// Guards against counting a start that was never sent when its VM crashes by itself.
+#[test]
+fn a_start_that_its_vm_refuses_is_no_evidence() {
+    let (mut bench, start) = with_silent_vm();
+    let silent = bench.index_of(start.vm);
+    bench.cell.vm_replaced(start.vm, bench.now);
+    others_report(&mut bench, silent, 400);
+    bench.plan();
+    bench.advance(200);
+    bench.commit_all();
+    let isolated = bench.take_starts().remove(0);
+
+    let answer = StartAnswer::Unhealthy;
+    bench
+        .cell
+        .start_answered(isolated.vm, isolated.task, isolated.run, answer, bench.now);
+    bench.cell.vm_replaced(isolated.vm, bench.now);
+
+    assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
+}
+
+/// Returns the progress that a batch stores for a job.
+fn stored_progress(bench: &mut Bench, id: u64) -> Option<Progress> {
+    let batch = bench.cell.take_batch(0, bench.now);
+    let progress = batch.writes.iter().find_map(|write| match write {
+        RowWrite::Progress(job, bytes) if *job == JobId(id) => decode::<Progress>(bytes),
+        _ => None,
+    });
+    bench.cell.batch_committed(&batch);
+    progress
+}
+
+/// Returns a cell that is about to start a suspect alone, and the progress that names the run.
+fn with_isolated_start() -> (Bench, Progress) {
+    let (mut bench, start) = with_silent_vm();
+    let silent = bench.index_of(start.vm);
+    bench.cell.vm_replaced(start.vm, bench.now);
+    others_report(&mut bench, silent, 400);
+    bench.commit_all();
+    bench.plan();
+    let early = bench.take_starts();
+    bench.advance(200);
+    let progress = stored_progress(&mut bench, 1).expect("the run is stored");
+    assert!(early.is_empty(), "the store doesn't name the run yet");
+    (bench, progress)
+}
+
+/// Guards against losing the count of crashes with the leader: a successor can't see that a VM that
+/// is gone had started the task.
+#[test]
+fn an_isolated_run_starts_only_once_the_store_names_it() {
+    let (mut bench, progress) = with_isolated_start();
+
+    let starts = bench.take_starts();
+
+    assert_eq!(starts.len(), 1);
+    let lost = &progress.rounds[0].steps[0].marks[0].lost_runs;
+    let isolated = lost.last().expect("the run is stored");
+    assert_eq!(
+        (isolated.run, isolated.suspicion),
+        (starts[0].run, Suspicion::Sole)
+    );
+}
+
+#[test]
+fn a_successor_counts_the_crash_of_a_run_that_its_predecessor_started() {
+    let (_, progress) = with_isolated_start();
+    let vm_of_run = progress.rounds[0].steps[0].marks[0].lost_runs[1].vm.clone();
+    let mut successor = Bench::successor(3);
+    successor.cell.restore_job(
+        JobId(1),
+        independent_tasks(1, 1000),
+        Some(&progress),
+        0,
+        successor.now,
+    );
+    let crashed = (0..3).find(|index| vm_info(*index).id == vm_of_run);
+    let crashed = crashed.expect("the VM is known");
+
+    others_report(&mut successor, crashed, 600);
+    successor
+        .cell
+        .vm_replaced(successor.vms[crashed], successor.now);
+    successor.cell.tick(successor.now);
+    successor.commit_all();
+
+    assert_eq!(successor.cell.state(JobId(1)), Some(JobState::Failed));
+}
+
+#[test]
+fn a_successor_forgets_a_suspicion_when_the_vm_responds() {
+    let (_, progress) = with_isolated_start();
+    let mut successor = Bench::successor(3);
+    successor.cell.restore_job(
+        JobId(1),
+        independent_tasks(1, 1000),
+        Some(&progress),
+        0,
+        successor.now,
+    );
+
+    successor.advance(100);
+    for index in 0..3 {
+        successor.report(index, &[], &[]);
+    }
+    successor.cell.tick(successor.now);
+
+    assert_eq!(lost_runs(&successor, 1), [(Suspicion::Sole, true)]);
+}
+
+/// Guards against further starts of a suspect while no count can be stored.
+#[test]
+fn a_suspect_is_not_started_while_the_store_is_away() {
+    let mut world = World::new(8);
+    world.submit_crashing(1, independent_tasks(1, 1000));
+    world.run_for(1000);
+    world.store_away = true;
+
+    world.run_for(20_000);
+    let crashes = world.crashes();
+    world.store_away = false;
+    world.run_for(30_000);
+
+    assert_eq!(crashes, 1);
+    assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Failed));
+}
+
+/// Guards against starting tasks beside a run that may crash the VM at any moment.
+#[test]
+fn nothing_starts_beside_an_isolated_run_that_has_just_started() {
+    let (mut bench, _) = with_isolated_start();
+    let isolated = bench.confirm_starts().remove(0);
+    for id in 2..40 {
+        bench.submit(id, independent_tasks(4, 1000));
+    }
+    bench.advance(20);
+    bench.commit_all();
+
+    bench.plan();
+    let others = bench.take_starts();
+
+    let vm = bench.cell.vm(isolated.vm).expect("the VM is known");
+    assert_eq!(vm.runs[0].caution, Caution::Isolated);
+    assert!(!others.is_empty());
+    assert!(others.iter().all(|start| start.vm != isolated.vm));
+}
+
+/// Guards against a gang that waits forever because a member other than the first is a suspect.
+#[test]
+fn a_gang_with_a_suspect_starts_again_alone() {
+    let mut world = World::new(4);
+    world.submit_crashing_at(1, 3, gang(4, 1000));
+    world.submit(2, gang(4, 1000));
+
+    world.run_for(60_000);
+
+    assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Failed));
+    assert_eq!(world.bench.cell.state(JobId(2)), Some(JobState::Completed));
+    assert!(world.crashes() <= MAX_CRASHING_RUNS, "{}", world.crashes());
+}
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -6,8 +6,8 @@
 
 use compact_str::format_compact;
 use dotterel_cell::{
-    JobId, JobRecord, Order, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, TaskName,
-    VmKey,
+    JobId, JobRecord, Order, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, Submitted,
+    TaskName, VmKey,
 };
 use dotterel_kernel::Millis;
 
@@ -68,16 +68,26 @@
         }
     }
 
-    pub(crate) fn submit(&mut self, id: u64, record: JobRecord) {
+    pub(crate) fn submit(&mut self, id: u64, record: JobRecord) -> Submitted {
         self.durations
             .insert(JobId(id), record.spec.steps[0].estimate);
-        self.bench.submit(id, record);
+        self.bench.submit(id, record)
     }
 
     /// Submits a job whose first task crashes each VM that starts it.
-    pub(crate) fn submit_crashing(&mut self, id: u64, record: JobRecord) {
-        self.crashing.insert(task(id, 0));
-        self.submit(id, record);
+    pub(crate) fn submit_crashing(&mut self, id: u64, record: JobRecord) -> Submitted {
+        self.submit_crashing_at(id, 0, record)
+    }
+
+    /// Submits a job of which one task crashes each VM that starts it.
+    pub(crate) fn submit_crashing_at(
+        &mut self,
+        id: u64,
+        index: u32,
+        record: JobRecord,
+    ) -> Submitted {
+        self.crashing.insert(task(id, index));
+        self.submit(id, record)
     }
 
     /// Returns the number of starts of crashing tasks.
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -199,6 +199,7 @@
         bench.cell.extend_lease(bench.vms[unresponsive], bench.now);
         bench.cell.tick(bench.now);
         bench.plan();
+        bench.commit_all();
         starts.extend(bench.take_starts());
     }
 
@@ -284,6 +285,8 @@
     };
     bench.cell.apply_report(key, &report, bench.now, bench.now);
     bench.plan();
+    bench.advance(200);
+    bench.commit_all();
     let again = bench.take_starts();
 
     assert!(
@@ -321,6 +324,8 @@
         bench.report_runs(other, 10);
         bench.cell.tick(bench.now);
         bench.plan();
+        bench.advance(200);
+        bench.commit_all();
         if !bench.take_starts().is_empty() {
             return Some(bench.now.since(since).0);
         }
@@ -365,6 +370,8 @@
     bench.plan();
     let start = bench.confirm_starts().remove(0);
     let vm_index = bench.index_of(start.vm);
+    // A run that has just started is stored as a suspect before it starts again.
+    bench.advance(300);
     bench.report_running(10);
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
--- a/crates/dotterel-node/src/metrics.rs
+++ b/crates/dotterel-node/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use dotterel_kernel::Millis;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -27,6 +27,7 @@
     call_time: HistogramVec,
     plan_time: Histogram,
     lost_runs: IntCounterVec,
+    crashing_tasks: IntCounter,
     gauges: IntGaugeVec,
 }
 
@@ -76,6 +77,14 @@
         registry
             .register(Box::new(plan_time.clone()))
             .expect("the names differ");
+        let crashing_tasks = IntCounter::new(
+            "dotterel_crashing_tasks_total",
+            "Tasks that made their jobs fail by crashing VMs.",
+        )
+        .expect("the name is well formed");
+        registry
+            .register(Box::new(crashing_tasks.clone()))
+            .expect("the names differ");
         Self {
             plan_time,
             requests: counter(
@@ -98,6 +107,7 @@
                 "Runs lost with their VM, by reason.",
                 &["reason"],
             ),
+            crashing_tasks,
             call_time: histogram(
                 "dotterel_platform_call_seconds",
                 "Duration of calls to the platform, by kind.",
@@ -135,6 +145,11 @@
         self.lost_runs.with_label_values(&[reason]).inc_by(runs);
     }
 
+    /// Counts a task that made its job fail by crashing VMs.
+    pub fn record_crashing_task(&self) {
+        self.crashing_tasks.inc();
+    }
+
     /// Records the duration of a plan.
     pub fn record_plan(&self, duration: Duration) {
         self.plan_time.observe(duration.as_secs_f64());
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use dotterel_cell::cell::LostVm;
+use dotterel_cell::cell::{CrashVerdict, LostVm};
 use dotterel_cell::{Cell, JobId, StepRef, VmKey};
 use dotterel_kernel::{Clock, Millis};
 use tokio::sync::{Notify, mpsc, watch as channel};
@@ -217,6 +217,10 @@
             for lost in &lost_vms {
                 self.log_lost_vm(lost);
             }
+            let verdicts = self.cell.borrow_mut().take_crash_verdicts();
+            for verdict in &verdicts {
+                self.log_crash_verdict(verdict);
+            }
             self.yield_to_larger_node(now);
             self.report_store_state();
             self.expire_advice_calls(now);
@@ -250,6 +254,15 @@
         self.metrics.record_lost_runs(&reason, lost.runs.len());
     }
 
+    fn log_crash_verdict(&self, verdict: &CrashVerdict) {
+        let vms = verdict.lost_runs.iter().map(|lost| lost.vm.as_str());
+        log::warn!(
+            cell = self.cell_no.0, job:% = verdict.task.job, task:% = verdict.task,
+            vms:? = vms.collect::<Vec<_>>();
+            "job failed, task crashes its VMs");
+        self.metrics.record_crashing_task();
+    }
+
     /// Releases the leadership when a much larger node is connected.
     fn yield_to_larger_node(&self, now: Millis) {
         let largest = self
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -45,10 +45,12 @@
                     let text = {
                         let cell = self.cell.borrow();
                         let target_vm = cell.vm(vm);
+                        let vm_run = target_vm.and_then(|vm| Some(&vm.runs[vm.find(task, run)?]));
                         log::info!(
                             task:% = task, run, vm = target_vm.map_or("", |vm| &vm.info.id),
                             waited_ms = waited.0, resumed = !saved.is_empty(),
-                            heard_ms = target_vm.map_or(0, |vm| now.since(vm.answered_at).0);
+                            heard_ms = target_vm.map_or(0, |vm| now.since(vm.answered_at).0),
+                            caution:? = vm_run.map(|vm_run| vm_run.caution).unwrap_or_default();
                             "start ordered");
                         cell.job(task.job).map(|job| job.spec.text.clone())
                     };
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -247,6 +247,12 @@
                     session = Session::default();
                     if !unavailable {
                         log::warn!(vm = target.id.as_str(), fault:? = err; "VM not responding");
+                        // Otherwise the call has timed out.
+                        let broken = now.since(sent_at) < HOLD_WAIT;
+                        let alive_until = broken.then_some(now);
+                        self.cell
+                            .borrow_mut()
+                            .vm_unresponsive(key, alive_until, now);
                     }
                     unavailable = true;
                     tokio::time::sleep(backoff.duration()).await;
