Start nothing on a VM whose connection has just broken

Callers saw: tasks wait for a VM that is gone. A VM stayed usable until its last reply was two seconds old, also when the connection of its poll had broken.

The test fails without the change: some of 18 tasks start on that VM.

--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -29,6 +29,7 @@
             && !vm.info.draining
             && now >= vm.not_before
             && now >= vm.exclusive_until
+            && vm.silent_since.is_none()
             && now.since(vm.answered_at) < MAX_REPLY_AGE
             && vm.info.service == service
             && (step.label.is_empty() || vm.info.labels.contains(&step.label))
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -299,3 +299,19 @@
     assert_eq!(world.bench.cell.state(JobId(2)), Some(JobState::Completed));
     assert!(world.crashes() <= MAX_CRASHING_RUNS, "{}", world.crashes());
 }
+
+/// Guards against starting tasks on a VM whose connection has just broken.
+#[test]
+fn a_vm_that_stops_responding_gets_no_starts() {
+    let (mut bench, start) = with_silent_vm();
+    for id in 2..20 {
+        bench.submit(id, independent_tasks(1, 1000));
+    }
+    bench.commit_all();
+
+    bench.plan();
+    let starts = bench.take_starts();
+
+    assert_eq!(starts.len(), 18);
+    assert!(starts.iter().all(|other| other.vm != start.vm));
+}
