Bound what the tasks of one queue can cost the others by crashing VMs

Cause: placement by best fit. A task lands on the fullest VM, beside up to 14 runs, and the first crash of each task can't be foreseen. Nothing bounded how many VMs were down at once, and more jobs were accepted than could start.

After a suspected crash, the tasks of its queue are spread over VMs where another crash would cost the least: runs whose jobs can wait for a lease and still meet their objective count less. Once one in six VMs is down, jobs of a queue with recurring crashes start one at a time on a VM, with nothing else beside them for 150 ms, and only while a third of the VMs, or a sixth if many of these starts crash, are not down. Jobs of such a queue that couldn't start in time are refused at once with a delay from the measured rate. Other work avoids VMs that are risked this way, and those that have just returned.

What binds: the goal of this deployment counts the jobs not served on a scale of nines, and a booking that is lost with a VM is too late when the VM returns after four seconds.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -8,7 +8,7 @@
 
 use crate::job::{Job, JobKey, JobState, StepRef};
 use crate::plan::advice::Adviser;
-use crate::plan::caution::RiskBudget;
+use crate::plan::caution::{GuardedRate, RiskBudget};
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
 use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
@@ -187,10 +187,17 @@
     lost_vms: Vec<LostVm>,
     /// Lost runs for which it isn't known yet whether their VMs have crashed.
     open_losses: Vec<crashes::OpenLoss>,
+    /// Queues whose tasks may have crashed VMs.
+    suspect_queues: Vec<crashes::SuspectQueue>,
     /// Jobs given up since the last call of `take_crash_verdicts`.
     crash_verdicts: Vec<CrashVerdict>,
     /// Starts of isolated runs that wait until their records are durable.
     pub(crate) held_starts: Vec<HeldStart>,
+    /// Addresses of VMs lost under suspicion, and until when VMs that return there are risked.
+    risked_addresses: Vec<(CompactString, Millis)>,
+    pub(crate) guarded_rate: GuardedRate,
+    /// Until then, tasks of suspect queues start with caution.
+    pub(crate) storm_until: Millis,
     /// What may be risked in this planning pass.
     pub(crate) risk: RiskBudget,
     /// Stops that wait until the list names their VMs.
@@ -235,8 +242,12 @@
             stops_changed: true,
             lost_vms: Vec::new(),
             open_losses: Vec::new(),
+            suspect_queues: Vec::new(),
             crash_verdicts: Vec::new(),
             held_starts: Vec::new(),
+            risked_addresses: Vec::new(),
+            guarded_rate: GuardedRate::default(),
+            storm_until: Millis::ZERO,
             risk: RiskBudget::default(),
             held_stops: Vec::new(),
             seq: 0,
--- a/crates/dotterel-cell/src/cell/admission.rs
+++ b/crates/dotterel-cell/src/cell/admission.rs
@@ -28,6 +28,9 @@
                 retry_after: FULL_RETRY_AFTER,
             });
         }
+        if let Some(refusal) = self.refuse_guarded(&record, now) {
+            return Submitted::Refused(refusal);
+        }
         record.term = self.term;
         let key = self.insert_job(Job::new(id, record, now));
         self.new_jobs.push(key);
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -16,11 +16,22 @@
 use super::{Cell, LossReason, Order};
 use crate::job::{JobKey, JobState};
 use crate::record::{LostRun, Suspicion};
-use crate::spec::TaskName;
-use crate::vm::{RunPhase, Vm, VmKey, VmRun};
+use crate::spec::{JobId, TaskName};
+use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
 
 /// Time after which a VM that has not returned counts as crashed if the registry has dropped it.
 const VERDICT_TIMEOUT: Millis = Millis::secs(20);
+/// Suspected crashes closer than this have a common cause, such as the loss of a rack.
+const MIN_RECURRENCE: Millis = Millis(200);
+/// Suspected crashes further apart than this are unrelated.
+const MAX_RECURRENCE: Millis = Millis::secs(6);
+/// Time for which a queue stays suspect after the last of several suspected crashes.
+const QUEUE_SUSPICION_TIME: Millis = Millis::secs(10);
+
+/// Time for which other work avoids a VM that returns to the address of one that a task may have
+/// crashed: it has no runs, so it is the best place for the next such task.
+const RISKED_ADDRESS_TIME: Millis = Millis::secs(10);
+
 /// A lost run for which it isn't known yet whether its VM has crashed.
 #[derive(Clone, Debug)]
 pub(super) struct OpenLoss {
@@ -34,6 +45,15 @@
     is_precaution: bool,
 }
 
+/// A queue whose tasks may have crashed VMs.
+#[derive(Clone, Debug)]
+pub(super) struct SuspectQueue {
+    name: CompactString,
+    last_crash: Millis,
+    /// Set by the second suspected crash within a while.
+    until: Millis,
+}
+
 /// A job that failed because one of its tasks crashed its VMs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashVerdict {
@@ -61,6 +81,19 @@
         let suspects = self.suspects(key, alive_until);
         self.vms[key].is_suspected = !suspects.is_empty();
         self.note_suspects(key, &suspects, now);
+        if !suspects.is_empty() {
+            let address = self.vms[key].info.address.clone();
+            self.risked_addresses.retain(|(_, until)| now < *until);
+            self.risked_addresses
+                .push((address, now + RISKED_ADDRESS_TIME));
+        }
+    }
+
+    /// Returns until when other work avoids a VM that is listed at an address.
+    pub(super) fn risked_until(&self, address: &str) -> Millis {
+        let known = self.risked_addresses.iter();
+        let times = known.filter(|(risked, _)| risked == address);
+        times.map(|(_, until)| *until).max().unwrap_or_default()
     }
 
     /// Returns the jobs given up since the last call, for the log.
@@ -123,6 +156,15 @@
         } else {
             Suspicion::Shared
         };
+        let mut jobs: Vec<JobId> = suspects.iter().map(|run| run.task.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        for job in jobs {
+            self.suspect_queue(job, now);
+        }
+        if suspects.iter().any(|run| run.caution == Caution::Guarded) {
+            self.guarded_rate.record_crash();
+        }
         for vm_run in suspects {
             self.note_loss(key, vm_run, suspicion, false, now);
         }
@@ -325,6 +367,45 @@
         self.end_job(key, JobState::Failed, now);
     }
 
+    fn suspect_queue(&mut self, job: JobId, now: Millis) {
+        let Some(key) = self.job_key(job) else {
+            return;
+        };
+        let name = &self.jobs[key].policy.queue;
+        let known = self
+            .suspect_queues
+            .iter_mut()
+            .find(|queue| queue.name == *name);
+        let Some(queue) = known else {
+            self.suspect_queues.push(SuspectQueue {
+                name: name.clone(),
+                last_crash: now,
+                until: Millis::ZERO,
+            });
+            return;
+        };
+        let interval = now.since(queue.last_crash);
+        if interval < MIN_RECURRENCE {
+            return;
+        }
+        if interval <= MAX_RECURRENCE || now < queue.until {
+            queue.until = now + QUEUE_SUSPICION_TIME;
+        }
+        queue.last_crash = now;
+    }
+
+    /// Returns true if a task of a queue may have crashed a VM in the last seconds.
+    pub(crate) fn has_crashed_lately(&self, name: &str, now: Millis) -> bool {
+        let mut queues = self.suspect_queues.iter();
+        queues.any(|queue| queue.name == name && now.since(queue.last_crash) < QUEUE_SUSPICION_TIME)
+    }
+
+    /// Returns true if tasks of a queue have crashed VMs again and again in the last seconds.
+    pub(crate) fn is_suspect_queue(&self, name: &str, now: Millis) -> bool {
+        let mut queues = self.suspect_queues.iter();
+        queues.any(|queue| queue.name == name && now < queue.until)
+    }
+
     /// Issues the starts of isolated runs whose records are durable.
     pub(super) fn issue_held_starts(&mut self) {
         for held in std::mem::take(&mut self.held_starts) {
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -36,7 +36,9 @@
     fn add_vm(&mut self, info: VmInfo) -> VmKey {
         self.plan_needed = true;
         let id = info.id.clone();
-        let key = self.vms.insert(Vm::new(info));
+        let mut vm = Vm::new(info);
+        vm.risked_until = self.risked_until(&vm.info.address);
+        let key = self.vms.insert(vm);
         let at = self.vm_index.partition_point(|(known, _)| *known < id);
         self.vm_index.insert(at, (id, key));
         key
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -33,6 +33,9 @@
 /// arrives.
 const STEP_RETRY_INTERVAL: Millis = Millis(15);
 
+/// Time for which other work avoids a VM after the start of a task that may crash it.
+const RISKED_TIME: Millis = Millis::secs(5);
+
 /// Returns the capacity that a task of the step occupies on a VM.
 #[must_use]
 pub(crate) fn occupied_size(step: &Step) -> Size {
@@ -143,7 +146,7 @@
             .collect();
         let mut none_fits = false;
         let mut risked = None;
-        let step_caution = self.step_caution(step_ref);
+        let step_caution = self.step_caution(step_ref, now);
         for index in waiting {
             let task = self
                 .step_state(step_ref)
@@ -210,6 +213,9 @@
         self.start_cautiously(step_ref, index, vm, ticket.clone(), caution, now);
         if same_vm.is_none() {
             self.risk.take(caution);
+            if caution == Caution::Guarded {
+                self.guarded_rate.record();
+            }
         }
         *risked = Some(RiskedVm {
             vm,
@@ -238,6 +244,7 @@
         let vm_run = vm_run.clone();
         // Ends when the run is confirmed or gone.
         self.vms[vm].exclusive_until = Millis(u64::MAX);
+        self.vms[vm].risked_until = now + RISKED_TIME;
         if caution >= Caution::Isolated
             && let Some(order) = self.orders.pop()
         {
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -8,6 +8,7 @@
 
 use crate::cell::Cell;
 use crate::job::StepRef;
+use crate::plan::caution::EXPOSURE_WEIGHT;
 use crate::plan::{MAX_REPLY_AGE, occupied_size};
 use crate::spec::{Step, TaskName};
 use crate::vm::{RunPhase, Vm, VmKey};
@@ -17,6 +18,8 @@
 /// Penalty for capacity reserved by a gang: more than any leftover capacity, less than another
 /// rack.
 const RESERVED_WEIGHT: u64 = 10_000;
+/// Penalty for a VM that is risked for tasks that may crash it: the same as for reserved capacity.
+const RISKED_WEIGHT: u64 = 10_000;
 /// Penalty for a VM outside the rack that holds the data: more than any leftover capacity.
 const OTHER_RACK_WEIGHT: u64 = 1_000_000;
 
@@ -169,6 +172,7 @@
         // A VM on which the task has failed is better than none.
         let no_other = !task.avoided_vms.is_empty()
             && self.all_avoided(step_ref, step, &task.avoided_vms, now);
+        let spread = self.is_spread(step_ref, now);
         let mut best: Option<(u64, VmKey, CompactString)> = None;
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             let vm = &self.vms[key];
@@ -178,12 +182,18 @@
                 continue;
             }
             let mut weight = leftover(&available.minus(&size), &vm.info.capacity);
+            if spread {
+                weight += self.exposure(vm, now) * EXPOSURE_WEIGHT;
+            }
             if !step.rack.is_empty() && step.rack != vm.info.rack {
                 weight += OTHER_RACK_WEIGHT;
             }
             if !size.fits(&self.unreserved_capacity(key, vm)) {
                 weight += RESERVED_WEIGHT;
             }
+            if now < vm.risked_until {
+                weight += RISKED_WEIGHT;
+            }
             if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
                 best = Some((weight, key, ticket));
             }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -66,7 +66,7 @@
         else {
             return;
         };
-        let Some(caution) = self.gang_caution(step_ref) else {
+        let Some(caution) = self.gang_caution(step_ref, now) else {
             return;
         };
         if !self.risk.allows(caution) {
@@ -90,6 +90,9 @@
         let unplaced = self.place_gang(step_ref, step, caution, now);
         if unplaced == 0 {
             self.risk.take(caution);
+            if caution == Caution::Guarded {
+                self.guarded_rate.record();
+            }
             if let Some(state) = self.step_state_mut(step_ref) {
                 state.reservation = Reservation::default();
                 state.planned_at = Millis::ZERO;
@@ -195,7 +198,12 @@
             return count;
         }
         // Use as few VMs as possible, so that a failing VM breaks few gangs.
-        slots.sort_by_key(|(_, members, _)| std::cmp::Reverse(*members));
+        slots.sort_by_key(|(key, members, _)| {
+            (
+                now < self.vms[*key].risked_until,
+                std::cmp::Reverse(*members),
+            )
+        });
         let last_run = self.step_state(step_ref).map_or(1, |state| {
             state
                 .tasks
--- a/crates/dotterel-cell/src/plan/order.rs
+++ b/crates/dotterel-cell/src/plan/order.rs
@@ -10,7 +10,7 @@
 use crate::job::StepRef;
 
 /// After this many times its objective, a job's result is worthless to its caller.
-const OBSOLETE_FACTOR: u64 = 3;
+pub(crate) const OBSOLETE_FACTOR: u64 = 3;
 
 /// Slack above this percentage of the job's objective lets a step wait.
 const MIN_SLACK_PCT: u64 = 25;
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -199,7 +199,9 @@
     /// Any other run.
     #[default]
     None,
-    /// Nothing until the run has been going on for a while, and the VM should have no other runs.
+    /// Nothing until the run has been going on for a while.
+    Guarded,
+    /// The same, and the VM should have no other runs.
     Isolated,
     /// Nothing as long as the run lasts.
     Solitary,
@@ -271,6 +273,8 @@
     pub is_suspected: bool,
     /// Nothing is started before this time, for the sake of a run that may crash the VM.
     pub exclusive_until: Millis,
+    /// Until then, tasks that may crash a VM are started on this one rather than on others.
+    pub risked_until: Millis,
 }
 
 impl Vm {
@@ -299,6 +303,7 @@
             silent_since: None,
             is_suspected: false,
             exclusive_until: Millis::ZERO,
+            risked_until: Millis::ZERO,
         }
     }
 
@@ -371,7 +376,7 @@
     /// Limits the time for which a confirmed run that may crash the VM keeps others away.
     pub fn start_probation(&mut self, at: usize, now: Millis) {
         match self.runs[at].caution {
-            Caution::Isolated => self.exclusive_until = now + PROBATION,
+            Caution::Guarded | Caution::Isolated => self.exclusive_until = now + PROBATION,
             Caution::None | Caution::Solitary => {}
         }
     }
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -2,10 +2,11 @@
 
 use dotterel_cell::record::{Progress, Suspicion, decode};
 use dotterel_cell::vm::Caution;
-use dotterel_cell::{JobId, JobState, RowWrite, StartAnswer};
+use dotterel_cell::{JobId, JobRecord, JobState, RowWrite, StartAnswer, Submitted};
+use dotterel_kernel::Millis;
 
 use crate::crashing_vms::World;
-use crate::support::{Bench, Start, gang, independent_tasks, running, vm_info};
+use crate::support::{Bench, Start, gang, independent_tasks, running, size, vm_info};
 
 /// Runs of a task that crashes its VMs: three, and at most two more after the third crash.
 const MAX_CRASHING_RUNS: usize = 5;
@@ -266,6 +267,88 @@
     assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Failed));
 }
 
+fn urgent(cores: u32) -> JobRecord {
+    let mut record = independent_tasks(2, 500);
+    record.spec.steps[0].size = size(cores * 1000, 1024);
+    record.policy.priority = 0;
+    record.policy.queue = "urgent".into();
+    record
+}
+
+/// Plays 20 s in which each tenth job of a queue crashes its VMs if `is_crashing`, beside long work
+/// that takes half of the capacity. Returns the world and the jobs of each queue that completed.
+fn play_crashing_queue(is_crashing: bool) -> (World, usize, usize) {
+    let mut world = World::new(24);
+    let mut long = Vec::new();
+    let mut short = Vec::new();
+    for tick in 0u64..100 {
+        if tick % 5 == 0 {
+            long.push(1000 + tick);
+            world.submit(1000 + tick, long_work());
+        }
+        for id in (tick * 2)..(tick * 2 + 2) {
+            if is_crashing && id % 10 == 0 {
+                world.submit_crashing(id, urgent(1));
+            } else {
+                short.push(id);
+                world.submit(id, urgent(1));
+            }
+        }
+        world.run_for(200);
+    }
+    world.run_for(20_000);
+    let done = |world: &World, ids: &[u64]| {
+        let state = |id: &&u64| world.bench.cell.state(JobId(**id)) == Some(JobState::Completed);
+        ids.iter().filter(state).count()
+    };
+    let (long, short) = (done(&world, &long), done(&world, &short));
+    (world, long, short)
+}
+
+fn long_work() -> JobRecord {
+    let mut record = independent_tasks(8, 4000);
+    record.spec.steps[0].size = size(6000, 8192);
+    record
+}
+
+/// Guards against the loss of other jobs' work to a queue whose tasks crash VM after VM. Pattern: a
+/// tenth of the most frequent jobs crash their VMs, ten jobs a second on 24 VMs.
+#[test]
+fn a_queue_that_crashes_vms_takes_few_runs_along() {
+    let (world, long, short) = play_crashing_queue(true);
+    let (_, calm_long, calm_short) = play_crashing_queue(false);
+
+    assert!(
+        world.victims <= world.crashes() * 2,
+        "{} victims of {} crashes",
+        world.victims,
+        world.crashes()
+    );
+    assert_eq!(long, calm_long);
+    // Each tenth job crashes its VMs, and of the others at most a twentieth is refused.
+    assert!(
+        short * 20 >= calm_short * 9 / 10 * 19,
+        "{short} of {calm_short} urgent jobs completed"
+    );
+}
+
+/// Guards against queueing work without limit behind tasks that crash their VMs.
+#[test]
+fn a_hopeless_queue_is_refused_with_a_delay() {
+    let mut world = World::new(8);
+    let mut refusals = Vec::new();
+    for id in 0..400 {
+        if let Submitted::Refused(refusal) = world.submit_crashing(id, urgent(1)) {
+            refusals.push(refusal.retry_after);
+        }
+        world.run_for(50);
+    }
+
+    assert!(refusals.len() > 200, "{} refusals", refusals.len());
+    let bounds = Millis::secs(1)..=Millis::secs(5);
+    assert!(refusals.iter().all(|delay| bounds.contains(delay)));
+}
+
 /// Guards against starting tasks beside a run that may crash the VM at any moment.
 #[test]
 fn nothing_starts_beside_an_isolated_run_that_has_just_started() {
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -195,6 +195,7 @@
                     process.returns_at = Some(now + RETURN_DELAY);
                     self.victims += process.runs.len();
                     process.runs.clear();
+                    self.bench.cell.vm_unresponsive(*vm, Some(now), now);
                 } else {
                     process.runs.push((*task, *run, now));
                 }
