--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -2,7 +2,7 @@
 
 use dotterel_cell::record::{Progress, Suspicion, decode};
 use dotterel_cell::vm::Caution;
-use dotterel_cell::{JobId, JobRecord, JobState, RowWrite, StartAnswer, Submitted};
+use dotterel_cell::{JobId, JobRecord, JobState, RowWrite, StartAnswer, Submitted, VmInfo};
 use dotterel_kernel::Millis;
 
 use crate::crashing_vms::World;
@@ -398,3 +398,30 @@
     assert_eq!(starts.len(), 18);
     assert!(starts.iter().all(|other| other.vm != start.vm));
 }
+
+/// Guards against a start on a VM that began to drain, or shrank, while the store was away.
+#[test]
+fn an_isolated_run_does_not_start_on_a_vm_that_became_unusable() {
+    let drain = |info: &mut VmInfo| info.draining = true;
+    let shrink = |info: &mut VmInfo| info.capacity = size(1000, 1024);
+    for change in [drain as fn(&mut VmInfo), shrink] {
+        let (mut bench, start) = with_silent_vm();
+        let silent = bench.index_of(start.vm);
+        bench.cell.vm_replaced(start.vm, bench.now);
+        others_report(&mut bench, silent, 400);
+        bench.commit_all();
+        bench.plan();
+        for index in (0..3).filter(|index| *index != silent) {
+            let mut info = vm_info(index);
+            change(&mut info);
+            bench.cell.vm_listed(info, bench.now);
+        }
+
+        bench.cell.tick(bench.now);
+        bench.advance(200);
+        bench.commit_all();
+
+        assert!(bench.take_starts().is_empty());
+        assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
+    }
+}
