Count the room on a VM that has shrunk from its capacity, not from its free capacity

Callers would see: long work stopped for an urgent task that still doesn't start. Free capacity can't go below zero, so on a VM whose capacity has shrunk below what its runs occupy, the size of each run that might be preempted was added to zero. One run was stopped where four were needed, its work was thrown away, and the task found no room. What stays on the VM is now subtracted from the capacity.

--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -41,11 +41,12 @@
 
     /// Returns the capacity on a VM that is neither occupied nor held for more urgent work.
     pub(crate) fn free_capacity(&self, key: VmKey, vm: &Vm) -> Size {
-        let free = vm.free();
-        match self.held.get(key) {
-            Some(held) => free.minus(held),
-            None => free,
-        }
+        vm.free().minus(&self.held_capacity(key))
+    }
+
+    /// Returns the capacity on a VM that is held for more urgent work.
+    pub(crate) fn held_capacity(&self, key: VmKey) -> Size {
+        self.held.get(key).copied().unwrap_or(Size::ZERO)
     }
 
     /// Returns how many more tasks of a step fit into `capacity` of a VM, within the step's limit
--- a/crates/dotterel-cell/src/plan/preempt.rs
+++ b/crates/dotterel-cell/src/plan/preempt.rs
@@ -86,17 +86,23 @@
         priority: u8,
         now: Millis,
     ) -> Offer {
-        let mut available = self.free_capacity(key, vm);
+        // What stays on the VM is subtracted from its capacity, as its runs may occupy more than that
+        // since the capacity has shrunk.
+        let mut occupied = vm.used;
         let stopping = vm
             .runs
             .iter()
             .filter(|vm_run| matches!(vm_run.phase, RunPhase::Stopping { .. }));
         for vm_run in stopping {
-            available = available.plus(&vm_run.size);
+            occupied = occupied.minus(&vm_run.size);
         }
         let slots_in = |capacity: &Size| self.count_slots_after_stops(step_ref, step, vm, capacity);
+        let slots_beside = |occupied: &Size| {
+            let free = vm.info.capacity.minus(occupied);
+            slots_in(&free.minus(&self.held_capacity(key)))
+        };
         let max_slots = slots_in(&vm.info.capacity);
-        let mut slots = slots_in(&available);
+        let mut slots = slots_beside(&occupied);
         let mut victims = Vec::new();
         if slots < max_slots {
             let mut preemptible: Vec<_> = vm
@@ -112,9 +118,9 @@
             preemptible.sort_by_key(|vm_run| std::cmp::Reverse(vm_run.priority));
             let mut chosen = Vec::new();
             for vm_run in preemptible {
-                available = available.plus(&vm_run.size);
+                occupied = occupied.minus(&vm_run.size);
                 chosen.push((vm_run.task, vm_run.run));
-                let fitting = slots_in(&available);
+                let fitting = slots_beside(&occupied);
                 if fitting > slots {
                     slots = fitting;
                     victims.append(&mut chosen);
