Start the other tasks of a job once its suspect goes on

Cause: the tasks of a job wait while another one is the only suspect of a crash, as their work would be lost with the job. The suspects were started again alone at 30.2 s and done at 32.6 s, but a suspicion stays with its task, so the others waited for good. They now wait only until the suspect has gone on for a while again or is done.

--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -12,7 +12,7 @@
 use dotterel_kernel::Millis;
 
 use crate::cell::{Cell, Refusal};
-use crate::job::{Job, StepRef, Task};
+use crate::job::{Job, Phase, StepRef, Task};
 use crate::plan::advice::to_f32;
 use crate::plan::fit::leftover;
 use crate::plan::occupied_size;
@@ -128,7 +128,7 @@
     pub(crate) fn step_caution(&self, step_ref: StepRef, now: Millis) -> Option<Caution> {
         let job = self.jobs.get(step_ref.job)?;
         // The work of the other tasks is lost if the suspect makes the job fail.
-        if has_sole_suspect(job) {
+        if self.has_open_suspect(job, now) {
             return None;
         }
         if now < self.storm_until && self.is_suspect_queue(&job.policy.queue, now) {
@@ -137,6 +137,21 @@
         Some(Caution::None)
     }
 
+    /// Returns true if a task of a job is the only suspect of a crash, and hasn't gone on for a while
+    /// since.
+    fn has_open_suspect(&self, job: &Job, now: Millis) -> bool {
+        let steps = job.rounds.iter().flat_map(|round| &round.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.any(|task| {
+            let is_cleared = match task.phase {
+                Phase::Waiting => false,
+                Phase::Placed(vm) => self.vms.get(vm).is_some_and(|vm| !vm.has_young_runs(now)),
+                Phase::Done => true,
+            };
+            task.is_suspected_of(Suspicion::Sole) && !is_cleared
+        })
+    }
+
     /// Returns the strictest caution that a member of a gang needs; `None` if the gang has to wait.
     pub(crate) fn gang_caution(&self, step_ref: StepRef, now: Millis) -> Option<Caution> {
         let tasks = &self.step_state(step_ref)?.tasks;
@@ -262,12 +277,6 @@
     }
 }
 
-fn has_sole_suspect(job: &Job) -> bool {
-    let steps = job.rounds.iter().flat_map(|round| &round.steps);
-    let mut tasks = steps.flat_map(|step| &step.tasks);
-    tasks.any(|task| task.is_suspected_of(Suspicion::Sole))
-}
-
 /// Returns how a suspect has to be started; `None` if it has to wait.
 pub(crate) fn suspect_caution(task: &Task) -> Option<Caution> {
     if task.awaits_verdict() {
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -425,3 +425,18 @@
         assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
     }
 }
+
+/// Guards against tasks that wait forever for a suspect of their job that has long been cleared.
+#[test]
+fn the_other_tasks_of_a_job_start_once_its_suspect_goes_on() {
+    let mut world = World::new(4);
+    let mut record = independent_tasks(2, 2000);
+    record.spec.steps[0].max_per_vm = 1;
+    world.submit(1, record);
+    world.run_for(100);
+
+    world.crash_vms_of(1, 1);
+    world.run_for(20_000);
+
+    assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Completed));
+}
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -90,6 +90,32 @@
         self.submit(id, record)
     }
 
+    /// Crashes the VMs of the first `count` runs of a job, and fails its other runs.
+    pub(crate) fn crash_vms_of(&mut self, id: u64, count: usize) {
+        let now = self.bench.now;
+        let mut crashed = 0;
+        for process in &mut self.processes {
+            if !process.runs.iter().any(|(task, ..)| task.job == JobId(id)) {
+                continue;
+            }
+            if crashed < count {
+                crashed += 1;
+                process.returns_at = Some(now + RETURN_DELAY);
+                process.runs.clear();
+                self.bench.cell.vm_unresponsive(process.key, Some(now), now);
+                continue;
+            }
+            for (task, run, _) in process
+                .runs
+                .extract_if(.., |(task, ..)| task.job == JobId(id))
+            {
+                process.last_end += 1;
+                let end = ended(process.last_end, task, run, RunOutcome::Failed);
+                process.ends.push(end);
+            }
+        }
+    }
+
     /// Returns the number of starts of crashing tasks.
     pub(crate) fn crashes(&self) -> usize {
         let starts = self.starts.iter();
