Wait only briefly for an empty VM after a single crash

A suspect waited for a VM without other runs, of which there were none.

That wait bounds the loss where tasks of a queue crash VM after VM. After a single crash it is now 1 s, as VMs that crash by themselves are more frequent. Nor does a VM whose replies time out make a queue suspect any more, as one that is only disconnected looks the same; the loss still counts for the task once another VM is found at the address. The test fails without the change.

--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -73,6 +73,7 @@
         if vm.silent_since.is_some() {
             return;
         }
+        let is_broken = alive_until.is_some();
         let alive_until = alive_until.unwrap_or(vm.answered_at);
         vm.silent_since = Some(alive_until);
         if vm.info.draining {
@@ -81,7 +82,9 @@
         let suspects = self.suspects(key, alive_until);
         self.vms[key].is_suspected = !suspects.is_empty();
         self.note_suspects(key, &suspects, now);
-        if !suspects.is_empty() {
+        // A VM that has only lost its connection is silent as well, and so is one without power.
+        if is_broken && !suspects.is_empty() {
+            self.suspect_queues_of(&suspects, now);
             let address = self.vms[key].info.address.clone();
             self.risked_addresses.retain(|(_, until)| now < *until);
             self.risked_addresses
@@ -156,12 +159,6 @@
         } else {
             Suspicion::Shared
         };
-        let mut jobs: Vec<JobId> = suspects.iter().map(|run| run.task.job).collect();
-        jobs.sort_unstable();
-        jobs.dedup();
-        for job in jobs {
-            self.suspect_queue(job, now);
-        }
         if suspects.iter().any(|run| run.caution == Caution::Guarded) {
             self.guarded_rate.record_crash();
         }
@@ -367,6 +364,15 @@
         self.end_job(key, JobState::Failed, now);
     }
 
+    fn suspect_queues_of(&mut self, suspects: &[VmRun], now: Millis) {
+        let mut jobs: Vec<JobId> = suspects.iter().map(|run| run.task.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        for job in jobs {
+            self.suspect_queue(job, now);
+        }
+    }
+
     fn suspect_queue(&mut self, job: JobId, now: Millis) {
         let Some(key) = self.job_key(job) else {
             return;
--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -45,7 +45,10 @@
 /// Bounds of the delay after which a refused caller should retry.
 const MIN_RETRY_AFTER: Millis = Millis::secs(1);
 const MAX_RETRY_AFTER: Millis = Millis::secs(5);
-/// Time for which a suspect waits for a VM without other runs.
+/// Time for which a suspect waits for a VM without other runs if its queue has not crashed other VMs:
+/// it is hardly the cause.
+const FIRST_CRASH_PATIENCE: Millis = Millis::secs(1);
+/// Time for which other suspects wait for one.
 const EMPTY_VM_PATIENCE: Millis = Millis::secs(8);
 /// Exposure of a run whose job would miss its objective: a fifth of a VM.
 const URGENT_EXPOSURE: u64 = 200;
@@ -165,17 +168,28 @@
     }
 
     /// Returns true if a run that needs caution may start on a VM.
-    pub(crate) fn may_risk(&self, vm: &Vm, caution: Caution, lost_at: Millis, now: Millis) -> bool {
+    pub(crate) fn may_risk(vm: &Vm, caution: Caution, patient: bool, now: Millis) -> bool {
         match caution {
             Caution::None => true,
             Caution::Guarded => !vm.has_young_runs(now),
             Caution::Isolated | Caution::Solitary => {
-                let patient = now.since(lost_at) < EMPTY_VM_PATIENCE;
                 vm.runs.is_empty() || (!patient && !vm.has_young_runs(now))
             }
         }
     }
 
+    /// Returns true if a suspect that was lost at `lost_at` still waits for a VM without runs.
+    pub(crate) fn awaits_empty_vm(&self, step_ref: StepRef, lost_at: Millis, now: Millis) -> bool {
+        let job = self.jobs.get(step_ref.job);
+        let recurs = job.is_some_and(|job| self.is_suspect_queue(&job.policy.queue, now));
+        let patience = if recurs {
+            EMPTY_VM_PATIENCE
+        } else {
+            FIRST_CRASH_PATIENCE
+        };
+        now.since(lost_at) < patience
+    }
+
     /// Returns true if tasks of a step are to be spread over VMs where a crash would cost little.
     pub(crate) fn is_spread(&self, step_ref: StepRef, now: Millis) -> bool {
         let job = self.jobs.get(step_ref.job);
@@ -215,13 +229,14 @@
         now: Millis,
     ) -> Option<(VmKey, CompactString)> {
         let lost_at = self.step_state(step_ref)?.tasks[index as usize].lost_at;
+        let patient = self.awaits_empty_vm(step_ref, lost_at, now);
         let size = occupied_size(step);
         let mut best: Option<(u64, VmKey, CompactString)> = None;
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             let vm = &self.vms[key];
             let available = self.free_capacity(key, vm);
             let has_slot = self.count_slots(step_ref, step, vm, &available) > 0;
-            if !has_slot || !self.may_risk(vm, caution, lost_at, now) {
+            if !has_slot || !Self::may_risk(vm, caution, patient, now) {
                 continue;
             }
             let weight = self.exposure(vm, now) * EXPOSURE_WEIGHT
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -440,3 +440,42 @@
 
     assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Completed));
 }
+
+/// Guards against long waits of tasks whose VM crashed by itself just after they had started.
+#[test]
+fn a_suspect_of_a_single_crash_soon_starts_beside_other_runs() {
+    let mut bench = Bench::new(3);
+    let mut long = independent_tasks(3, 60_000);
+    long.spec.steps[0].max_per_vm = 1;
+    bench.submit(2, long);
+    bench.commit_all();
+    bench.plan();
+    bench.confirm_starts();
+    bench.advance(500);
+    bench.report_running(10);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.confirm_starts().remove(0);
+    let lost = bench.index_of(start.vm);
+    let broken_at = bench.now;
+    bench
+        .cell
+        .vm_unresponsive(start.vm, Some(broken_at), bench.now);
+    bench.cell.vm_replaced(start.vm, bench.now);
+
+    let mut waited = None;
+    for step in 1..20u64 {
+        others_report(&mut bench, lost, 200);
+        bench.plan();
+        bench.advance(200);
+        bench.commit_all();
+        let starts = bench.take_starts();
+        if waited.is_none() && starts.iter().any(|start| start.task.job == JobId(1)) {
+            waited = Some(step * 400);
+        }
+    }
+
+    let waited = waited.expect("the task starts again");
+    assert!(waited <= 2000, "{waited} ms");
+}
