Resume the tasks of a lost VM from the last state that it reported

Callers saw: long tasks that save their progress start from zero after their VM is lost. Each report of a VM names the saved state of its runs, but only the end of a run was used, and a VM that crashes or is cut off reports no ends. The state of each report is now kept with the task; the members of a gang resume from one state, as they have to carry the same.

Both tests fail without the change.

--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -44,7 +44,7 @@
         };
         task.last_run = task.last_run.max(end.run);
         if step.checkpoint && !end.saved.is_empty() && (is_current || is_late) {
-            self.save_state(key, end, step.gang);
+            self.save_state(key, end.task, &end.saved, step.gang);
             self.mark_changed(key, now);
         }
         self.jobs[key].started = true;
@@ -67,15 +67,16 @@
         }
     }
 
-    fn save_state(&mut self, key: JobKey, end: &ReportedEnd, gang: bool) {
-        let Some(round) = self.jobs[key].round_mut(end.task.round) else {
+    /// Records the state from which a task, or its gang, resumes.
+    pub(super) fn save_state(&mut self, key: JobKey, name: TaskName, saved: &str, gang: bool) {
+        let Some(round) = self.jobs[key].round_mut(name.round) else {
             return;
         };
-        let step = &mut round.steps[usize::from(end.task.step)];
+        let step = &mut round.steps[usize::from(name.step)];
         for (index, task) in step.tasks.iter_mut().enumerate() {
             // All members of a gang resume from the same state.
-            if gang || index == end.task.index as usize {
-                task.saved = end.saved.clone();
+            if gang || index == name.index as usize {
+                task.saved = saved.into();
             }
         }
     }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -129,6 +129,7 @@
             if let Some(job) = self.job_key(reported.task.job) {
                 self.jobs[job].started = true;
             }
+            self.note_saved_state(reported);
             return;
         }
         let capacity = vm.info.capacity;
@@ -152,6 +153,7 @@
                 self.jobs[job].started = true;
             }
             self.vms[key].add(run);
+            self.note_saved_state(reported);
         } else {
             run.phase = RunPhase::Stopping { acked_at: None };
             self.vms[key].add(run);
@@ -160,6 +162,23 @@
         }
     }
 
+    /// Notes the state that a running task has saved, from which it resumes if its VM is lost.
+    fn note_saved_state(&mut self, reported: &ReportedRun) {
+        let step = self.step_of(reported.task);
+        let Some(gang) = step.filter(|step| step.checkpoint).map(|step| step.gang) else {
+            return;
+        };
+        let Some(job) = self.job_key(reported.task.job) else {
+            return;
+        };
+        let is_news = self
+            .task_mut(reported.task)
+            .is_some_and(|task| task.last_run == reported.run && task.saved != reported.saved);
+        if is_news && !reported.saved.is_empty() {
+            self.save_state(job, reported.task, &reported.saved, gang);
+        }
+    }
+
     /// Releases runs that the report would list if they still existed.
     fn drop_absent_runs(&mut self, key: VmKey, report: &Report, sent: Millis) {
         let mut absent = Vec::new();
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -1,8 +1,11 @@
 //! Tasks that crash the VMs that start them.
 
+use compact_str::{CompactString, format_compact};
 use dotterel_cell::record::{Progress, Suspicion, decode};
 use dotterel_cell::vm::Caution;
-use dotterel_cell::{JobId, JobRecord, JobState, RowWrite, StartAnswer, Submitted, VmInfo};
+use dotterel_cell::{
+    JobId, JobRecord, JobState, ReportedRun, RowWrite, StartAnswer, Submitted, VmInfo,
+};
 use dotterel_kernel::Millis;
 
 use crate::crashing_vms::World;
@@ -479,3 +482,53 @@
     let waited = waited.expect("the task starts again");
     assert!(waited <= 2000, "{waited} ms");
 }
+
+/// Returns the states from which the tasks of a job resume after their VMs are lost. The first task
+/// has reported a saved state, and the others an older one.
+fn resumed_from(mut record: JobRecord) -> Vec<CompactString> {
+    record.spec.steps[0].checkpoint = true;
+    let mut bench = Bench::new(4);
+    bench.submit(1, record);
+    bench.commit_all();
+    bench.plan();
+    let first = bench.confirm_starts();
+    bench.advance(500);
+    for index in [1, 2, 3, 0] {
+        let of_vm = first.iter().filter(|start| start.vm == bench.vms[index]);
+        let runs: Vec<_> = of_vm.map(with_saved_state).collect();
+        bench.report(index, &runs, &[]);
+    }
+
+    let mut lost: Vec<_> = first.iter().map(|start| start.vm).collect();
+    lost.sort_unstable();
+    lost.dedup();
+    for vm in lost {
+        bench.cell.vm_replaced(vm, bench.now);
+    }
+    bench.plan();
+    let again = bench.take_starts();
+    again.into_iter().map(|start| start.saved).collect()
+}
+
+fn with_saved_state(start: &Start) -> ReportedRun {
+    let mut run = running(start.task, start.run, 50);
+    run.saved = format_compact!("state-{}", start.task.index);
+    run
+}
+
+/// Guards against losing all progress with a VM although the VM had reported a saved state.
+#[test]
+fn tasks_of_a_lost_vm_resume_from_the_last_state_that_it_reported() {
+    let states = resumed_from(independent_tasks(2, 10_000));
+
+    assert_eq!(states, ["state-0", "state-1"]);
+}
+
+#[test]
+fn all_members_of_a_gang_resume_from_one_reported_state() {
+    let states = resumed_from(gang(3, 10_000));
+
+    assert_eq!(states.len(), 3);
+    assert!(states[0].starts_with("state-"));
+    assert!(states.iter().all(|state| *state == states[0]));
+}
