Fail jobs of the older engine whose task crashes its VMs

Attempts in a row that are lost with their VM before a poll has seen them running now count in the task's row, and the third makes the job fail; services go on. Attempts that the owner stops itself don't count. Requests of the front were bounded already: eight attempts, within the retry budget.

--- a/crates/dotterel-coord/src/jobs/job.rs
+++ b/crates/dotterel-coord/src/jobs/job.rs
@@ -222,6 +222,7 @@
             // The next poll shows whether a start of unknown outcome has arrived.
             LaunchOutcome::Running | LaunchOutcome::Unknown => {
                 entry.stage = Stage::Running(attempt);
+                entry.is_new = true;
             }
             LaunchOutcome::NotRun => self.end_attempt(index, AttemptEnd::NotStarted, now, config),
         }
@@ -254,7 +255,11 @@
                 self.end_attempt(index, AttemptEnd::Cut, now, config);
             }
             AttemptState::Unseen => entry.mark_stopping(),
-            AttemptState::Running | AttemptState::NoReply { .. } => entry.retry_stop(),
+            AttemptState::Running => {
+                entry.mark_seen();
+                entry.retry_stop();
+            }
+            AttemptState::NoReply { .. } => entry.retry_stop(),
         }
         self.update_phase(now);
     }
@@ -341,6 +346,7 @@
         };
         Self {
             failures: task.failures,
+            early_losses: task.early_losses,
             phase,
         }
     }
--- a/crates/dotterel-coord/src/jobs/job/outcome.rs
+++ b/crates/dotterel-coord/src/jobs/job/outcome.rs
@@ -8,6 +8,10 @@
 /// The lowest HTTP status that counts as a failure.
 const MIN_FAILURE_STATUS: u16 = 400;
 
+/// Attempts of a task in a row that may be lost with their VMs just after their start. A VM that crashes
+/// by itself hardly does so three times just after the start of the same task.
+const MAX_EARLY_LOSSES: u32 = 3;
+
 impl Job {
     /// Applies the proven end of an attempt.
     pub(super) fn end_attempt(
@@ -38,8 +42,12 @@
                 }
             }
             AttemptEnd::Cut => {
+                let crashes_vms = entry.count_early_loss() >= MAX_EARLY_LOSSES && !service;
                 entry.set_idle(now + config.backoff);
-                if !self.spec.repeatable && !checkpointed {
+                if crashes_vms {
+                    log::warn!(job:% = self.id, index; "job fails, task crashes its VMs");
+                }
+                if crashes_vms || (!self.spec.repeatable && !checkpointed) {
                     self.fail();
                 }
             }
--- a/crates/dotterel-coord/src/jobs/job/stage.rs
+++ b/crates/dotterel-coord/src/jobs/job/stage.rs
@@ -9,6 +9,10 @@
 #[derive(Debug)]
 pub(in crate::jobs) struct Task {
     pub(in crate::jobs) failures: u32,
+    /// The number of attempts in a row that were lost with their VM before they were seen running.
+    pub(in crate::jobs) early_losses: u32,
+    /// The running attempt has not been seen running since its start.
+    pub(in crate::jobs) is_new: bool,
     pub(in crate::jobs) stage: Stage,
 }
 
@@ -78,6 +82,23 @@
         self.stage = Stage::Idle { after };
     }
 
+    /// Records that the attempt has been seen running.
+    pub(super) fn mark_seen(&mut self) {
+        if matches!(self.stage, Stage::Running(_)) {
+            self.is_new = false;
+            self.early_losses = 0;
+        }
+    }
+
+    /// Counts the loss of the running attempt if it had only just started, and returns how many
+    /// such losses there were in a row.
+    pub(super) fn count_early_loss(&mut self) -> u32 {
+        if matches!(self.stage, Stage::Running(_)) && self.is_new {
+            self.early_losses += 1;
+        }
+        self.early_losses
+    }
+
     /// Marks a recorded attempt as one that must be stopped.
     pub(super) fn mark_stopping(&mut self) {
         let (Stage::Launching(attempt) | Stage::Running(attempt)) = &self.stage else {
@@ -107,6 +128,8 @@
         };
         Self {
             failures: record.failures,
+            early_losses: record.early_losses,
+            is_new: false,
             stage,
         }
     }
--- a/crates/dotterel-coord/src/jobs/record.rs
+++ b/crates/dotterel-coord/src/jobs/record.rs
@@ -48,6 +48,8 @@
 pub struct TaskRecord {
     /// The number of failures.
     pub failures: u32,
+    /// The number of attempts in a row that were lost with their VM before they were seen running.
+    pub early_losses: u32,
     /// The state of the task.
     pub phase: TaskPhase,
 }
@@ -96,6 +98,7 @@
     pub fn new(tasks: u32) -> Self {
         let idle = TaskRecord {
             failures: 0,
+            early_losses: 0,
             phase: TaskPhase::Idle,
         };
         Self {
