Forget the crashes under a task that has been going on for a minute

Callers would see: a long-running task shown as failed after five of its VMs had crashed, however long ago, since a noted loss stayed with its task for good. A run that has been going on for 60 s clears its task of confirmed crashes; a task that crashes its VMs doesn't get there. The test, eight crashes 75 s apart, fails without the change: the job is given up.

--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -17,10 +17,12 @@
 use crate::job::{JobKey, JobState};
 use crate::record::{LostRun, Suspicion};
 use crate::spec::{JobId, TaskName};
-use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
+use crate::vm::{Caution, ReportedRun, RunPhase, Vm, VmKey, VmRun};
 
 /// Time after which a VM that has not returned counts as crashed if the registry has dropped it.
 const VERDICT_TIMEOUT: Millis = Millis::secs(20);
+/// Time for which a run has to go on to clear its task of earlier crashes.
+const CLEARING_TIME: Millis = Millis::secs(60);
 /// Suspected crashes closer than this have a common cause, such as the loss of a rack.
 const MIN_RECURRENCE: Millis = Millis(200);
 /// Suspected crashes further apart than this are unrelated.
@@ -274,6 +276,30 @@
         });
     }
 
+    /// Forgets the crashes under a task once it has been going on for long: a task that crashes its VMs
+    /// doesn't.
+    pub(super) fn forget_old_losses(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
+        let vm = &self.vms[key];
+        let confirmed_at = vm
+            .find(reported.task, reported.run)
+            .map(|at| vm.runs[at].confirmed_at);
+        if confirmed_at.is_none_or(|confirmed_at| now.since(confirmed_at) < CLEARING_TIME) {
+            return;
+        }
+        let job = self.job_key(reported.task.job);
+        let Some(job) = job.filter(|job| self.jobs[*job].end.is_none()) else {
+            return;
+        };
+        let Some(task) = self.task_mut(reported.task) else {
+            return;
+        };
+        let losses = task.lost_runs.len();
+        task.lost_runs.retain(|lost| !lost.confirmed);
+        if task.lost_runs.len() < losses {
+            self.mark_changed(job, now);
+        }
+    }
+
     /// Finds out which VMs have crashed and which respond again.
     pub(super) fn settle_losses(&mut self, now: Millis) {
         if self.open_losses.is_empty() {
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -130,6 +130,7 @@
                 self.jobs[job].started = true;
             }
             self.note_saved_state(reported);
+            self.forget_old_losses(key, reported, now);
             return;
         }
         let capacity = vm.info.capacity;
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -9,7 +9,7 @@
 use dotterel_kernel::Millis;
 
 use crate::crashing_vms::World;
-use crate::support::{Bench, Start, gang, independent_tasks, running, size, vm_info};
+use crate::support::{Bench, Start, gang, independent_tasks, running, size, task, vm_info};
 
 /// Runs of a task that crashes its VMs: three, and at most two more after the third crash.
 const MAX_CRASHING_RUNS: usize = 5;
@@ -532,3 +532,19 @@
     assert!(states[0].starts_with("state-"));
     assert!(states.iter().all(|state| *state == states[0]));
 }
+
+/// Guards against giving up a long job because VMs crash under it from time to time.
+#[test]
+fn a_task_that_goes_on_for_long_is_not_given_up_for_crashes_long_ago() {
+    let mut world = World::new(4);
+    world.submit(1, independent_tasks(1, 3_600_000));
+
+    for _ in 0..8 {
+        world.run_for(75_000);
+        world.crash_vms_of(1, 1);
+    }
+    world.run_for(10_000);
+
+    assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Running));
+    assert_eq!(world.starts[&task(1, 0)], 9);
+}
