--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -17,18 +17,20 @@
 mod batch;
 mod crashes;
 mod ends;
+mod held_starts;
 mod load;
 mod orders;
 mod registry;
 mod replace;
 mod reports;
 mod stop_list;
+mod suspect_queues;
 mod tick;
 mod vm_list;
 
 pub use batch::{Batch, RowWrite, VM_LIST_LANE};
 pub use crashes::CrashVerdict;
-pub(crate) use crashes::HeldStart;
+pub(crate) use held_starts::HeldStart;
 pub use load::Load;
 pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
 
@@ -188,7 +190,7 @@
     /// Lost runs for which it isn't known yet whether their VMs have crashed.
     open_losses: Vec<crashes::OpenLoss>,
     /// Queues whose tasks may have crashed VMs.
-    suspect_queues: Vec<crashes::SuspectQueue>,
+    suspect_queues: Vec<suspect_queues::SuspectQueue>,
     /// Jobs given up since the last call of `take_crash_verdicts`.
     crash_verdicts: Vec<CrashVerdict>,
     /// Starts of isolated runs that wait until their records are durable.
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -13,27 +13,16 @@
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
 
-use super::{Cell, LossReason, Order};
+use super::{Cell, LossReason};
 use crate::job::{JobKey, JobState};
 use crate::record::{LostRun, Suspicion};
-use crate::spec::{JobId, TaskName};
-use crate::vm::{Caution, ReportedRun, RunPhase, Vm, VmKey, VmRun};
+use crate::spec::TaskName;
+use crate::vm::{Caution, ReportedRun, Vm, VmKey, VmRun};
 
 /// Time after which a VM that has not returned counts as crashed if the registry has dropped it.
 const VERDICT_TIMEOUT: Millis = Millis::secs(20);
 /// Time for which a run has to go on to clear its task of earlier crashes.
 const CLEARING_TIME: Millis = Millis::secs(60);
-/// Suspected crashes closer than this have a common cause, such as the loss of a rack.
-const MIN_RECURRENCE: Millis = Millis(200);
-/// Suspected crashes further apart than this are unrelated.
-const MAX_RECURRENCE: Millis = Millis::secs(6);
-/// Time for which a queue stays suspect after the last of several suspected crashes.
-const QUEUE_SUSPICION_TIME: Millis = Millis::secs(10);
-
-/// Time for which other work avoids a VM that returns to the address of one that a task may have
-/// crashed: it has no runs, so it is the best place for the next such task.
-const RISKED_ADDRESS_TIME: Millis = Millis::secs(10);
-
 /// A lost run for which it isn't known yet whether its VM has crashed.
 #[derive(Clone, Debug)]
 pub(super) struct OpenLoss {
@@ -47,15 +36,6 @@
     is_precaution: bool,
 }
 
-/// A queue whose tasks may have crashed VMs.
-#[derive(Clone, Debug)]
-pub(super) struct SuspectQueue {
-    name: CompactString,
-    last_crash: Millis,
-    /// Set by the second suspected crash within a while.
-    until: Millis,
-}
-
 /// A job that failed because one of its tasks crashed its VMs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashVerdict {
@@ -87,20 +67,10 @@
         // A VM that has only lost its connection is silent as well, and so is one without power.
         if is_broken && !suspects.is_empty() {
             self.suspect_queues_of(&suspects, now);
-            let address = self.vms[key].info.address.clone();
-            self.risked_addresses.retain(|(_, until)| now < *until);
-            self.risked_addresses
-                .push((address, now + RISKED_ADDRESS_TIME));
+            self.risk_address_of(key, now);
         }
     }
 
-    /// Returns until when other work avoids a VM that is listed at an address.
-    pub(super) fn risked_until(&self, address: &str) -> Millis {
-        let known = self.risked_addresses.iter();
-        let times = known.filter(|(risked, _)| risked == address);
-        times.map(|(_, until)| *until).max().unwrap_or_default()
-    }
-
     /// Returns the jobs given up since the last call, for the log.
     pub fn take_crash_verdicts(&mut self) -> Vec<CrashVerdict> {
         std::mem::take(&mut self.crash_verdicts)
@@ -144,13 +114,6 @@
         young.cloned().collect()
     }
 
-    /// Returns true if the start of a run has not been issued yet.
-    fn is_held(&self, vm_run: &VmRun) -> bool {
-        let name = (vm_run.task, vm_run.run);
-        let mut held = self.held_starts.iter();
-        held.any(|held| matches!(held.order, Order::Start { task, run, .. } if (task, run) == name))
-    }
-
     fn note_suspects(&mut self, key: VmKey, suspects: &[VmRun], now: Millis) {
         let Some(first) = suspects.first() else {
             return;
@@ -389,131 +352,6 @@
         });
         self.end_job(key, JobState::Failed, now);
     }
-
-    fn suspect_queues_of(&mut self, suspects: &[VmRun], now: Millis) {
-        let mut jobs: Vec<JobId> = suspects.iter().map(|run| run.task.job).collect();
-        jobs.sort_unstable();
-        jobs.dedup();
-        for job in jobs {
-            self.suspect_queue(job, now);
-        }
-    }
-
-    fn suspect_queue(&mut self, job: JobId, now: Millis) {
-        let Some(key) = self.job_key(job) else {
-            return;
-        };
-        let name = &self.jobs[key].policy.queue;
-        let known = self
-            .suspect_queues
-            .iter_mut()
-            .find(|queue| queue.name == *name);
-        let Some(queue) = known else {
-            self.suspect_queues.push(SuspectQueue {
-                name: name.clone(),
-                last_crash: now,
-                until: Millis::ZERO,
-            });
-            return;
-        };
-        let interval = now.since(queue.last_crash);
-        if interval < MIN_RECURRENCE {
-            return;
-        }
-        if interval <= MAX_RECURRENCE || now < queue.until {
-            queue.until = now + QUEUE_SUSPICION_TIME;
-        }
-        queue.last_crash = now;
-    }
-
-    /// Returns true if a task of a queue may have crashed a VM in the last seconds.
-    pub(crate) fn has_crashed_lately(&self, name: &str, now: Millis) -> bool {
-        let mut queues = self.suspect_queues.iter();
-        queues.any(|queue| queue.name == name && now.since(queue.last_crash) < QUEUE_SUSPICION_TIME)
-    }
-
-    /// Returns true if tasks of a queue have crashed VMs again and again in the last seconds.
-    pub(crate) fn is_suspect_queue(&self, name: &str, now: Millis) -> bool {
-        let mut queues = self.suspect_queues.iter();
-        queues.any(|queue| queue.name == name && now < queue.until)
-    }
-
-    /// Issues the starts of isolated runs whose records are durable.
-    pub(super) fn issue_held_starts(&mut self) {
-        for held in std::mem::take(&mut self.held_starts) {
-            match self.judge_held_start(&held) {
-                HeldState::Ready => self.orders.push(held.order),
-                HeldState::Waiting | HeldState::Unusable => self.held_starts.push(held),
-                HeldState::Gone => {}
-            }
-        }
-    }
-
-    /// Cancels the starts of isolated runs whose VMs have become unusable in the meantime: a record
-    /// takes as long as the store is away.
-    pub(super) fn cancel_unusable_held_starts(&mut self, now: Millis) {
-        let mut cancelled = Vec::new();
-        for held in std::mem::take(&mut self.held_starts) {
-            if self.judge_held_start(&held) == HeldState::Unusable {
-                cancelled.push(held.order);
-            } else {
-                self.held_starts.push(held);
-            }
-        }
-        for order in cancelled {
-            if let Order::Start { vm, task, run, .. } = order {
-                self.forget_loss(task, run, now);
-                self.release(vm, task, run);
-            }
-        }
-    }
-
-    fn judge_held_start(&self, held: &HeldStart) -> HeldState {
-        let Order::Start { vm, task, run, .. } = &held.order else {
-            return HeldState::Gone;
-        };
-        let vm = self.vms.get(*vm);
-        let Some((vm, vm_run)) = vm.and_then(|vm| Some((vm, &vm.runs[vm.find(*task, *run)?])))
-        else {
-            return HeldState::Gone;
-        };
-        let is_usable = vm.listed
-            && vm.fenced
-            && !vm.info.draining
-            && vm.silent_since.is_none()
-            && vm.used.fits(&vm.info.capacity);
-        let durable_seq = self.jobs.get(held.job).map(|job| job.durable_seq);
-        if vm_run.phase != RunPhase::Starting {
-            // It is being stopped, as its job has ended.
-            HeldState::Gone
-        } else if !is_usable {
-            HeldState::Unusable
-        } else if durable_seq.is_some_and(|seq| seq >= held.seq) {
-            HeldState::Ready
-        } else {
-            HeldState::Waiting
-        }
-    }
-}
-
-/// Whether a held start can be issued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum HeldState {
-    Ready,
-    /// Its record isn't durable yet.
-    Waiting,
-    /// Its VM may not be given a run any more.
-    Unusable,
-    /// The run no longer exists.
-    Gone,
-}
-
-/// A start that waits until the store names its run.
-#[derive(Clone, Debug)]
-pub(crate) struct HeldStart {
-    pub(crate) order: Order,
-    pub(crate) job: JobKey,
-    pub(crate) seq: u64,
 }
 
 /// What became of the VM of a lost run.
