Clear an isolated run that went on for a while before its VM crashed

Callers would see: a job given up for a crash that another task or the VM itself caused. The record that an isolated run may crash its VM was dropped by the next tick, up to 150 ms after the run had gone on long enough; a crash in between counted as its own. Found while reading. The record is now dropped as soon as the VM falls silent; the test fails without the change.

Besides, what is only needed for suspects is skipped until a run has been lost with its VM: a plan with thousands of waiting steps would otherwise look at all tasks of each job again.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -189,6 +189,8 @@
     lost_vms: Vec<LostVm>,
     /// Lost runs for which it isn't known yet whether their VMs have crashed.
     open_losses: Vec<crashes::OpenLoss>,
+    /// Set once a run has been lost with its VM; there are no suspects before that.
+    pub(crate) crashes_noted: bool,
     /// Queues whose tasks may have crashed VMs.
     suspect_queues: Vec<suspect_queues::SuspectQueue>,
     /// Jobs given up since the last call of `take_crash_verdicts`.
@@ -244,6 +246,7 @@
             stops_changed: true,
             lost_vms: Vec::new(),
             open_losses: Vec::new(),
+            crashes_noted: false,
             suspect_queues: Vec::new(),
             crash_verdicts: Vec::new(),
             held_starts: Vec::new(),
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -61,6 +61,7 @@
         if vm.info.draining {
             return;
         }
+        self.clear_proven_runs(key, alive_until, now);
         let suspects = self.suspects(key, alive_until);
         self.vms[key].is_suspected = !suspects.is_empty();
         self.note_suspects(key, &suspects, now);
@@ -107,6 +108,18 @@
         }
     }
 
+    /// Clears the isolated runs on a VM that had been going on for a while when it was last known to be
+    /// up.
+    fn clear_proven_runs(&mut self, key: VmKey, alive_until: Millis, now: Millis) {
+        let runs = self.vms[key].runs.iter();
+        let proven =
+            runs.filter(|run| run.caution >= Caution::Isolated && !run.is_young(alive_until));
+        let proven: Vec<_> = proven.map(|run| (run.task, run.run)).collect();
+        for (task, run) in proven {
+            self.forget_loss(task, run, now);
+        }
+    }
+
     /// Returns the runs that had not been going on for long when their VM was last known to be up.
     fn suspects(&self, key: VmKey, alive_until: Millis) -> Vec<VmRun> {
         let runs = self.vms[key].runs.iter();
@@ -179,6 +192,7 @@
             is_precaution,
         };
         task.lost_runs.push(lost);
+        self.crashes_noted = true;
         self.open_losses.push(open);
         if suspicion > Suspicion::Bystander {
             self.mark_changed(job, now);
@@ -201,6 +215,7 @@
         let job = &self.jobs[key];
         let mut open = Vec::new();
         let mut crashing = None;
+        let mut has_losses = false;
         for round in &job.rounds {
             for (step, state) in (0u16..).zip(&round.steps) {
                 for (index, task) in (0u32..).zip(&state.tasks) {
@@ -213,6 +228,7 @@
                     if task.crashes_vms() {
                         crashing = Some(name);
                     }
+                    has_losses |= !task.lost_runs.is_empty();
                     let unconfirmed = task.lost_runs.iter().filter(|lost| !lost.confirmed);
                     open.extend(unconfirmed.map(|lost| OpenLoss {
                         task: name,
@@ -227,6 +243,7 @@
             }
         }
         self.open_losses.append(&mut open);
+        self.crashes_noted |= has_losses;
         if let Some(name) = crashing {
             self.give_up(name, now);
         }
--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -31,13 +31,13 @@
 const STORM_TIME: Millis = Millis::secs(5);
 /// One in this many VMs may be down before these tasks have to wait.
 const GUARDED_VM_DIVISOR: usize = 3;
-/// Tasks that may find no VM in a planning pass before the others have to wait. Each asks for advice,
-/// which then is not available to other work.
-const MAX_FAILED_ATTEMPTS: u32 = 12;
 /// The same while many of these tasks crash their VMs, so that little is gained by starting them.
 const HOPELESS_VM_DIVISOR: usize = 6;
 /// Guarded jobs that start for each crash, below which a queue is hopeless.
 const MIN_STARTS_PER_CRASH: f32 = 4.0;
+/// Tasks that may find no VM in a planning pass before the others have to wait. Each asks for advice,
+/// which then is not available to other work.
+const MAX_FAILED_ATTEMPTS: u32 = 12;
 /// Jobs of a suspect queue that may wait, however slowly they start.
 const MIN_GUARDED_BACKLOG: f32 = 12.0;
 /// Weight of the latest interval in the moving average of the rate at which guarded jobs start.
@@ -70,6 +70,9 @@
 impl Cell {
     /// Determines how many VMs may be risked in this planning pass.
     pub(crate) fn update_risk_budget(&mut self, now: Millis) {
+        if !self.crashes_noted {
+            return;
+        }
         let (mut listed, mut down, mut risked) = (0, 0, 0);
         let (mut cores, mut free) = (0u64, 0u64);
         for vm in self.vms.values().filter(|vm| vm.listed) {
@@ -131,7 +134,7 @@
     pub(crate) fn step_caution(&self, step_ref: StepRef, now: Millis) -> Option<Caution> {
         let job = self.jobs.get(step_ref.job)?;
         // The work of the other tasks is lost if the suspect makes the job fail.
-        if self.has_open_suspect(job, now) {
+        if self.crashes_noted && self.has_open_suspect(job, now) {
             return None;
         }
         if now < self.storm_until && self.is_suspect_queue(&job.policy.queue, now) {
@@ -284,9 +287,7 @@
         self.crashed = 0;
         self.updated_at = now;
     }
-}
 
-impl GuardedRate {
     fn is_hopeless(&self) -> bool {
         self.per_second < self.crashes_per_second * MIN_STARTS_PER_CRASH
     }
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -548,3 +548,20 @@
     assert_eq!(world.bench.cell.state(JobId(1)), Some(JobState::Running));
     assert_eq!(world.starts[&task(1, 0)], 9);
 }
+
+/// Guards against blaming an isolated run that had been going on for a while when its VM crashed.
+#[test]
+fn an_isolated_run_that_went_on_is_no_longer_the_only_suspect() {
+    let (mut bench, _) = with_isolated_start();
+    let isolated = bench.confirm_starts().remove(0);
+    bench.advance(200);
+
+    let broken_at = bench.now;
+    bench
+        .cell
+        .vm_unresponsive(isolated.vm, Some(broken_at), bench.now);
+    bench.cell.vm_replaced(isolated.vm, bench.now);
+
+    let expected = [(Suspicion::Sole, true), (Suspicion::Bystander, true)];
+    assert_eq!(lost_runs(&bench, 1), expected);
+}
