--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -106,9 +106,8 @@
     assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
 }
 
-/// Guards against waiting for the lease of a VM that no longer exists.
-#[test]
-fn runs_are_released_once_another_vm_answers_at_the_address() {
+/// Returns a cell in which a task has been running for a while, and its start.
+fn with_long_run() -> (Bench, Start) {
     let mut bench = Bench::new(3);
     bench.submit(1, independent_tasks(1, 60_000));
     bench.commit_all();
@@ -116,6 +115,13 @@
     let start = bench.confirm_starts().remove(0);
     bench.advance(400);
     bench.report_running(10);
+    (bench, start)
+}
+
+/// Guards against waiting for the lease of a VM that no longer exists.
+#[test]
+fn runs_are_released_once_another_vm_answers_at_the_address() {
+    let (mut bench, start) = with_long_run();
 
     bench.cell.vm_replaced(start.vm, bench.now);
     bench.plan();
@@ -127,13 +133,7 @@
 
 #[test]
 fn a_run_that_has_gone_on_for_a_while_is_no_suspect() {
-    let mut bench = Bench::new(3);
-    bench.submit(1, independent_tasks(1, 60_000));
-    bench.commit_all();
-    bench.plan();
-    let start = bench.confirm_starts().remove(0);
-    bench.advance(400);
-    bench.report_running(10);
+    let (mut bench, start) = with_long_run();
 
     let broken_at = bench.now;
     bench
@@ -143,13 +143,20 @@
     assert!(lost_runs(&bench, 1).is_empty());
 }
 
+/// Returns a cell in which a task is the suspect of a crash, and the index of the lost VM.
+fn with_suspect() -> (Bench, usize) {
+    let (mut bench, start) = with_silent_vm();
+    let lost = bench.index_of(start.vm);
+    bench.cell.vm_replaced(start.vm, bench.now);
+    others_report(&mut bench, lost, 400);
+    bench.commit_all();
+    (bench, lost)
+}
+
 /// Guards against counting a start that was never sent when its VM crashes by itself.
 #[test]
 fn a_start_that_its_vm_refuses_is_no_evidence() {
-    let (mut bench, start) = with_silent_vm();
-    let silent = bench.index_of(start.vm);
-    bench.cell.vm_replaced(start.vm, bench.now);
-    others_report(&mut bench, silent, 400);
+    let (mut bench, _) = with_suspect();
     bench.plan();
     bench.advance(200);
     bench.commit_all();
@@ -177,11 +184,7 @@
 
 /// Returns a cell that is about to start a suspect alone, and the progress that names the run.
 fn with_isolated_start() -> (Bench, Progress) {
-    let (mut bench, start) = with_silent_vm();
-    let silent = bench.index_of(start.vm);
-    bench.cell.vm_replaced(start.vm, bench.now);
-    others_report(&mut bench, silent, 400);
-    bench.commit_all();
+    let (mut bench, _) = with_suspect();
     bench.plan();
     let early = bench.take_starts();
     bench.advance(200);
@@ -408,13 +411,9 @@
     let drain = |info: &mut VmInfo| info.draining = true;
     let shrink = |info: &mut VmInfo| info.capacity = size(1000, 1024);
     for change in [drain as fn(&mut VmInfo), shrink] {
-        let (mut bench, start) = with_silent_vm();
-        let silent = bench.index_of(start.vm);
-        bench.cell.vm_replaced(start.vm, bench.now);
-        others_report(&mut bench, silent, 400);
-        bench.commit_all();
+        let (mut bench, lost) = with_suspect();
         bench.plan();
-        for index in (0..3).filter(|index| *index != silent) {
+        for index in (0..3).filter(|index| *index != lost) {
             let mut info = vm_info(index);
             change(&mut info);
             bench.cell.vm_listed(info, bench.now);
