review: a script of a leader that is cut off with a worker

Change: a script in which the leader and one worker are cut off together for 5.5 s, and trials of workers that return as another kind and of an ejected worker.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use crate::wire::{Gate, call};
+use crate::wire::{Gate, call, forward};
 use crate::world::{Event, Node, Record, Store, Worker, fail, find_doubles, pause};
 
 const HOST: &str = "nony24.example";
@@ -17,6 +17,9 @@
     match case {
         "many-ends" => many_ends(folder, trouble),
         "crash-blame" => crash_blame(folder, trouble),
+        "partition" => partition(folder, trouble),
+        "ejected" => ejected(folder, trouble),
+        "reborn-kind" => reborn_kind(folder, trouble),
         "reborn-smaller" => reborn_smaller(folder, trouble),
         "queued-starts" => queued_starts(folder, trouble),
         "reborn-lease" => reborn_lease(folder, trouble),
@@ -32,11 +35,19 @@
     workers: Vec<Arc<Worker>>,
     /// Paths from a node to a worker, by node and worker.
     paths: Vec<Vec<Arc<Gate>>>,
+    /// Paths from a node to another one, if they can be cut.
+    links: Vec<Vec<Arc<Gate>>>,
 }
 
 impl Site {
-    /// Sets up nodes and workers with this many thousandths of a core each.
+    /// Sets up nodes and workers of kind `a` with this many thousandths of a core each.
     fn new(folder: &Path, nodes: usize, workers: &[u64]) -> Self {
+        let workers: Vec<_> = workers.iter().map(|cpu| ("a", *cpu)).collect();
+        Self::with_kinds(folder, nodes, &workers)
+    }
+
+    /// Sets up nodes and workers, each with its kind and its thousandths of a core.
+    fn with_kinds(folder: &Path, nodes: usize, workers: &[(&str, u64)]) -> Self {
         let record = Record::new(&folder.join("record.txt"));
         let scratch = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&scratch).expect("a temporary folder");
@@ -47,9 +58,9 @@
         let workers: Vec<Arc<Worker>> = workers
             .iter()
             .enumerate()
-            .map(|(number, cpu)| {
+            .map(|(number, (kind, cpu))| {
                 let (id, rack) = (format!("w{number}"), format!("r1-{}", number / 8));
-                Worker::start(&id, &rack, "a", *cpu, &store, &record)
+                Worker::start(&id, &rack, kind, *cpu, &store, &record)
             })
             .collect();
         let mut paths = Vec::new();
@@ -67,6 +78,22 @@
             nodes,
             workers,
             paths,
+            links: Vec::new(),
+        }
+    }
+
+    /// Lets connections between nodes pass through gates. Must be called before the start.
+    fn gate_links(&mut self) {
+        for (number, node) in self.nodes.iter().enumerate() {
+            let gates: Vec<Arc<Gate>> = self.nodes.iter().map(|_| Arc::default()).collect();
+            for (other, gate) in self.nodes.iter().zip(&gates) {
+                if other.name != self.nodes[number].name {
+                    let seen = forward(Arc::clone(gate), other.peer.clone()).to_string();
+                    let mut addresses = node.path.addresses.lock().unwrap();
+                    addresses.push((other.peer.clone(), seen));
+                }
+            }
+            self.links.push(gates);
         }
     }
 
@@ -235,6 +262,159 @@
     site.verdict(&broken)
 }
 
+/// The leader and one worker are cut off from all others, but not from each other.
+fn partition(folder: &Path, trouble: bool) -> bool {
+    /// Length of the cut, that of `node_cut` and `core_cut` in the site file.
+    const CUT_MS: u64 = 5500;
+    let mut site = Site::new(folder, 6, &[16_000; 6]);
+    site.gate_links();
+    site.start();
+    let id = job_id(0);
+    site.submit(1, &id, 30_000, 1, 4000);
+    let Some(near) = site.await_run(&id, 5000) else {
+        fail("the task doesn't start");
+    };
+    pause(2000);
+    let set_cut = |cut: bool| {
+        site.nodes[0].path.gate.set_cut(cut);
+        site.workers[near].store_gate.set_cut(cut);
+        for other in 1..site.nodes.len() {
+            site.paths[other][near].set_cut(cut);
+            site.links[0][other].set_cut(cut);
+            site.links[other][0].set_cut(cut);
+        }
+        for other in (0..site.workers.len()).filter(|other| *other != near) {
+            site.paths[0][other].set_cut(cut);
+        }
+    };
+    if trouble {
+        let text = format!("edge-0, the leader, and w{near} are cut off from all others");
+        site.record.note(&text);
+        set_cut(true);
+    }
+    pause(CUT_MS);
+    if trouble {
+        set_cut(false);
+        site.record.note("the cut has healed");
+    }
+    pause(6000);
+    let found = find_doubles(&site.events(), site.record.now());
+    site.verdict(&found)
+}
+
+/// The only worker of a kind fails all that it starts for a while, beside a task that lasts.
+fn ejected(folder: &Path, trouble: bool) -> bool {
+    /// Length of the disruption, and times until jobs are asked for and for which nothing runs then,
+    /// as in the site file and the rule.
+    const FAILING_MS: u64 = 6500;
+    const FINISH_MS: u64 = 14_000;
+    const IDLE_MS: u64 = 3000;
+    let mut workers = [("a", 16_000); 12];
+    workers[0].0 = "b";
+    let site = Site::with_kinds(folder, 2, &workers);
+    site.start();
+    let lasting = "{\"spec\":\"900000 0\",\"steps\":[{\"count\":1,\"cpu\":4000,\"mem_mb\":512,\
+                   \"est_ms\":2000,\"long_running\":true,\"required_label\":\"b\"}]}";
+    site.send(0, "POST", &job_id(0xffff), lasting);
+    if site.await_run(&job_id(0xffff), 5000).is_none() {
+        fail("the task that lasts doesn't start");
+    }
+    let body = "{\"spec\":\"300 0\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\
+                \"est_ms\":300,\"required_label\":\"b\"}]}";
+    let mut number = 0;
+    let mut accepted = Vec::new();
+    let mut send_until = |until: u64| {
+        while site.record.now() < until {
+            if site.send(1, "POST", &job_id(number), body) == 200 {
+                accepted.push((site.record.now(), job_id(number)));
+            }
+            number += 1;
+            pause(1000);
+        }
+    };
+    send_until(site.record.now() + 3000);
+    if trouble {
+        site.record.note("w0 fails all that it starts");
+        site.workers[0].failing.store(true, Ordering::SeqCst);
+    }
+    send_until(site.record.now() + FAILING_MS);
+    site.workers[0].failing.store(false, Ordering::SeqCst);
+    let sound_at = site.record.now();
+    site.record.note("w0 is sound");
+    send_until(sound_at + 20_000);
+    site.record.note("the traffic ends");
+    pause(FINISH_MS);
+    let asked_at = site.record.now();
+    pause(IDLE_MS);
+    let events = site.events();
+    let mut broken = Vec::new();
+    for (at, id) in accepted.iter().filter(|(at, _)| *at > sound_at) {
+        let starts = |since: u64| {
+            let mut events = events.iter();
+            events.any(|(at, event)| {
+                *at >= since
+                    && matches!(event, Event::Start { task, .. } if task.starts_with(id.as_str()))
+            })
+        };
+        let state = site.await_end(1, id, 0);
+        let is_open = state.contains("queued") || state.contains("running");
+        if is_open && !starts(asked_at) && site.await_run(id, 1).is_none() {
+            broken.push(format!(
+                "LOST: {id}, accepted at {at} ms, is {state} and has nothing running; it was \
+                 started at any time: {}",
+                starts(0)
+            ));
+        }
+    }
+    let used = 4 * site.workers[0].running().len();
+    site.record
+        .note(&format!("{used} of 16 cores of w0 are in use"));
+    site.verdict(&broken)
+}
+
+/// A worker crashes and starts again as another kind, and back.
+fn reborn_kind(folder: &Path, trouble: bool) -> bool {
+    const CPU: u64 = 16_000;
+    let mut workers = [("a", CPU); 7];
+    workers[6].0 = "b";
+    let site = Site::with_kinds(folder, 2, &workers);
+    site.start();
+    let body = "{\"spec\":\"300 0\",\"steps\":[{\"count\":11,\"cpu\":1400,\"mem_mb\":64,\
+                \"est_ms\":300,\"required_label\":\"b\"}]}";
+    // Kinds of the worker, and since when.
+    let mut kinds = vec![(0, "b")];
+    for round in 0..14 {
+        if trouble {
+            site.workers[6].crash();
+            pause(500);
+            let kind = if round % 2 == 0 { "a" } else { "b" };
+            kinds.push((site.record.now(), kind));
+            site.workers[6].restart(kind, CPU, 0);
+        }
+        if site.send(round % 2, "POST", &job_id(round), body) != 200 {
+            fail("a job isn't accepted");
+        }
+        pause(3000);
+    }
+    let mut broken = Vec::new();
+    for (at, event) in site.events() {
+        if let Event::Start {
+            worker, task, run, ..
+        } = event
+        {
+            let kind = kinds.iter().rfind(|(since, _)| *since <= at);
+            let (since, kind) = kind.copied().unwrap_or((0, "b"));
+            if worker != "w6" || kind != "b" {
+                broken.push(format!(
+                    "ROUTE: run {run} of {task} started at {at} ms on {worker}, which has the \
+                     label {kind} since {since} ms; required is b"
+                ));
+            }
+        }
+    }
+    site.verdict(&broken)
+}
+
 /// A worker crashes and starts again as a smaller one, and back, while the others are full.
 fn reborn_smaller(folder: &Path, trouble: bool) -> bool {
     const WORKERS: usize = 7;
--- a/review/rig/wire.rs
+++ b/review/rig/wire.rs
@@ -402,3 +402,59 @@
     let status = head[0].split(' ').nth(1).and_then(|word| word.parse().ok());
     Ok((status.ok_or(io::ErrorKind::InvalidData)?, body))
 }
+
+/// Forwards connections to an address, behind a gate.
+pub fn forward(gate: Arc<Gate>, target: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(near), gate, target) = (stream, Arc::clone(&gate), target.clone()) else {
+                continue;
+            };
+            thread::spawn(move || {
+                let since = gate.cuts();
+                if !gate.is_open(since) {
+                    // Behind a cut nothing answers; the connection is kept until its owner leaves.
+                    let mut sink = [0u8; 4096];
+                    while (&near).read(&mut sink).is_ok_and(|read| read > 0) {}
+                    return;
+                }
+                let Ok(far) = TcpStream::connect(&target) else {
+                    return;
+                };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else {
+                    return;
+                };
+                let gate2 = Arc::clone(&gate);
+                thread::spawn(move || pump(far2, near2, &gate2, since));
+                pump(near, far, &gate, since);
+            });
+        }
+    });
+    address
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, gate: &Gate, since: u64) {
+    let mut buffer = [0u8; 65536];
+    loop {
+        match from.read(&mut buffer) {
+            // What was sent before a cut is lost with the connection, also its end.
+            Ok(read) if !gate.is_open(since) && read > 0 => {}
+            Ok(read) if read > 0 => {
+                if to.write_all(&buffer[..read]).is_err() {
+                    return;
+                }
+            }
+            _ => {
+                if gate.is_open(since) {
+                    let _ = to.shutdown(Shutdown::Write);
+                }
+                return;
+            }
+        }
+    }
+}
--- a/review/rig/world.rs
+++ b/review/rig/world.rs
@@ -795,6 +795,7 @@
 pub struct Node {
     pub name: String,
     pub front: String,
+    pub peer: String,
     pub path: Arc<StorePath>,
     settings: PathBuf,
     log: PathBuf,
@@ -820,6 +821,7 @@
         Self {
             name: name.into(),
             front,
+            peer,
             path,
             log: folder.join(format!("{name}.log")),
             settings,
