review: a case of an ejected worker that is never probed

Cause: a probe starts only on a worker that runs nothing, and a task that lasts may run there. Change: the case takes the place of the worker that returns smaller, whose trials stay in the rig.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/rig reborn-smaller review/4
+exec target/review/rig ejected review/4
