scheduler: log what the hypotheses on TWICE differ in

Operators saw a task started again after its run had ended done. The log could not tell whether a successor had waited too short for a lease, whether an end was dropped, whether a run was released because a report didn't list it, or whether a start was sent late.

Logged now, without a change of any decision: ends that have no effect on their task and why; runs released because a report didn't list them, with the number of ends in it; VMs that a successor stopped waiting for; leases that a leader extends without being renewed; starts that waited behind other orders, and whether they were still expected.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -17,6 +17,7 @@
 mod batch;
 mod crashes;
 mod ends;
+mod events;
 mod held_starts;
 mod load;
 mod orders;
@@ -30,6 +31,7 @@
 
 pub use batch::{Batch, RowWrite, VM_LIST_LANE};
 pub use crashes::CrashVerdict;
+pub use events::CellEvent;
 pub(crate) use held_starts::HeldStart;
 pub use load::Load;
 pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
@@ -187,6 +189,8 @@
     stops_changed: bool,
     /// VMs lost since the last call of `take_lost_vms`.
     lost_vms: Vec<LostVm>,
+    /// Observations since the last call of `take_events`.
+    events: Vec<CellEvent>,
     /// Lost runs for which it isn't known yet whether their VMs have crashed.
     open_losses: Vec<crashes::OpenLoss>,
     /// Set once a run has been lost with its VM; there are no suspects before that.
@@ -245,6 +249,7 @@
             // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
             lost_vms: Vec::new(),
+            events: Vec::new(),
             open_losses: Vec::new(),
             crashes_noted: false,
             suspect_queues: Vec::new(),
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -15,12 +15,14 @@
         self.plan_needed = true;
         self.forget_loss(end.task, end.run, now);
         let Some(key) = self.job_key(end.task.job) else {
+            self.note_uncounted_end(vm, end, "job not known");
             return;
         };
         if self.jobs[key].end.is_some() {
             return;
         }
         let Some(task) = self.task_mut(end.task) else {
+            self.note_uncounted_end(vm, end, "round not in progress");
             return;
         };
         let is_current = task.last_run == end.run && task.phase == Phase::Placed(vm);
@@ -28,6 +30,7 @@
         // unresponsive. A failure always counts as an attempt; other ends count only if the task
         // has not been restarted since.
         let already_counted = task.failed_runs.contains(&end.run);
+        let is_done = task.phase == Phase::Done;
         let is_late = !had_run && task.phase == Phase::Waiting;
         let spec = self.jobs[key].spec.clone();
         let Some(step) = spec.steps.get(usize::from(end.task.step)) else {
@@ -37,6 +40,9 @@
         let counts_as_copy = copies_allowed(step) && end.outcome == RunOutcome::Done;
         let is_failure = end.outcome == RunOutcome::Failed;
         if already_counted || !(is_current || is_late || is_failure || counts_as_copy) {
+            if !is_done && end.outcome == RunOutcome::Done {
+                self.note_uncounted_end(vm, end, "not the current run");
+            }
             return;
         }
         let Some(task) = self.task_mut(end.task) else {
--- /dev/null
+++ b/crates/dotterel-cell/src/cell/events.rs
@@ -0,0 +1,70 @@
+//! What the cell has observed and the log should tell.
+
+use compact_str::CompactString;
+use dotterel_kernel::Millis;
+
+use super::Cell;
+use crate::spec::TaskName;
+use crate::vm::{ReportedEnd, RunOutcome, VmKey};
+
+/// An observation for the log. It has no effect on decisions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CellEvent {
+    /// A VM reported the end of a run that had no effect on its task.
+    EndNotCounted {
+        /// Id of the VM.
+        vm: CompactString,
+        /// Task of the run.
+        task: TaskName,
+        /// Run number.
+        run: u32,
+        /// How the run ended.
+        outcome: RunOutcome,
+        /// Why it had no effect.
+        reason: &'static str,
+        /// Latest run of the task; zero if it isn't known.
+        last_run: u32,
+    },
+    /// A run was released because a report didn't list it.
+    RunAbsent {
+        /// Id of the VM.
+        vm: CompactString,
+        /// Task of the run.
+        task: TaskName,
+        /// Run number.
+        run: u32,
+        /// Number of ends in the report.
+        ends_listed: usize,
+    },
+    /// A successor stopped waiting for VMs that have not replied.
+    RecoveryTimedOut {
+        /// Ids of the VMs.
+        vms: Vec<CompactString>,
+        /// Time since the takeover.
+        waited: Millis,
+    },
+}
+
+impl Cell {
+    /// Returns the observations since the last call.
+    pub fn take_events(&mut self) -> Vec<CellEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    pub(super) fn note_uncounted_end(
+        &mut self,
+        key: VmKey,
+        end: &ReportedEnd,
+        reason: &'static str,
+    ) {
+        let last_run = self.task_mut(end.task).map_or(0, |task| task.last_run);
+        self.events.push(CellEvent::EndNotCounted {
+            vm: self.vms[key].info.id.clone(),
+            task: end.task,
+            run: end.run,
+            outcome: end.outcome,
+            reason,
+            last_run,
+        });
+    }
+}
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::Cell;
+use super::{Cell, CellEvent};
 use crate::job::Phase;
 use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
 
@@ -201,6 +201,12 @@
             }
         }
         for (task, run) in absent {
+            self.events.push(CellEvent::RunAbsent {
+                vm: self.vms[key].info.id.clone(),
+                task,
+                run,
+                ends_listed: report.ended.len(),
+            });
             self.release(key, task, run);
         }
     }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, LossReason, Order};
+use super::{Cell, CellEvent, LossReason, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, StopRecord, Vm};
@@ -47,8 +47,17 @@
         if now >= self.recovery_deadline || (all_known && now > self.took_over_at) {
             self.recovered = true;
             self.plan_needed = true;
+            let mut missing = Vec::new();
             for vm in self.vms.values_mut() {
-                vm.awaited = false;
+                if std::mem::take(&mut vm.awaited) {
+                    missing.push(vm.info.id.clone());
+                }
+            }
+            if !missing.is_empty() {
+                self.events.push(CellEvent::RecoveryTimedOut {
+                    vms: missing,
+                    waited: now.since(self.took_over_at),
+                });
             }
         }
     }
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use dotterel_cell::cell::{CrashVerdict, LostVm};
+use dotterel_cell::cell::{CellEvent, CrashVerdict, LostVm};
 use dotterel_cell::{Cell, JobId, StepRef, VmKey};
 use dotterel_kernel::{Clock, Millis};
 use tokio::sync::{Notify, mpsc, watch as channel};
@@ -54,6 +54,10 @@
 const TICK_INTERVAL: Millis = Millis(150);
 /// Lost runs logged for each VM; a crash of many VMs must not fill the log.
 const MAX_LOGGED_LOST_RUNS: usize = 32;
+/// A leader whose last renewal is older than this is logged: several renewals have failed.
+const RENEWAL_OVERDUE: Millis = Millis(1000);
+/// Observations of the cell logged at a time.
+const MAX_LOGGED_EVENTS: usize = 64;
 /// Interval between log lines on the load of the cell.
 const LOAD_LOG_INTERVAL: Millis = Millis::secs(1);
 /// A longer gap between two ticks means that the process was suspended.
@@ -121,6 +125,8 @@
     largest_node: StdCell<u32>,
     /// When lane 0 last committed, which renews the leadership.
     renewed_at: StdCell<Millis>,
+    /// Leases extended since the leadership should have been renewed.
+    unrenewed_leases: StdCell<u32>,
     /// Since when the store has rejected or not answered transactions.
     unavailable_since: StdCell<Option<Millis>>,
     /// Set while fronts know that the store is unavailable.
@@ -169,7 +175,9 @@
     fn end(&self, reason: &'static str) {
         if !*self.ended.borrow() {
             log::info!(
-                cell = self.cell_no.0, term = self.term, fence = self.fence, reason;
+                cell = self.cell_no.0, term = self.term, fence = self.fence, reason,
+                renewed_ms_ago = self.renewal_age().0,
+                unrenewed_leases = self.unrenewed_leases.get();
                 "leadership ended");
         }
         self.ended.send_replace(true);
@@ -221,12 +229,20 @@
             for verdict in &verdicts {
                 self.log_crash_verdict(verdict);
             }
+            self.log_events();
             self.yield_to_larger_node(now);
             self.report_store_state();
             self.expire_advice_calls(now);
             self.update_gauges();
             if now.since(logged_at) >= LOAD_LOG_INTERVAL {
                 logged_at = now;
+                if self.unrenewed_leases.get() > 0 {
+                    log::warn!(
+                        cell = self.cell_no.0, term = self.term,
+                        renewed_ms_ago = self.renewal_age().0,
+                        unrenewed_leases = self.unrenewed_leases.get();
+                        "leases extended by a leader that isn't renewed");
+                }
                 let load = self.cell.borrow().load();
                 log::info!(
                     cell = self.cell_no.0, vms = load.vms,
@@ -254,6 +270,39 @@
         self.metrics.record_lost_runs(&reason, lost.runs.len());
     }
 
+    fn log_events(&self) {
+        let events = self.cell.borrow_mut().take_events();
+        for event in events.iter().take(MAX_LOGGED_EVENTS) {
+            match event {
+                CellEvent::EndNotCounted {
+                    vm,
+                    task,
+                    run,
+                    outcome,
+                    reason,
+                    last_run,
+                } => log::info!(
+                    task:% = task, run, how:? = outcome, vm = vm.as_str(), reason, last_run;
+                    "end not counted"),
+                CellEvent::RunAbsent {
+                    vm,
+                    task,
+                    run,
+                    ends_listed,
+                } => log::info!(
+                    task:% = task, run, vm = vm.as_str(), ends_listed;
+                    "run absent from report, released"),
+                CellEvent::RecoveryTimedOut { vms, waited } => log::warn!(
+                    cell = self.cell_no.0, vms:? = vms, waited_ms = waited.0;
+                    "VMs have not replied since the takeover"),
+            }
+        }
+        let omitted = events.len().saturating_sub(MAX_LOGGED_EVENTS);
+        if omitted > 0 {
+            log::info!(cell = self.cell_no.0, omitted; "further events of the cell not logged");
+        }
+    }
+
     fn log_crash_verdict(&self, verdict: &CrashVerdict) {
         let vms = verdict.lost_runs.iter().map(|lost| lost.vm.as_str());
         log::warn!(
@@ -281,6 +330,18 @@
         }
     }
 
+    /// Returns the time since the leadership was last renewed.
+    fn renewal_age(&self) -> Millis {
+        self.clock.now().since(self.renewed_at.get())
+    }
+
+    /// Counts a lease that was extended although the leadership should have been renewed since.
+    fn note_extended_lease(&self) {
+        if self.renewal_age() >= RENEWAL_OVERDUE {
+            self.unrenewed_leases.set(self.unrenewed_leases.get() + 1);
+        }
+    }
+
     fn is_unconfirmed(&self) -> bool {
         self.unconfirmed_until
             .get()
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -99,6 +99,7 @@
             started_at: now,
             largest_node: StdCell::new(self.settings.milli_cores),
             renewed_at: StdCell::new(now),
+            unrenewed_leases: StdCell::new(0),
             unavailable_since: StdCell::new(None),
             outage_reported: StdCell::new(false),
             unconfirmed_until: StdCell::new(None),
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -16,6 +16,8 @@
 const MAX_ORDERS_IN_FLIGHT: usize = 2;
 /// How often an unanswered start order is sent before the run is ordered to stop.
 const MAX_START_ATTEMPTS: u32 = 2;
+/// A start that has waited for other orders to its VM for longer is logged.
+const LOGGED_QUEUE_DELAY: Millis = Millis(200);
 /// Added to the expected duration of a call to the advice service to get its timeout: a round trip
 /// between regions and the wait in the front's queue.
 const ADVICE_OVERHEAD: Millis = Millis(700);
@@ -25,7 +27,8 @@
 /// An order for one VM.
 #[derive(Debug)]
 pub(super) enum VmOrder {
-    Start(StartOrder),
+    /// A start, and when it was queued.
+    Start(StartOrder, Millis),
     Stop(TaskName, u32),
 }
 
@@ -56,14 +59,17 @@
                     };
                     self.send_order(
                         vm,
-                        VmOrder::Start(StartOrder {
-                            task,
-                            run,
-                            text: text.unwrap_or_default(),
-                            lease: Millis::ZERO,
-                            saved,
-                            ticket,
-                        }),
+                        VmOrder::Start(
+                            StartOrder {
+                                task,
+                                run,
+                                text: text.unwrap_or_default(),
+                                lease: Millis::ZERO,
+                                saved,
+                                ticket,
+                            },
+                            now,
+                        ),
                     );
                 }
                 Order::Stop {
@@ -110,7 +116,10 @@
             let scheduler = Rc::clone(&self);
             tokio::task::spawn_local(async move {
                 match order {
-                    VmOrder::Start(start) => scheduler.start(key, start).await,
+                    VmOrder::Start(start, queued_at) => {
+                        scheduler.log_queue_delay(key, &start, queued_at);
+                        scheduler.start(key, start).await;
+                    }
                     VmOrder::Stop(task, run) => scheduler.stop(key, task, run).await,
                 }
                 drop(permit);
@@ -119,6 +128,20 @@
         }
     }
 
+    /// Logs a start that has waited for other orders to its VM, and whether it is still expected.
+    fn log_queue_delay(&self, key: VmKey, start: &StartOrder, queued_at: Millis) {
+        let queued = self.clock.now().since(queued_at);
+        if queued < LOGGED_QUEUE_DELAY {
+            return;
+        }
+        let cell = self.cell.borrow();
+        let vm = cell.vm(key);
+        let phase = vm.and_then(|vm| Some(vm.runs[vm.find(start.task, start.run)?].phase));
+        log::info!(
+            task:% = start.task, run = start.run, queued_ms = queued.0, phase:? = phase;
+            "start delayed by other orders");
+    }
+
     async fn start(&self, key: VmKey, mut start: StartOrder) {
         let mut outcome = StartAnswer::Unknown;
         for attempt in 0..MAX_START_ATTEMPTS {
@@ -138,6 +161,7 @@
                 break;
             };
             start.lease = lease;
+            self.note_extended_lease();
             outcome = self.platform.start(&target, &start).await;
             self.metrics
                 .record_call("start", self.clock.now().since(now));
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -187,6 +187,9 @@
                 lease = cell.extend_lease(key, now);
             }
         }
+        if lease.is_some() {
+            self.note_extended_lease();
+        }
         if lease.is_some() {
             wait = HOLD_WAIT;
         }
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -106,6 +106,7 @@
             };
             if lane == 0 {
                 self.renewed_at.set(self.clock.now());
+                self.unrenewed_leases.set(0);
                 if self.unconfirmed_until.take().is_some() {
                     log::info!(cell = self.cell_no.0; "leadership confirmed");
                 }
