--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -4,3 +4,5 @@
 mod outages;
 mod restarted_vm;
 mod support;
+mod two_leaders;
+mod world;
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -301,7 +301,7 @@
     pub(crate) address: CompactString,
 }
 
-fn settings() -> Rc<Settings> {
+pub(crate) fn settings() -> Rc<Settings> {
     Rc::new(Settings::parse(SETTINGS).expect("the settings are valid"))
 }
 
@@ -376,6 +376,16 @@
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
+/// Runs a test on the current thread in simulated time. It must not use sockets.
+pub(crate) fn run_paused(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 /// Reads the next message of the scheduler.
 pub(crate) async fn next_message(stream: &mut TcpStream) -> SchedulerMessage {
     let message = timeout(Duration::from_secs(5), link::read(stream)).await;
--- /dev/null
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -0,0 +1,127 @@
+//! A leader that is cut off from the store beside its successor.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dotterel_cell::record::{self, JobRow};
+use dotterel_cell::{JobId, JobRecord, JobSpec, Policy, Step, TaskName};
+use dotterel_kernel::Millis;
+use dotterel_kernel::Size;
+use dotterel_node::Platform;
+use dotterel_node::election::{LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
+use dotterel_node::link::CellNo;
+use dotterel_node::metrics::Metrics;
+use dotterel_node::platform::{Commit, Table, Tx};
+use dotterel_node::scheduler::{SchedulerHost, Takeover};
+use tokio::time::sleep;
+
+use crate::support::{run_paused, settings};
+use crate::world::{View, World};
+
+const TASK: TaskName = TaskName {
+    job: JobId(1),
+    round: 0,
+    step: 0,
+    index: 0,
+};
+
+/// Stores an accepted job with one task that lasts.
+fn store_job(world: &World) {
+    let step = Step {
+        count: 1,
+        size: Size {
+            milli_cores: 1000,
+            ..Size::ZERO
+        },
+        estimate: Millis::secs(60),
+        ..Step::default()
+    };
+    let record = JobRecord {
+        spec: JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        },
+        policy: Policy {
+            service: "quotes".into(),
+            max_attempts: 3,
+            ..Policy::default()
+        },
+        ..JobRecord::default()
+    };
+    let row = record::encode(&JobRow::Open(Box::new(record)));
+    let part = CellNo(0).part(0);
+    world.put(&part, Table::Jobs, &format!("{}", JobId(1)), row);
+}
+
+/// Makes a node the leader and starts its scheduler.
+async fn lead(view: &Rc<View>, node: &str, term: u32) -> Rc<SchedulerHost<View>> {
+    let part = CellNo(0).part(0);
+    let page = view.scan(Table::Role, &part, "", 10).await;
+    let rows = page.expect("the store replies").rows;
+    let found = rows.iter().find(|row| row.key == LEADER_KEY);
+    let leader = LeaderRow {
+        node: node.into(),
+        incarnation: 1,
+        address: "127.0.0.1:1".into(),
+        term,
+        released: false,
+        largest_node: 1000,
+    };
+    let renewal = RenewalRow {
+        term,
+        ..RenewalRow::default()
+    };
+    let tx = Tx {
+        part,
+        expect: vec![(
+            Table::Role,
+            LEADER_KEY.into(),
+            found.map_or(0, |row| row.version),
+        )],
+        puts: vec![
+            (Table::Role, LEADER_KEY.into(), record::encode(&leader)),
+            (Table::Role, RENEWAL_KEY.into(), record::encode(&renewal)),
+        ],
+        removes: Vec::new(),
+    };
+    let Commit::Done(fence) = view.commit(&tx, Millis(600)).await else {
+        panic!("the takeover succeeds");
+    };
+    let metrics = Rc::new(Metrics::new());
+    let host = SchedulerHost::new(Rc::clone(view), settings(), metrics, view.world.clock);
+    let host = Rc::new(host);
+    Rc::clone(&host).start_term(Takeover {
+        cell: CellNo(0),
+        leader,
+        fence,
+    });
+    host
+}
+
+/// Guards against a task that runs twice: a leader without the store went on extending leases, and
+/// its successor counted on none that was extended after the takeover.
+#[test]
+fn a_successor_starts_nothing_while_its_predecessor_may_still_hold_a_lease() {
+    run_paused(async {
+        let world = World::new();
+        store_job(&world);
+        world.add_vm("near");
+        let (old, new) = (world.view(), world.view());
+        let _first = lead(&old, "entry-1", 1).await;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(world.vms_running(TASK), ["near"]);
+        world.add_vm("far");
+        sleep(Duration::from_secs(1)).await;
+
+        // A partition, with the first leader and the VM that runs the task on one side.
+        old.store_silent.set(true);
+        old.unreachable.borrow_mut().push("far".into());
+        new.unreachable.borrow_mut().push("near".into());
+        sleep(Duration::from_millis(700)).await;
+        let _second = lead(&new, "entry-2", 2).await;
+        sleep(Duration::from_secs(12)).await;
+
+        assert_eq!(*world.overlaps.borrow(), Vec::<String>::new());
+        assert_eq!(world.vms_running(TASK), ["far"], "it is served again");
+    });
+}
--- /dev/null
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -0,0 +1,364 @@
+//! Fixtures: a store and VMs in memory, which several nodes see through views of their own.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use dotterel_cell::{
+    JobId, JobState, RawJob, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, TaskName,
+    VmInfo,
+};
+use dotterel_kernel::{Clock, Millis, Size};
+use dotterel_node::Platform;
+use dotterel_node::platform::{
+    AdviceError, AdvisedVm, Commit, ConfigChange, Page, Row, StartOrder, StoreError, Table, Tx,
+    VmChanges, VmError, VmTarget,
+};
+use http::HeaderMap;
+use tokio::time::sleep;
+
+const ROUND_TRIP: Duration = Duration::from_millis(4);
+
+type RowKey = (CompactString, Table, CompactString);
+
+/// The store, the VMs, and what the VMs have seen.
+pub(crate) struct World {
+    pub(crate) clock: Clock,
+    version: Cell<u64>,
+    rows: RefCell<BTreeMap<RowKey, (u64, Bytes)>>,
+    vms: RefCell<Vec<Rc<FakeVm>>>,
+    /// Runs that have started: time, VM and task.
+    pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
+    /// Tasks that ran twice at the same time.
+    pub(crate) overlaps: RefCell<Vec<String>>,
+}
+
+struct FakeVm {
+    id: CompactString,
+    started_at: Millis,
+    fence: Cell<u64>,
+    /// Expiry of the lease on the VM's clock.
+    lease_end: Cell<Millis>,
+    runs: RefCell<Vec<(TaskName, u32)>>,
+    ends: RefCell<Vec<ReportedEnd>>,
+    last_end: Cell<u64>,
+}
+
+impl FakeVm {
+    /// The VM's clock runs slow, by as much as the platform allows.
+    fn clock(&self, now: Millis) -> Millis {
+        Millis(1000 + now.since(self.started_at).0 * 98 / 100)
+    }
+
+    fn end(&self, task: TaskName, run: u32, outcome: RunOutcome) {
+        self.last_end.set(self.last_end.get() + 1);
+        self.ends.borrow_mut().push(ReportedEnd {
+            number: self.last_end.get(),
+            task,
+            run,
+            outcome,
+            saved: CompactString::default(),
+        });
+    }
+
+    /// Ends the runs whose lease has expired.
+    fn expire(&self, now: Millis) {
+        if self.clock(now) > self.lease_end.get() {
+            for (task, run) in self.runs.take() {
+                self.end(task, run, RunOutcome::Lapsed);
+            }
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn new() -> Rc<Self> {
+        Rc::new(Self {
+            clock: Clock::system(),
+            version: Cell::new(0),
+            rows: RefCell::default(),
+            vms: RefCell::default(),
+            starts: RefCell::default(),
+            overlaps: RefCell::default(),
+        })
+    }
+
+    pub(crate) fn add_vm(&self, id: &str) {
+        self.vms.borrow_mut().push(Rc::new(FakeVm {
+            id: id.into(),
+            started_at: self.clock.now(),
+            fence: Cell::new(0),
+            lease_end: Cell::new(Millis::ZERO),
+            runs: RefCell::default(),
+            ends: RefCell::default(),
+            last_end: Cell::new(0),
+        }));
+    }
+
+    /// Returns the view of one node.
+    pub(crate) fn view(self: &Rc<Self>) -> Rc<View> {
+        Rc::new(View {
+            world: Rc::clone(self),
+            store_silent: Cell::new(false),
+            unreachable: RefCell::default(),
+        })
+    }
+
+    /// Writes a row without a transaction.
+    pub(crate) fn put(&self, part: &str, table: Table, key: &str, value: Vec<u8>) {
+        self.version.set(self.version.get() + 1);
+        let row_key = (part.into(), table, key.into());
+        let row = (self.version.get(), Bytes::from(value));
+        self.rows.borrow_mut().insert(row_key, row);
+    }
+
+    /// Returns the VMs on which a task is running.
+    pub(crate) fn vms_running(&self, task: TaskName) -> Vec<CompactString> {
+        let now = self.clock.now();
+        let vms = self.vms.borrow();
+        vms.iter().for_each(|vm| vm.expire(now));
+        let running = vms
+            .iter()
+            .filter(|vm| vm.runs.borrow().iter().any(|(other, _)| *other == task));
+        running.map(|vm| vm.id.clone()).collect()
+    }
+
+    fn commit(&self, tx: &Tx) -> Commit {
+        let key = |table: Table, key: &CompactString| (tx.part.clone(), table, key.clone());
+        let mut rows = self.rows.borrow_mut();
+        let current = |table: Table, name: &CompactString| {
+            let row = rows.get(&key(table, name));
+            row.map_or((0, Bytes::new()), Clone::clone)
+        };
+        let is_met = |(table, name, version): &(_, _, u64)| current(*table, name).0 == *version;
+        if !tx.expect.iter().all(is_met) {
+            let found = tx.expect.iter().map(|(table, name, _)| {
+                let (version, value) = current(*table, name);
+                Row {
+                    key: name.clone(),
+                    value,
+                    version,
+                }
+            });
+            return Commit::Conflict(found.collect());
+        }
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        for (table, name, value) in &tx.puts {
+            rows.insert(key(*table, name), (version, Bytes::from(value.clone())));
+        }
+        for (table, name) in &tx.removes {
+            rows.remove(&key(*table, name));
+        }
+        Commit::Done(version)
+    }
+
+    fn scan(&self, table: Table, part: &str, from: &str) -> Page {
+        let rows = self.rows.borrow();
+        let found = rows.iter().filter(|((row_part, row_table, key), _)| {
+            row_part == part && *row_table == table && key.as_str() >= from
+        });
+        let found = found.map(|((_, _, key), (version, value))| Row {
+            key: key.clone(),
+            value: value.clone(),
+            version: *version,
+        });
+        Page {
+            rows: found.collect(),
+            has_more: false,
+            version: self.version.get(),
+            clock: self.clock.now(),
+        }
+    }
+
+    fn start(&self, vm: &FakeVm, fence: u64, order: &StartOrder) -> StartAnswer {
+        let now = self.clock.now();
+        vm.expire(now);
+        if fence < vm.fence.get() {
+            return StartAnswer::Fenced;
+        }
+        vm.fence.set(fence);
+        if order.lease < vm.clock(now) {
+            return StartAnswer::Late;
+        }
+        vm.lease_end.set(vm.lease_end.get().max(order.lease));
+        let elsewhere = self.vms_running(order.task);
+        if !elsewhere.is_empty() {
+            let overlap = format!("{} started on {}, runs on {elsewhere:?}", order.task, vm.id);
+            self.overlaps.borrow_mut().push(overlap);
+        }
+        vm.runs.borrow_mut().push((order.task, order.run));
+        let start = (now, vm.id.clone(), order.task);
+        self.starts.borrow_mut().push(start);
+        StartAnswer::Started
+    }
+}
+
+/// The world as one node sees it.
+pub(crate) struct View {
+    pub(crate) world: Rc<World>,
+    /// Calls to the store get no reply.
+    pub(crate) store_silent: Cell<bool>,
+    /// VMs that the node can't reach.
+    pub(crate) unreachable: RefCell<Vec<CompactString>>,
+}
+
+impl View {
+    async fn reach(&self, target: &VmTarget, wait: Duration) -> Result<Rc<FakeVm>, VmError> {
+        if self.unreachable.borrow().contains(&target.id) {
+            sleep(wait + Duration::from_millis(500)).await;
+            return Err(VmError::Away);
+        }
+        sleep(ROUND_TRIP).await;
+        let vms = self.world.vms.borrow();
+        let vm = vms.iter().find(|vm| vm.id == target.id);
+        vm.cloned().ok_or(VmError::Away)
+    }
+}
+
+impl Platform for View {
+    type VmConnection = ();
+
+    async fn commit(&self, tx: &Tx, timeout: Millis) -> Commit {
+        if self.store_silent.get() {
+            sleep(timeout.duration()).await;
+            return Commit::Unknown;
+        }
+        sleep(ROUND_TRIP).await;
+        self.world.commit(tx)
+    }
+
+    async fn scan(&self, table: Table, part: &str, from: &str, _: u32) -> Result<Page, StoreError> {
+        if self.store_silent.get() {
+            sleep(Duration::from_millis(900)).await;
+            return Err(StoreError::Away);
+        }
+        sleep(ROUND_TRIP).await;
+        Ok(self.world.scan(table, part, from))
+    }
+
+    async fn config_changes(&self, _: Option<u64>) -> Result<ConfigChange, StoreError> {
+        Ok(ConfigChange::default())
+    }
+
+    async fn vm_changes(&self, after: Option<u64>) -> Result<VmChanges, StoreError> {
+        if self.store_silent.get() {
+            sleep(Duration::from_millis(900)).await;
+            return Err(StoreError::Away);
+        }
+        sleep(ROUND_TRIP).await;
+        let vms = self.world.vms.borrow();
+        let listed = vms.iter().map(|vm| VmInfo {
+            id: vm.id.clone(),
+            address: format_compact!("{}:1", vm.id),
+            incarnation: 7,
+            service: "quotes".into(),
+            capacity: size(16_000),
+            ..VmInfo::default()
+        });
+        Ok(VmChanges {
+            listed: listed.collect(),
+            is_full: after.is_none(),
+            version: 1,
+            ..VmChanges::default()
+        })
+    }
+
+    async fn connect_vm(&self, _: &VmTarget) -> Result<(), VmError> {
+        Ok(())
+    }
+
+    async fn hold(
+        &self,
+        target: &VmTarget,
+        (): &mut (),
+        lease: Option<Millis>,
+        acked: u64,
+        wait: Millis,
+    ) -> Result<Report, VmError> {
+        let vm = self.reach(target, wait.duration()).await?;
+        vm.expire(self.world.clock.now());
+        if target.fence < vm.fence.get() {
+            return Err(VmError::Fenced);
+        }
+        vm.fence.set(target.fence);
+        let lease_end = vm.lease_end.get().max(lease.unwrap_or_default());
+        vm.lease_end.set(lease_end);
+        vm.ends.borrow_mut().retain(|end| end.number > acked);
+        sleep(wait.duration().min(Duration::from_millis(200))).await;
+        let now = self.world.clock.now();
+        vm.expire(now);
+        let running = vm.runs.borrow();
+        Ok(Report {
+            incarnation: 7,
+            clock: vm.clock(now),
+            running: running.iter().map(reported).collect(),
+            ended: vm.ends.borrow().clone(),
+        })
+    }
+
+    async fn start(&self, target: &VmTarget, order: &StartOrder) -> StartAnswer {
+        match self.reach(target, Duration::ZERO).await {
+            Ok(vm) => self.world.start(&vm, target.fence, order),
+            Err(_) => StartAnswer::Unknown,
+        }
+    }
+
+    async fn stop(&self, target: &VmTarget, task: TaskName, run: u32) -> Result<(), VmError> {
+        let vm = self.reach(target, Duration::ZERO).await?;
+        if target.fence < vm.fence.get() {
+            return Err(VmError::Fenced);
+        }
+        let mut runs = vm.runs.borrow_mut();
+        if let Some(at) = runs.iter().position(|other| *other == (task, run)) {
+            runs.remove(at);
+            vm.end(task, run, RunOutcome::Stopped);
+        }
+        Ok(())
+    }
+
+    async fn advise(
+        &self,
+        _: (JobId, u32, u16),
+        _: &[CompactString],
+        _: Millis,
+    ) -> Result<Vec<AdvisedVm>, AdviceError> {
+        Err(AdviceError::Away)
+    }
+
+    fn decode_job(&self, _: &[u8]) -> Result<RawJob, CompactString> {
+        Err("not used".into())
+    }
+
+    fn encode_state(&self, _: JobState) -> Bytes {
+        Bytes::new()
+    }
+
+    fn encode_pending(&self, _: u32) -> Bytes {
+        Bytes::new()
+    }
+
+    fn caller_timeout(&self, _: &HeaderMap) -> Option<Millis> {
+        None
+    }
+}
+
+fn reported((task, run): &(TaskName, u32)) -> ReportedRun {
+    ReportedRun {
+        task: *task,
+        run: *run,
+        saved: CompactString::default(),
+        percent: 50,
+        gauge: None,
+    }
+}
+
+fn size(milli_cores: u32) -> Size {
+    Size {
+        milli_cores,
+        ..Size::ZERO
+    }
+}
