scheduler: bound leases by the leader's last renewal, and wait for them after a takeover

What callers saw: a task that was done started again. Cause: a leader that could not renew its leadership went on extending leases and starting tasks on the VMs that still answered it, without a limit, while its successor counted only on leases extended before its own takeover (4.5 s). The class: a permission that is extended beyond what the next holder counts on.

The leader now has a lease of its own: each renewal that the store has committed, counted from when it was sent. No lease on a VM may reach beyond leadership_ttl after it, whichever call asks for it. A takeover makes all later renewals fail, so the last one that succeeded was sent before the takeover, and a successor that waits leadership_ttl from its own takeover, on the slowest clock of a VM, waits for every lease. Deadlines are absolute on the VM's clock, so orders that are delayed or carried out late don't matter. A suspended machine's steady clock stands still, which would make the last renewal look recent; the time of suspension is added from the boot clock. Once the leader's lease has run out it plans no starts. A leader that hands over extends nothing. The lease that a VM may have and the one requested from it are kept apart: a VM that restarted under an order of its former life was given the longest lease there is from then on.

Ruled out: stopping leases as soon as a renewal is overdue.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -43,6 +43,9 @@
     pub lease_ttl: Millis,
     /// Longest lease that a VM grants.
     pub lease_max: Millis,
+    /// Time after a renewal of the leadership beyond which the leader requests no lease. Work runs on
+    /// through a store outage of this length, and a successor waits this long for VMs that don't reply.
+    pub leadership_ttl: Millis,
     /// Longest time that a VM takes to stop a run.
     pub stop_timeout: Millis,
     /// How long the state of an ended job can be queried.
@@ -54,6 +57,7 @@
         Self {
             lease_ttl: Millis(4000),
             lease_max: Millis::secs(10),
+            leadership_ttl: Millis::secs(7),
             stop_timeout: Millis(400),
             retention: Millis::secs(120),
         }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -97,18 +97,21 @@
         }
     }
 
-    /// Extends the lease to request from a VM and returns its expiry on the VM's clock.
+    /// Returns the lease to request from a VM: its expiry on the VM's clock. It lasts for at most
+    /// `leadership`, the remaining time of the leader's own lease.
     ///
     /// Returns `None` before the VM's first reply and while it is unresponsive: it may process
     /// requests without replying, and renewals would keep its lease from ever expiring.
-    pub fn extend_lease(&mut self, key: VmKey, now: Millis) -> Option<Millis> {
-        let lease = self.limits.lease_ttl;
+    pub fn extend_lease(&mut self, key: VmKey, leadership: Millis, now: Millis) -> Option<Millis> {
+        let lease = self.limits.lease_ttl.min(leadership);
         let vm = self.vms.get_mut(key)?;
-        if !vm.fenced || now.since(vm.answered_at) > RENEWAL_MAX_REPLY_AGE {
+        let is_silent = now.since(vm.answered_at) > RENEWAL_MAX_REPLY_AGE;
+        if !vm.fenced || is_silent || lease == Millis::ZERO {
             return None;
         }
-        vm.lease_end = vm.lease_end.max(vm.min_clock_at(now) + lease);
-        Some(vm.lease_end)
+        let requested = vm.min_clock_at(now) + lease;
+        vm.lease_end = vm.lease_end.max(requested);
+        Some(requested)
     }
 
     fn apply_running(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
--- a/crates/dotterel-cell/src/lib.rs
+++ b/crates/dotterel-cell/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`cell`]: the state machine that takes events and returns orders and rows to write.
 //! - [`plan`]: queue order, VM selection, gangs, preemption and advice.
 //! - [`health`]: ejection of VMs whose runs fail or stall.
+//! - [`leadership`]: bounds on the leases of a leader, and on its successor's wait for them.
 
 pub mod cell;
 pub mod health;
 pub mod job;
+pub mod leadership;
 pub mod plan;
 pub mod record;
 pub mod spec;
@@ -18,6 +20,7 @@
 
 pub use cell::{AdviceRequest, Batch, Cell, Limits, Order, Refusal, RowWrite, Submitted};
 pub use job::{JobKey, JobState, StepRef};
+pub use leadership::{Leadership, recovery_wait};
 pub use record::JobRecord;
 pub use spec::{AdviceTerms, JobId, JobSpec, Policy, RawJob, RawStep, SpecError, Step, TaskName};
 pub use vm::{Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, VmInfo, VmKey};
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -18,7 +18,7 @@
 /// Maximum percentage by which a VM's clock may run slow.
 const MAX_CLOCK_DRIFT_PCT: u64 = 2;
 /// Time for a VM to end its tasks after their lease has expired.
-const LEASE_EXPIRY_MARGIN: Millis = Millis(300);
+pub(crate) const LEASE_EXPIRY_MARGIN: Millis = Millis(300);
 
 /// Time after which a start order is no longer sent; it covers the wait for other orders to the VM
 /// and both attempts.
@@ -28,6 +28,11 @@
 /// crash at the start shows within a round trip, as the connection breaks.
 pub const PROBATION: Millis = Millis(150);
 
+/// Returns the longest time that a duration on a VM's clock can take.
+pub(crate) const fn longest_duration(on_vm: Millis) -> Millis {
+    Millis(on_vm.0 * 100 / (100 - MAX_CLOCK_DRIFT_PCT))
+}
+
 /// A VM's entry in the registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmInfo {
@@ -263,7 +268,7 @@
     pub clock: Millis,
     /// Time of the last reply.
     pub answered_at: Millis,
-    /// Latest lease expiry requested from the VM, on its clock.
+    /// Latest time on the VM's clock until which its lease may last.
     pub lease_end: Millis,
     /// Health of the VM, from the outcomes of its runs.
     pub health: VmHealth,
@@ -329,9 +334,8 @@
     /// Returns the time from which no run ordered so far can still be running on the VM.
     #[must_use]
     pub fn lease_expiry(&self) -> Millis {
-        let remaining = self.lease_end.since(self.clock).0;
-        let max_remaining = remaining * 100 / (100 - MAX_CLOCK_DRIFT_PCT);
-        self.answered_at + Millis(max_remaining) + LEASE_EXPIRY_MARGIN
+        let remaining = self.lease_end.since(self.clock);
+        self.answered_at + longest_duration(remaining) + LEASE_EXPIRY_MARGIN
     }
 
     /// Returns the time from which none of the known runs can still be running on a VM that has not
@@ -339,8 +343,8 @@
     #[must_use]
     pub fn unreported_expiry(&self, lease_max: Millis) -> Option<Millis> {
         let last_order = self.runs.iter().map(|vm_run| vm_run.ordered_at).max()?;
-        let max_lease = lease_max.0 * 100 / (100 - MAX_CLOCK_DRIFT_PCT);
-        Some(last_order + START_ORDER_TIMEOUT + Millis(max_lease) + LEASE_EXPIRY_MARGIN)
+        let lease = longest_duration(lease_max);
+        Some(last_order + START_ORDER_TIMEOUT + lease + LEASE_EXPIRY_MARGIN)
     }
 
     /// Recomputes the number up to which ends are durable.
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -200,7 +200,7 @@
             process
                 .ends
                 .retain(|end| acked.is_none_or(|acked| end.number > acked));
-            self.bench.cell.extend_lease(process.key, now);
+            self.bench.extend_lease(process.key);
         }
     }
 
--- a/crates/dotterel-cell/tests/cell/stored_lists.rs
+++ b/crates/dotterel-cell/tests/cell/stored_lists.rs
@@ -211,7 +211,7 @@
 #[test]
 fn a_silent_vm_stays_on_the_list_until_its_lease_has_expired() {
     let mut bench = Bench::new(1);
-    bench.cell.extend_lease(bench.vms[0], bench.now);
+    bench.extend_lease(bench.vms[0]);
     bench.advance(2000);
     bench.cell.tick(bench.now);
     let changed_early = bench.cell.has_rows(0, bench.now);
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -134,6 +134,12 @@
         self.report(index, &runs, &[]);
     }
 
+    /// Extends a VM's lease as a leader that has just renewed its leadership.
+    pub(crate) fn extend_lease(&mut self, vm: VmKey) -> Option<Millis> {
+        let leadership = self.cell.limits().leadership_ttl;
+        self.cell.extend_lease(vm, leadership, self.now)
+    }
+
     pub(crate) fn vm(&self, index: usize) -> &Vm {
         self.cell.vm(self.vms[index]).expect("the VM is known")
     }
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -196,7 +196,7 @@
     for _ in 0..16 {
         bench.advance(500);
         bench.report(1 - unresponsive, &[], &[]);
-        bench.cell.extend_lease(bench.vms[unresponsive], bench.now);
+        bench.extend_lease(bench.vms[unresponsive]);
         bench.cell.tick(bench.now);
         bench.plan();
         bench.commit_all();
@@ -427,7 +427,7 @@
     bench.plan();
     let start = bench.confirm_starts().remove(0);
     let silent = bench.index_of(start.vm);
-    bench.cell.extend_lease(start.vm, bench.now);
+    bench.extend_lease(start.vm);
     let mut orders = Vec::new();
 
     for _ in 0..7 {
--- a/crates/dotterel-kernel/src/time.rs
+++ b/crates/dotterel-kernel/src/time.rs
@@ -82,6 +82,8 @@
 pub struct Clock {
     base: Instant,
     wall: Millis,
+    /// Time for which the machine had been suspended when the clock was created.
+    suspended: Duration,
 }
 
 impl Clock {
@@ -100,6 +102,7 @@
         Self {
             base: Instant::now(),
             wall,
+            suspended: total_suspension(),
         }
     }
 
@@ -109,6 +112,13 @@
         self.wall + self.base.elapsed().into()
     }
 
+    /// Returns the current time, including the time for which the machine has been suspended since the
+    /// clock was created. `now` doesn't count that time.
+    #[must_use]
+    pub fn now_with_suspension(&self) -> Millis {
+        self.now() + total_suspension().saturating_sub(self.suspended).into()
+    }
+
     /// Returns the tokio instant at which this clock shows `time`.
     #[must_use]
     pub fn instant(&self, time: Millis) -> Instant {
@@ -120,3 +130,19 @@
         tokio::time::sleep_until(self.instant(time)).await;
     }
 }
+
+/// Returns the time for which the machine has been suspended since it started.
+#[cfg(target_os = "linux")]
+fn total_suspension() -> Duration {
+    use rustix::time::{ClockId, clock_gettime};
+
+    let elapsed = |clock| Duration::try_from(clock_gettime(clock)).unwrap_or_default();
+    // Read in this order, the difference is never too small.
+    let awake = elapsed(ClockId::Monotonic);
+    elapsed(ClockId::Boottime).saturating_sub(awake)
+}
+
+#[cfg(not(target_os = "linux"))]
+const fn total_suspension() -> Duration {
+    Duration::ZERO
+}
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -255,6 +255,7 @@
             ],
             removes: Vec::new(),
         };
+        let sent_at = self.clock.now_with_suspension();
         match self.platform.commit(&tx, ACQUIRE_TIMEOUT).await {
             Commit::Done(version) => {
                 log::info!(
@@ -263,6 +264,7 @@
                     cell: self.cell,
                     fence: version,
                     leader,
+                    sent_at,
                 });
             }
             Commit::Conflict(_) => {}
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -14,7 +14,7 @@
 
 use compact_str::CompactString;
 use dotterel_cell::cell::{CellEvent, CrashVerdict, LostVm};
-use dotterel_cell::{Cell, JobId, StepRef, VmKey};
+use dotterel_cell::{Cell, JobId, Leadership, StepRef, VmKey};
 use dotterel_kernel::{Clock, Millis};
 use tokio::sync::{Notify, mpsc, watch as channel};
 use tokio::task::{JoinError, JoinSet};
@@ -43,6 +43,8 @@
     pub leader: LeaderRow,
     /// The fencing token.
     pub fence: u64,
+    /// When the takeover was sent to the store, counting time during which the machine was suspended.
+    pub sent_at: Millis,
 }
 
 /// Delay before planning, so that events within it share one plan: a plan visits every waiting
@@ -125,6 +127,8 @@
     largest_node: StdCell<u32>,
     /// When lane 0 last committed, which renews the leadership.
     renewed_at: StdCell<Millis>,
+    /// Bounds the leases that are requested from VMs.
+    leadership: StdCell<Leadership>,
     /// Leases extended since the leadership should have been renewed.
     unrenewed_leases: StdCell<u32>,
     /// Since when the store has rejected or not answered transactions.
@@ -189,7 +193,7 @@
             self.plan_wakeup.notified().await;
             // Plans take long when there is a backlog; the pause leaves time for other work.
             tokio::time::sleep(PLAN_DELAY.duration().max(plan_time * PLAN_PAUSE_FACTOR)).await;
-            if self.is_unconfirmed() || self.releasing.get() {
+            if self.may_not_start() {
                 continue;
             }
             let now = self.clock.now();
@@ -342,6 +346,20 @@
         }
     }
 
+    /// Returns for how long leases on VMs may last. A leader that hands over extends none.
+    fn leadership_remaining(&self) -> Millis {
+        if self.releasing.get() {
+            return Millis::ZERO;
+        }
+        let now = self.clock.now_with_suspension();
+        self.leadership.get().remaining(&self.settings.limits, now)
+    }
+
+    /// Returns true if starting runs is pointless or not allowed for now.
+    fn may_not_start(&self) -> bool {
+        self.is_unconfirmed() || self.leadership_remaining() == Millis::ZERO
+    }
+
     fn is_unconfirmed(&self) -> bool {
         self.unconfirmed_until
             .get()
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell as StdCell, RefCell};
 use std::rc::Rc;
 
-use dotterel_cell::Cell;
+use dotterel_cell::{Cell, Leadership, recovery_wait};
 use dotterel_kernel::{Clock, Millis};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,8 +20,6 @@
 const HELLO_TIMEOUT: Millis = Millis(1000);
 /// Timeout for releasing the leadership when the node stops.
 const RELEASE_TIMEOUT: Millis = Millis(1500);
-/// Added to the lease for clock drift of VMs and for orders in flight.
-const LEASE_SLACK: Millis = Millis(500);
 
 /// Holds the schedulers of the cells that this node leads.
 pub struct SchedulerHost<P> {
@@ -73,9 +71,9 @@
             }
         }
         let now = self.clock.now();
-        let lease = self.settings.limits.lease_ttl + LEASE_SLACK;
         let term = takeover.leader.term;
-        let cell = Cell::new(self.settings.limits, term, now, now + lease);
+        let recovery_deadline = now + recovery_wait(&self.settings.limits);
+        let cell = Cell::new(self.settings.limits, term, now, recovery_deadline);
         let scheduler = Rc::new(Scheduler {
             platform: Rc::clone(&self.platform),
             settings: Rc::clone(&self.settings),
@@ -99,6 +97,7 @@
             started_at: now,
             largest_node: StdCell::new(self.settings.milli_cores),
             renewed_at: StdCell::new(now),
+            leadership: StdCell::new(Leadership::acquired(takeover.sent_at)),
             unrenewed_leases: StdCell::new(0),
             unavailable_since: StdCell::new(None),
             outage_reported: StdCell::new(false),
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -152,7 +152,9 @@
                 return;
             };
             let now = self.clock.now();
-            let Some(lease) = self.cell.borrow_mut().extend_lease(key, now) else {
+            let leadership = self.leadership_remaining();
+            let lease = self.cell.borrow_mut().extend_lease(key, leadership, now);
+            let Some(lease) = lease else {
                 // No start is sent to a VM without a valid lease, but a copy sent earlier may still
                 // arrive.
                 if attempt == 0 {
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -177,6 +177,7 @@
         let Some(connection) = session.connection.as_mut() else {
             return Err(VmError::Away);
         };
+        let leadership = self.leadership_remaining();
         let (mut lease, mut acked, mut wait) = (None, 0, Millis::ZERO);
         {
             let mut cell = self.cell.borrow_mut();
@@ -184,7 +185,10 @@
             let known = vm.filter(|vm| session.incarnation == Some(vm.info.incarnation));
             if let Some(durable_end) = known.map(|vm| vm.durable_end) {
                 acked = durable_end;
-                lease = cell.extend_lease(key, now);
+                lease = cell.extend_lease(key, leadership, now);
+                if leadership == Millis::ZERO {
+                    wait = HOLD_WAIT;
+                }
             }
         }
         if lease.is_some() {
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -87,6 +87,7 @@
             count += 1;
             self.busy_since.borrow_mut()[index] = Some(now);
             let tx = self.build_tx(&batch, lane, version, count, releasing);
+            let sent_at = self.clock.now_with_suspension();
             let outcome = self.commit_with_retry(&tx, count, releasing).await;
             self.busy_since.borrow_mut()[index] = None;
             version = match outcome {
@@ -106,6 +107,9 @@
             };
             if lane == 0 {
                 self.renewed_at.set(self.clock.now());
+                let mut leadership = self.leadership.get();
+                leadership.renew(sent_at);
+                self.leadership.set(leadership);
                 self.unrenewed_leases.set(0);
                 if self.unconfirmed_until.take().is_some() {
                     log::info!(cell = self.cell_no.0; "leadership confirmed");
--- a/crates/dotterel-node/src/settings.rs
+++ b/crates/dotterel-node/src/settings.rs
@@ -171,6 +171,7 @@
         let limits = dotterel_cell::Limits {
             lease_ttl: LEASE_TTL.min(max_lease),
             lease_max: max_lease,
+            leadership_ttl: defaults.leadership_ttl,
             stop_timeout: bounds.stop_ms.map_or(defaults.stop_timeout, Millis),
             retention: bounds.status_s.map_or(defaults.retention, Millis::secs),
         };
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -360,6 +360,7 @@
             largest_node: 1000,
         },
         fence: 1,
+        sent_at: Clock::system().now_with_suspension(),
     });
     Running {
         host,
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -84,6 +84,7 @@
         ],
         removes: Vec::new(),
     };
+    let sent_at = view.world.clock.now_with_suspension();
     let Commit::Done(fence) = view.commit(&tx, Millis(600)).await else {
         panic!("the takeover succeeds");
     };
@@ -94,6 +95,7 @@
         cell: CellNo(0),
         leader,
         fence,
+        sent_at,
     });
     host
 }
