scheduler: shorten the wait for leases after a takeover where that is safe

The wait that replaced the fixed 4.5 s costs callers whose tasks wait for a VM that doesn't reply to a successor. A takeover that follows a watch of the renewal row now expects that row unchanged, so the wait counts from the first read that showed it, 0.6 s earlier. A process that connects from the predecessor's node under another incarnation proves that the predecessor is gone; its leases end one lease later. That holds only if nothing of earlier terms can be left, which the predecessor states with each renewal.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -57,7 +57,7 @@
         Self {
             lease_ttl: Millis(4000),
             lease_max: Millis::secs(10),
-            leadership_ttl: Millis::secs(7),
+            leadership_ttl: Millis(6500),
             stop_timeout: Millis(400),
             retention: Millis::secs(120),
         }
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -5,7 +5,7 @@
 use super::{Cell, CellEvent, LossReason, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
-use crate::vm::{RunPhase, StopRecord, Vm};
+use crate::vm::{LEASE_EXPIRY_MARGIN, RunPhase, StopRecord, Vm, longest_duration};
 
 /// Interval between retries of an unacknowledged stop: slightly more than a round trip between
 /// regions plus the call's timeout.
@@ -39,6 +39,12 @@
         self.recovered
     }
 
+    /// Records that the predecessor has extended no lease since `now` at the latest.
+    pub fn predecessor_gone(&mut self, now: Millis) {
+        let wait = longest_duration(self.limits.lease_ttl) + LEASE_EXPIRY_MARGIN;
+        self.recovery_deadline = self.recovery_deadline.min(now + wait);
+    }
+
     fn update_recovery(&mut self, now: Millis) {
         if self.recovered {
             return;
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -92,6 +92,31 @@
     assert_eq!(late.len(), 1);
 }
 
+#[test]
+fn a_predecessor_that_is_gone_is_waited_for_for_one_lease_only() {
+    let mut bench = Bench::successor(2);
+    bench
+        .cell
+        .restore_job(JobId(1), independent_tasks(1, 1000), None, 0, bench.now);
+    let lease = bench.cell.limits().lease_ttl;
+    bench.advance(10);
+
+    bench.cell.predecessor_gone(bench.now);
+    bench.advance(lease.0 * 102 / 100);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    let early = bench.take_starts();
+    bench.advance(350);
+    bench.report(0, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.plan();
+    let late = bench.take_starts();
+
+    assert!(early.is_empty(), "a lease on a slow clock may still last");
+    assert_eq!(late.len(), 1);
+}
+
 #[test]
 fn tasks_recorded_as_done_are_not_restarted() {
     let mut first = Bench::new(1);
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -27,7 +27,7 @@
 mod rows;
 
 use rows::RoleRows;
-pub use rows::{LANES, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow, is_undersized};
+pub use rows::{LANES, LEADER_KEY, LeaderRow, Predecessor, RENEWAL_KEY, RenewalRow, is_undersized};
 
 /// A leader whose renewal row has not changed for this long is presumed dead: one renewal interval
 /// plus one store call.
@@ -129,16 +129,17 @@
                 unavailable = false;
             }
             let Some((leader, _)) = rows.leader.clone() else {
-                self.try_acquire(&rows, "no leader").await;
+                self.try_acquire(&rows, None, "no leader").await;
                 continue;
             };
             if leader.node == self.settings.node && leader.incarnation != self.incarnation {
-                self.try_acquire(&rows, "held by an earlier incarnation of this node")
+                self.try_acquire(&rows, None, "held by an earlier incarnation of this node")
                     .await;
                 continue;
             }
             if leader.released {
-                self.try_acquire(&rows, "released by the leader").await;
+                self.try_acquire(&rows, None, "released by the leader")
+                    .await;
                 continue;
             }
             let reason = self.follow_leader(&leader).await;
@@ -147,7 +148,7 @@
                 why:? = reason; "link to scheduler lost");
             match reason {
                 LinkLoss::Refused | LinkLoss::NotHolder => {
-                    self.try_acquire(&rows, "leader gone").await;
+                    self.try_acquire(&rows, None, "leader gone").await;
                 }
                 LinkLoss::Closed => self.sleep(Millis(10)).await,
                 LinkLoss::Silent => {
@@ -180,7 +181,8 @@
                 match baseline {
                     Some((seen, since)) if seen == version => {
                         if now.since(since) >= max_age {
-                            self.try_acquire(&rows, "leader stopped renewing").await;
+                            self.try_acquire(&rows, Some(since), "leader stopped renewing")
+                                .await;
                             return true;
                         }
                     }
@@ -195,8 +197,14 @@
         }
     }
 
-    /// Tries to become the leader. The write succeeds only while the leader row is unchanged.
-    async fn try_acquire(&self, rows: &RoleRows, reason: &'static str) {
+    /// Tries to become the leader. The write succeeds only while the leader row is unchanged, and the
+    /// renewal row as well if it is known to have been so since `unchanged_since`.
+    async fn try_acquire(
+        &self,
+        rows: &RoleRows,
+        unchanged_since: Option<Millis>,
+        reason: &'static str,
+    ) {
         if self.stopping.get() {
             self.sleep(POLL_INTERVAL).await;
             return;
@@ -244,11 +252,18 @@
                 own_size
             },
         };
-        let renewal = RenewalRow { term, count: 0 };
+        let renewal = RenewalRow {
+            term,
+            ..RenewalRow::default()
+        };
+        let mut expect = vec![(Table::Role, LEADER_KEY.into(), rows.leader_version())];
+        if unchanged_since.is_some() {
+            expect.push((Table::Role, RENEWAL_KEY.into(), rows.renewal_version()));
+        }
         let put = |key: &str, value| (Table::Role, CompactString::new(key), value);
         let tx = Tx {
             part: self.cell.part(0),
-            expect: vec![(Table::Role, LEADER_KEY.into(), rows.leader_version())],
+            expect,
             puts: vec![
                 put(LEADER_KEY, dotterel_cell::record::encode(&leader)),
                 put(RENEWAL_KEY, dotterel_cell::record::encode(&renewal)),
@@ -265,6 +280,8 @@
                     fence: version,
                     leader,
                     sent_at,
+                    renewed_until: unchanged_since.unwrap_or_else(|| self.clock.now()),
+                    predecessor: rows.predecessor(),
                 });
             }
             Commit::Conflict(_) => {}
@@ -290,6 +307,7 @@
         let (sender, mut queue) = mpsc::channel(link::QUEUE_CAPACITY);
         let hello = FrontMessage::Hello {
             node: self.settings.node.clone(),
+            incarnation: self.incarnation,
             cell: self.cell,
             milli_cores: self.settings.milli_cores,
         };
--- a/crates/dotterel-node/src/election/rows.rs
+++ b/crates/dotterel-node/src/election/rows.rs
@@ -46,6 +46,17 @@
     pub term: u32,
     /// Number of the transaction within the term and lane.
     pub count: u64,
+    /// Set once no lease of an earlier term can be in force any more.
+    pub settled: bool,
+}
+
+/// A process that led the cell and may still be alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Predecessor {
+    /// The node's name.
+    pub node: CompactString,
+    /// The incarnation of the node.
+    pub incarnation: u64,
 }
 
 /// The leader row and the renewal row, each with its version.
@@ -87,8 +98,22 @@
             .map_or(self.unreadable, |(_, version)| *version)
     }
 
+    pub(super) fn renewal_version(&self) -> u64 {
+        self.renewal.map_or(0, |(_, version)| version)
+    }
+
+    /// Returns the process that led the cell, if its return shows that no lease is extended any more.
+    pub(super) fn predecessor(&self) -> Option<Predecessor> {
+        let (leader, _) = self.leader.as_ref()?;
+        let (renewal, _) = self.renewal?;
+        let is_settled = renewal.settled && renewal.term == leader.term;
+        is_settled.then(|| Predecessor {
+            node: leader.node.clone(),
+            incarnation: leader.incarnation,
+        })
+    }
+
     pub(super) fn version(&self) -> u64 {
-        let renewal = self.renewal.map_or(0, |(_, version)| version);
-        renewal.max(self.leader_version())
+        self.renewal_version().max(self.leader_version())
     }
 }
--- a/crates/dotterel-node/src/link.rs
+++ b/crates/dotterel-node/src/link.rs
@@ -80,6 +80,8 @@
     Hello {
         /// The front's node.
         node: CompactString,
+        /// The incarnation of the node.
+        incarnation: u64,
         /// The cell to connect to.
         cell: CellNo,
         /// The node's share of CPU, in thousandths of a core.
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, mpsc, watch as channel};
 use tokio::task::{JoinError, JoinSet};
 
-use crate::election::{LANES, LeaderRow, is_undersized};
+use crate::election::{LANES, LeaderRow, Predecessor, is_undersized};
 use crate::link::{CellNo, SchedulerMessage};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, VmTarget};
@@ -45,6 +45,11 @@
     pub fence: u64,
     /// When the takeover was sent to the store, counting time during which the machine was suspended.
     pub sent_at: Millis,
+    /// The predecessor's last renewal was sent before this time.
+    pub renewed_until: Millis,
+    /// The predecessor, if no lease of earlier terms can be in force. Once another process runs on its
+    /// node, it extends no lease any more.
+    pub predecessor: Option<Predecessor>,
 }
 
 /// Delay before planning, so that events within it share one plan: a plan visits every waiting
@@ -127,6 +132,8 @@
     largest_node: StdCell<u32>,
     /// When lane 0 last committed, which renews the leadership.
     renewed_at: StdCell<Millis>,
+    /// The predecessor, as in `Takeover`.
+    predecessor: Option<Predecessor>,
     /// Bounds the leases that are requested from VMs.
     leadership: StdCell<Leadership>,
     /// Leases extended since the leadership should have been renewed.
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -72,7 +72,7 @@
         }
         let now = self.clock.now();
         let term = takeover.leader.term;
-        let recovery_deadline = now + recovery_wait(&self.settings.limits);
+        let recovery_deadline = takeover.renewed_until + recovery_wait(&self.settings.limits);
         let cell = Cell::new(self.settings.limits, term, now, recovery_deadline);
         let scheduler = Rc::new(Scheduler {
             platform: Rc::clone(&self.platform),
@@ -97,6 +97,7 @@
             started_at: now,
             largest_node: StdCell::new(self.settings.milli_cores),
             renewed_at: StdCell::new(now),
+            predecessor: takeover.predecessor,
             leadership: StdCell::new(Leadership::acquired(takeover.sent_at)),
             unrenewed_leases: StdCell::new(0),
             unavailable_since: StdCell::new(None),
@@ -149,6 +150,7 @@
         .await;
         let Ok(Ok(FrontMessage::Hello {
             node,
+            incarnation,
             cell,
             milli_cores,
         })) = hello
@@ -169,6 +171,7 @@
         let welcome = SchedulerMessage::Welcome {
             fence: scheduler.fence,
         };
+        scheduler.note_process(&node, incarnation);
         if sender.try_send(welcome).is_ok() {
             scheduler
                 .serve_peer(node, milli_cores, reader, sender)
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -170,6 +170,7 @@
         let renewal = RenewalRow {
             term: self.term,
             count,
+            settled: self.cell.borrow().is_recovered(),
         };
         let leader_version = self.lane_versions.borrow()[usize::from(lane)];
         let mut tx = Tx {
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dotterel_kernel::Millis;
+use dotterel_node::election::{LEADER_KEY, RENEWAL_KEY};
 use dotterel_node::link::{CellNo, SchedulerMessage};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -127,24 +128,47 @@
     });
 }
 
+/// Accepts links and never replies, like a node without power. Returns its address.
+async fn silent_node() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::task::spawn_local(async move {
+        let mut links = Vec::new();
+        while let Ok((link, _)) = listener.accept().await {
+            links.push(link);
+        }
+    });
+    address.to_string()
+}
+
+/// Guards against a wait that is too short: a successor counts leases from when it saw the renewal row
+/// for the first time, so its takeover has to fail if that row has changed since.
+#[test]
+fn a_takeover_of_a_silent_leader_expects_its_renewal_unchanged() {
+    let platform = OneVm::new();
+    run(async {
+        let address = silent_node().await;
+        let _host = follow(&platform, &address);
+        while platform.expected_keys.borrow().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+
+        let transactions = platform.expected_keys.take();
+
+        assert_eq!(transactions[0], [LEADER_KEY, RENEWAL_KEY]);
+    });
+}
+
 /// Pattern: the leader's node loses power just after an outage of the store, and the others still wait
 /// for it to recover.
 #[test]
 fn a_leader_lost_in_an_outage_is_replaced_soon_after_it() {
     let platform = OneVm::new();
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let address = listener.local_addr().expect("it has an address");
-        // Accepts links and never replies, like a node without power.
-        tokio::task::spawn_local(async move {
-            let mut links = Vec::new();
-            while let Ok((link, _)) = listener.accept().await {
-                links.push(link);
-            }
-        });
-        let host = follow(&platform, &address.to_string());
+        let address = silent_node().await;
+        let host = follow(&platform, &address);
         sleep(Duration::from_millis(100)).await;
         platform.store_silent.set(true);
         sleep(Duration::from_millis(1500)).await;
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -51,6 +51,8 @@
     pub(crate) store_silent: Cell<bool>,
     /// The store rejects transactions.
     pub(crate) store_rejects: Cell<bool>,
+    /// Keys of the rows that each transaction expected.
+    pub(crate) expected_keys: RefCell<Vec<Vec<CompactString>>>,
     pub(crate) incarnation: Cell<u64>,
     /// The VM has seen a newer leader's fencing token.
     pub(crate) fenced: Cell<bool>,
@@ -134,6 +136,8 @@
         if self.store_rejects.get() {
             return Commit::NotDone;
         }
+        let keys = tx.expect.iter().map(|(_, key, _)| key.clone());
+        self.expected_keys.borrow_mut().push(keys.collect());
         sleep(self.store_delay.get().duration()).await;
         self.version.set(self.version.get() + 1);
         for (_, key, value) in tx.puts.iter().filter(|put| put.0 == Table::Role) {
@@ -361,6 +365,8 @@
         },
         fence: 1,
         sent_at: Clock::system().now_with_suspension(),
+        renewed_until: Clock::system().now(),
+        predecessor: None,
     });
     Running {
         host,
@@ -440,6 +446,7 @@
         .expect("the scheduler listens");
     let hello = FrontMessage::Hello {
         node: "entry-2".into(),
+        incarnation: 1,
         cell: CellNo(0),
         milli_cores: 1000,
     };
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -53,7 +53,7 @@
     world.put(&part, Table::Jobs, &format!("{}", JobId(1)), row);
 }
 
-/// Makes a node the leader and starts its scheduler.
+/// Makes a node the leader and starts its scheduler, as its election does.
 async fn lead(view: &Rc<View>, node: &str, term: u32) -> Rc<SchedulerHost<View>> {
     let part = CellNo(0).part(0);
     let page = view.scan(Table::Role, &part, "", 10).await;
@@ -96,6 +96,8 @@
         leader,
         fence,
         sent_at,
+        renewed_until: view.world.clock.now(),
+        predecessor: None,
     });
     host
 }
