cell: a test of the lease of a VM that restarted under an order

The test fails if the lease requested is again the longest that the VM may have (seen: 10050 ms instead of 4050).

--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{self, Bench, ended, independent_tasks, running, task};
 use dotterel_cell::record::{Progress, decode};
-use dotterel_cell::{JobId, RowWrite, RunOutcome};
+use dotterel_cell::{JobId, Report, RowWrite, RunOutcome};
 use dotterel_kernel::Millis;
 
 #[test]
@@ -117,6 +117,32 @@
     assert_eq!(late.len(), 1);
 }
 
+/// Guards against a task that runs twice: a VM that restarted under a start order was given the longest
+/// lease there is, of which a successor knows nothing.
+#[test]
+fn a_restarted_vm_is_asked_for_the_usual_lease_only() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.plan();
+    assert_eq!(bench.take_starts().len(), 1);
+    bench.advance(100);
+    let report = Report {
+        incarnation: 8,
+        clock: Millis(50),
+        ..Report::default()
+    };
+    bench
+        .cell
+        .apply_report(bench.vms[0], &report, bench.now, bench.now);
+    let restarted = bench.cell.vm_by_id("vm-000").expect("the VM is known");
+
+    let lease = bench.extend_lease(restarted);
+
+    let usual = report.clock + bench.cell.limits().lease_ttl;
+    assert_eq!(lease, Some(usual));
+}
+
 #[test]
 fn tasks_recorded_as_done_are_not_restarted() {
     let mut first = Bench::new(1);
