scheduler: find lost replies of the store by a read

What callers saw: while the store loses a third of its replies, each transaction with a lost reply took 0.66 s or 2 s, jobs were refused as if the store were down, and the next timeouts grew, as the time of the attempt without a reply counted as the store's. Cause: only a timeout told a lost reply from a slow store.

A transaction that has no reply after 120 ms is followed by a read of its renewal row. The row shows that it is committed; or the read is answered in a sixth of the time that the transaction has been waiting, and it is sent again, which takes effect once; or the store is slow and it waits on. The store counts as unavailable only after three such losses in a row.

--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -124,7 +124,7 @@
     write_wakeup: Notify,
     /// When the transaction in flight in each lane was first sent.
     busy_since: RefCell<[Option<Millis>; LANES as usize]>,
-    /// Duration of the last transaction, including retries.
+    /// Duration of the last transaction, without attempts that got no reply.
     commit_time: StdCell<Millis>,
     /// When the term began.
     started_at: Millis,
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -45,9 +45,14 @@
 const SLOW_STORE_FACTOR: u64 = 3;
 const MAX_SLOW_TIMEOUT: Millis = Millis(3000);
 
-/// After this long without a reply to a transaction, reads probe whether the store has failed: several
-/// times the usual duration.
-const PROBE_DELAY: Millis = Millis(250);
+/// After this long without a reply to a transaction, reads probe whether the store has failed or only
+/// the reply is lost: several times the usual duration.
+const PROBE_DELAY: Millis = Millis(120);
+/// A transaction without a reply counts as lost if it was sent this many times as long ago as a read
+/// takes.
+const LOST_REPLY_FACTOR: u64 = 6;
+/// Replies of a transaction that may be lost before the store counts as unavailable.
+const MAX_LOST_REPLIES: u32 = 2;
 /// Timeout of a probe, unless the last transaction took longer, and the pause after one.
 const PROBE_TIMEOUT: Millis = Millis(200);
 const PROBE_INTERVAL: Millis = Millis(50);
@@ -55,6 +60,16 @@
 /// A transaction that takes this long shows a slow store: ten times the usual duration.
 const SLOW_COMMIT: Millis = Millis(120);
 
+/// What a read shows about a transaction that has not been replied to.
+enum Probe {
+    /// Committed as this version; the reply is lost.
+    Committed(u64),
+    /// Not committed so far, though the store replies: the transaction or its reply is lost.
+    Lost,
+    /// The store had stopped replying and replies again, so the transaction gets no reply any more.
+    Revived,
+}
+
 /// Outcome of a transaction.
 enum TxOutcome {
     /// Committed as this version.
@@ -200,17 +215,28 @@
     /// Repeats a transaction until its outcome is known, or until the store has rejected it for so
     /// long that the waiting jobs are refused.
     async fn commit_with_retry(&self, tx: &Tx, count: u64, releasing: bool) -> TxOutcome {
-        let started_at = self.clock.now();
         let slow_timeout =
             Millis(self.commit_time.get().0 * SLOW_STORE_FACTOR).min(MAX_SLOW_TIMEOUT);
         let mut commit_timeout = COMMIT_TIMEOUT.max(slow_timeout);
         let mut is_rejected = true;
+        let mut lost_replies = 0;
         let probe_failed = StdCell::new(false);
         loop {
             let sent_at = self.clock.now();
             let commit = tokio::select! {
                 commit = self.platform.commit(tx, commit_timeout) => commit,
-                () = self.store_revived(&probe_failed) => Commit::Unknown,
+                probe = self.probe_commit(tx, count, sent_at, &probe_failed) => match probe {
+                    Probe::Committed(version) => Commit::Done(version),
+                    Probe::Revived => Commit::Unknown,
+                    Probe::Lost => {
+                        is_rejected = false;
+                        lost_replies += 1;
+                        if lost_replies <= MAX_LOST_REPLIES {
+                            continue;
+                        }
+                        Commit::Unknown
+                    }
+                },
             };
             let now = self.clock.now();
             self.metrics.record_call("commit", now.since(sent_at));
@@ -224,7 +250,7 @@
                 }
             };
             if let Some(outcome) = result {
-                self.commit_time.set(now.since(started_at));
+                self.commit_time.set(now.since(sent_at));
                 if let Some(since) = self.unavailable_since.take() {
                     let away_ms = now.since(since).0;
                     log::info!(cell = self.cell_no.0, away_ms; "store available again");
@@ -251,24 +277,49 @@
         }
     }
 
-    /// Returns once probes have found that the store stopped replying and replies again: a call sent
-    /// before that gets no reply any more. `failed` is set while the last probe has failed.
-    async fn store_revived(&self, failed: &StdCell<bool>) {
-        let part = self.cell_no.part(0);
+    /// Probes the store with reads while a transaction of a lane has no reply, until they show something.
+    /// `failed` is set while the last probe has failed.
+    async fn probe_commit(
+        &self,
+        tx: &Tx,
+        count: u64,
+        sent_at: Millis,
+        failed: &StdCell<bool>,
+    ) -> Probe {
         let probe_timeout = PROBE_TIMEOUT.max(self.commit_time.get());
         if !failed.get() {
             tokio::time::sleep(PROBE_DELAY.duration()).await;
         }
         loop {
-            let probe = self.platform.scan(Table::Role, &part, RENEWAL_KEY, 1);
-            let replied = matches!(timeout(probe_timeout.duration(), probe).await, Ok(Ok(_)));
-            if failed.replace(!replied) && replied {
-                return;
+            let probed_at = self.clock.now();
+            let read = self.platform.scan(Table::Role, &tx.part, RENEWAL_KEY, 1);
+            let Ok(Ok(page)) = timeout(probe_timeout.duration(), read).await else {
+                failed.set(true);
+                tokio::time::sleep(PROBE_INTERVAL.duration()).await;
+                continue;
+            };
+            if let Some(version) = self.find_renewal(&page.rows, count) {
+                return Probe::Committed(version);
+            }
+            if failed.replace(false) {
+                return Probe::Revived;
+            }
+            let now = self.clock.now();
+            let read_time = now.since(probed_at).0;
+            if read_time * LOST_REPLY_FACTOR <= now.since(sent_at).0 {
+                return Probe::Lost;
             }
             tokio::time::sleep(PROBE_INTERVAL.duration()).await;
         }
     }
 
+    /// Returns the version of the renewal row if this transaction of the term has written it.
+    fn find_renewal(&self, rows: &[Row], count: u64) -> Option<u64> {
+        let row = rows.iter().find(|row| row.key == RENEWAL_KEY)?;
+        let renewal = decode::<RenewalRow>(&row.value)?;
+        (renewal.term == self.term && renewal.count == count).then_some(row.version)
+    }
+
     /// Returns true while the store takes so long for transactions that a successor would need
     /// seconds to restore the state of the cell.
     pub(super) fn is_store_slow(&self) -> bool {
@@ -296,13 +347,9 @@
     /// Distinguishes an earlier attempt of this transaction that was committed without a reply from
     /// a takeover by another node.
     fn resolve_conflict(&self, rows: &[Row], count: u64) -> TxOutcome {
-        let renewal = rows.iter().find(|row| row.key == RENEWAL_KEY);
-        let is_own = renewal
-            .and_then(|row| decode::<RenewalRow>(&row.value))
-            .is_some_and(|renewal| renewal.term == self.term && renewal.count == count);
-        match (is_own, renewal) {
-            (true, Some(row)) => TxOutcome::Committed(row.version),
-            _ => TxOutcome::LeadershipLost,
+        match self.find_renewal(rows, count) {
+            Some(version) => TxOutcome::Committed(version),
+            None => TxOutcome::LeadershipLost,
         }
     }
 
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -1,5 +1,6 @@
 //! A store that is silent, slow, or rejects the leader.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use dotterel_kernel::Millis;
@@ -128,6 +129,41 @@
     });
 }
 
+/// Submits a job while the store loses something, and returns how long its acceptance takes.
+async fn time_to_accept(platform: &Rc<OneVm>, lose: impl Fn(&OneVm)) -> Duration {
+    let scheduler = start_scheduler(platform).await;
+    let mut front = connect(&scheduler.address).await;
+    submit(&mut front, 1).await;
+    // Renewals are transactions as well.
+    sleep(Duration::from_millis(100)).await;
+    lose(platform);
+    let since = Instant::now();
+    submit(&mut front, 2).await;
+    since.elapsed()
+}
+
+/// Pattern: a third of the store's replies is lost, and callers wait for the timeout of each
+/// transaction, or are refused.
+#[test]
+fn a_transaction_whose_reply_is_lost_is_found_by_a_read() {
+    let platform = OneVm::new();
+    run(async {
+        let waited = time_to_accept(&platform, |platform| platform.lost_replies.set(1)).await;
+
+        assert!(waited < Duration::from_millis(400), "after {waited:?}");
+    });
+}
+
+#[test]
+fn a_lost_transaction_is_sent_again_once_the_store_has_replied_to_a_read() {
+    let platform = OneVm::new();
+    run(async {
+        let waited = time_to_accept(&platform, |platform| platform.lost_transactions.set(1)).await;
+
+        assert!(waited < Duration::from_millis(400), "after {waited:?}");
+    });
+}
+
 /// Accepts links and never replies, like a node without power. Returns its address.
 async fn silent_node() -> String {
     let listener = TcpListener::bind("127.0.0.1:0")
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -51,6 +51,10 @@
     pub(crate) store_silent: Cell<bool>,
     /// The store rejects transactions.
     pub(crate) store_rejects: Cell<bool>,
+    /// Transactions that are executed and not replied to.
+    pub(crate) lost_replies: Cell<u32>,
+    /// Transactions that are neither executed nor replied to.
+    pub(crate) lost_transactions: Cell<u32>,
     /// Keys of the rows that each transaction expected.
     pub(crate) expected_keys: RefCell<Vec<Vec<CompactString>>>,
     pub(crate) incarnation: Cell<u64>,
@@ -138,11 +142,19 @@
         }
         let keys = tx.expect.iter().map(|(_, key, _)| key.clone());
         self.expected_keys.borrow_mut().push(keys.collect());
+        if take_one(&self.lost_transactions) {
+            sleep(timeout.duration()).await;
+            return Commit::Unknown;
+        }
         sleep(self.store_delay.get().duration()).await;
         self.version.set(self.version.get() + 1);
         for (_, key, value) in tx.puts.iter().filter(|put| put.0 == Table::Role) {
             self.put_role(key, value);
         }
+        if take_one(&self.lost_replies) {
+            sleep(timeout.duration()).await;
+            return Commit::Unknown;
+        }
         Commit::Done(self.version.get())
     }
 
@@ -261,6 +273,13 @@
     }
 }
 
+/// Counts down; returns false once nothing is left.
+fn take_one(left: &Cell<u32>) -> bool {
+    let is_left = left.get() > 0;
+    left.set(left.get().saturating_sub(1));
+    is_left
+}
+
 fn reported((task, run): &(TaskName, u32)) -> ReportedRun {
     ReportedRun {
         task: *task,
