election: find a takeover's lost replies by a read

Cause: a takeover writes a row in each of eight lanes, and each lost reply cost a timeout of 1.5 s; a lost reply of the takeover itself cost the timeout, a new link to itself and a second takeover.

Both now use the probe of the writer: a read of the leader row shows that it was written, or the transaction is sent again, which takes effect once. A node that the row names and that runs no scheduler takes over again at once.

--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -17,10 +17,11 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::commit_probe::{CommitProbe, Probe};
 use crate::front::Relay;
 use crate::link::{self, CellNo, FrontMessage, IDLE_TIMEOUT, PING_INTERVAL, SchedulerMessage};
 use crate::metrics::Metrics;
-use crate::platform::{Commit, Platform, StoreError, Table, Tx};
+use crate::platform::{Commit, Platform, Row, StoreError, Table, Tx};
 use crate::scheduler::{SchedulerHost, Takeover};
 use crate::settings::Settings;
 
@@ -43,6 +44,8 @@
 const WATCH_READ_TIMEOUT: Millis = Millis(600);
 /// Timeout of the takeover write. A slow store needs most of a second.
 const ACQUIRE_TIMEOUT: Millis = Millis(1500);
+/// How often a takeover without a reply is sent.
+const MAX_TAKEOVER_ATTEMPTS: u32 = 4;
 /// A leader that is alive but reports that it can't write to the store is replaced by a node that
 /// can after this time: two reads that show the same rows.
 const STORE_OUTAGE_TIMEOUT: Millis = Millis(200);
@@ -137,6 +140,12 @@
                     .await;
                 continue;
             }
+            if leader.node == self.settings.node && !self.host.leads(self.cell) {
+                // The term has ended, or its takeover took effect after it was given up.
+                self.try_acquire(&rows, None, "held by this node without a scheduler")
+                    .await;
+                continue;
+            }
             if leader.released {
                 self.try_acquire(&rows, None, "released by the leader")
                     .await;
@@ -271,7 +280,7 @@
             removes: Vec::new(),
         };
         let sent_at = self.clock.now_with_suspension();
-        match self.platform.commit(&tx, ACQUIRE_TIMEOUT).await {
+        match self.commit_takeover(&tx, &leader).await {
             Commit::Done(version) => {
                 log::info!(
                     cell = self.cell.0, term, fence = version, reason; "leadership acquired");
@@ -289,6 +298,38 @@
         }
     }
 
+    /// Sends a takeover, again if its reply is lost: at most one copy takes effect.
+    async fn commit_takeover(&self, tx: &Tx, leader: &LeaderRow) -> Commit {
+        let is_own = |row: &Row| {
+            dotterel_cell::record::decode::<LeaderRow>(&row.value).as_ref() == Some(leader)
+        };
+        let probe_failed = Cell::new(false);
+        let probe = CommitProbe {
+            platform: &*self.platform,
+            clock: self.clock,
+            part: &tx.part,
+            key: LEADER_KEY,
+            timeout: WATCH_READ_TIMEOUT,
+            failed: &probe_failed,
+        };
+        for _ in 0..MAX_TAKEOVER_ATTEMPTS {
+            let commit = tokio::select! {
+                commit = self.platform.commit(tx, ACQUIRE_TIMEOUT) => commit,
+                shown = probe.wait(is_own) => match shown {
+                    Probe::Committed(version) => Commit::Done(version),
+                    Probe::Lost => continue,
+                    Probe::Revived => Commit::Unknown,
+                },
+            };
+            let Commit::Conflict(rows) = &commit else {
+                return commit;
+            };
+            let own = rows.iter().find(|row| row.key == LEADER_KEY && is_own(row));
+            return own.map_or(commit.clone(), |row| Commit::Done(row.version));
+        }
+        Commit::Unknown
+    }
+
     /// Keeps a link to the leader until it breaks, and returns why it ended.
     async fn follow_leader(&self, leader: &LeaderRow) -> LinkLoss {
         let connecting = TcpStream::connect(leader.address.as_str());
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -1,5 +1,7 @@
 //! Restores the state that earlier terms have written to the store.
 
+use std::cell::Cell as StdCell;
+
 use compact_str::CompactString;
 use dotterel_cell::JobId;
 use dotterel_cell::cell::{VM_LIST_LANE, VmRecord};
@@ -9,6 +11,7 @@
 
 use super::Scheduler;
 use super::writer::STOP_LIST_KEY;
+use crate::commit_probe::{CommitProbe, Probe};
 use crate::election::{LANES, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
 use crate::platform::{Commit, Platform, Row, Table, Tx};
 
@@ -111,9 +114,20 @@
             ..RenewalRow::default()
         };
         let mut expected = 0;
+        let part = self.cell_no.part(lane);
+        let probe_failed = StdCell::new(false);
+        let probe = CommitProbe {
+            platform: &*self.platform,
+            clock: self.clock,
+            part: &part,
+            key: LEADER_KEY,
+            timeout: FENCE_TIMEOUT,
+            failed: &probe_failed,
+        };
+        let is_own = |row: &Row| decode::<LeaderRow>(&row.value).as_ref() == Some(&self.leader);
         loop {
             let tx = Tx {
-                part: self.cell_no.part(lane),
+                part: part.clone(),
                 expect: vec![(Table::Role, LEADER_KEY.into(), expected)],
                 puts: vec![
                     (Table::Role, LEADER_KEY.into(), encode(&self.leader)),
@@ -121,7 +135,14 @@
                 ],
                 removes: Vec::new(),
             };
-            match self.platform.commit(&tx, FENCE_TIMEOUT).await {
+            let commit = tokio::select! {
+                commit = self.platform.commit(&tx, FENCE_TIMEOUT) => commit,
+                shown = probe.wait(is_own) => match shown {
+                    Probe::Committed(version) => Commit::Done(version),
+                    Probe::Lost | Probe::Revived => continue,
+                },
+            };
+            match commit {
                 Commit::Done(version) => return Some(version),
                 Commit::Conflict(rows) => {
                     let row = rows.iter().find(|row| row.key == LEADER_KEY)?;
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::Scheduler;
+use crate::commit_probe::{CommitProbe, Probe};
 use crate::election::{LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
 use crate::link::Reply;
 use crate::platform::{Commit, Platform, Row, Table, Tx};
@@ -45,31 +46,14 @@
 const SLOW_STORE_FACTOR: u64 = 3;
 const MAX_SLOW_TIMEOUT: Millis = Millis(3000);
 
-/// After this long without a reply to a transaction, reads probe whether the store has failed or only
-/// the reply is lost: several times the usual duration.
-const PROBE_DELAY: Millis = Millis(120);
-/// A transaction without a reply counts as lost if it was sent this many times as long ago as a read
-/// takes.
-const LOST_REPLY_FACTOR: u64 = 6;
 /// Replies of a transaction that may be lost before the store counts as unavailable.
 const MAX_LOST_REPLIES: u32 = 2;
-/// Timeout of a probe, unless the last transaction took longer, and the pause after one.
+/// Timeout of a probe, unless the last transaction took longer.
 const PROBE_TIMEOUT: Millis = Millis(200);
-const PROBE_INTERVAL: Millis = Millis(50);
 
 /// A transaction that takes this long shows a slow store: ten times the usual duration.
 const SLOW_COMMIT: Millis = Millis(120);
 
-/// What a read shows about a transaction that has not been replied to.
-enum Probe {
-    /// Committed as this version; the reply is lost.
-    Committed(u64),
-    /// Not committed so far, though the store replies: the transaction or its reply is lost.
-    Lost,
-    /// The store had stopped replying and replies again, so the transaction gets no reply any more.
-    Revived,
-}
-
 /// Outcome of a transaction.
 enum TxOutcome {
     /// Committed as this version.
@@ -221,11 +205,20 @@
         let mut is_rejected = true;
         let mut lost_replies = 0;
         let probe_failed = StdCell::new(false);
+        let probe = CommitProbe {
+            platform: &*self.platform,
+            clock: self.clock,
+            part: &tx.part,
+            key: RENEWAL_KEY,
+            timeout: PROBE_TIMEOUT.max(self.commit_time.get()),
+            failed: &probe_failed,
+        };
+        let is_own = |row: &Row| self.is_own_renewal(row, count);
         loop {
             let sent_at = self.clock.now();
             let commit = tokio::select! {
                 commit = self.platform.commit(tx, commit_timeout) => commit,
-                probe = self.probe_commit(tx, count, sent_at, &probe_failed) => match probe {
+                shown = probe.wait(is_own) => match shown {
                     Probe::Committed(version) => Commit::Done(version),
                     Probe::Revived => Commit::Unknown,
                     Probe::Lost => {
@@ -277,47 +270,10 @@
         }
     }
 
-    /// Probes the store with reads while a transaction of a lane has no reply, until they show something.
-    /// `failed` is set while the last probe has failed.
-    async fn probe_commit(
-        &self,
-        tx: &Tx,
-        count: u64,
-        sent_at: Millis,
-        failed: &StdCell<bool>,
-    ) -> Probe {
-        let probe_timeout = PROBE_TIMEOUT.max(self.commit_time.get());
-        if !failed.get() {
-            tokio::time::sleep(PROBE_DELAY.duration()).await;
-        }
-        loop {
-            let probed_at = self.clock.now();
-            let read = self.platform.scan(Table::Role, &tx.part, RENEWAL_KEY, 1);
-            let Ok(Ok(page)) = timeout(probe_timeout.duration(), read).await else {
-                failed.set(true);
-                tokio::time::sleep(PROBE_INTERVAL.duration()).await;
-                continue;
-            };
-            if let Some(version) = self.find_renewal(&page.rows, count) {
-                return Probe::Committed(version);
-            }
-            if failed.replace(false) {
-                return Probe::Revived;
-            }
-            let now = self.clock.now();
-            let read_time = now.since(probed_at).0;
-            if read_time * LOST_REPLY_FACTOR <= now.since(sent_at).0 {
-                return Probe::Lost;
-            }
-            tokio::time::sleep(PROBE_INTERVAL.duration()).await;
-        }
-    }
-
-    /// Returns the version of the renewal row if this transaction of the term has written it.
-    fn find_renewal(&self, rows: &[Row], count: u64) -> Option<u64> {
-        let row = rows.iter().find(|row| row.key == RENEWAL_KEY)?;
-        let renewal = decode::<RenewalRow>(&row.value)?;
-        (renewal.term == self.term && renewal.count == count).then_some(row.version)
+    /// Returns true if this transaction of the term has written the renewal row.
+    fn is_own_renewal(&self, row: &Row, count: u64) -> bool {
+        decode::<RenewalRow>(&row.value)
+            .is_some_and(|renewal| renewal.term == self.term && renewal.count == count)
     }
 
     /// Returns true while the store takes so long for transactions that a successor would need
@@ -347,8 +303,9 @@
     /// Distinguishes an earlier attempt of this transaction that was committed without a reply from
     /// a takeover by another node.
     fn resolve_conflict(&self, rows: &[Row], count: u64) -> TxOutcome {
-        match self.find_renewal(rows, count) {
-            Some(version) => TxOutcome::Committed(version),
+        let renewal = rows.iter().find(|row| row.key == RENEWAL_KEY);
+        match renewal.filter(|row| self.is_own_renewal(row, count)) {
+            Some(row) => TxOutcome::Committed(row.version),
             None => TxOutcome::LeadershipLost,
         }
     }
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -179,6 +179,43 @@
     address.to_string()
 }
 
+/// Pattern: replies of the store are lost, and the cell has no scheduler for the timeouts of the
+/// takeover.
+#[test]
+fn a_takeover_whose_reply_is_lost_is_found_by_a_read() {
+    let platform = OneVm::new();
+    run(async {
+        let address = silent_node().await;
+        platform.lost_replies.set(1);
+        let since = Instant::now();
+
+        let host = follow(&platform, &address);
+        while !host.leads(CellNo(0)) && since.elapsed() < Duration::from_secs(5) {
+            sleep(Duration::from_millis(5)).await;
+        }
+
+        // The silence of the link, unchanged renewals, and the lost reply.
+        let waited = since.elapsed();
+        assert!(waited < Duration::from_millis(1500), "after {waited:?}");
+    });
+}
+
+#[test]
+fn lanes_whose_replies_are_lost_delay_the_recovery_by_a_read_only() {
+    let platform = OneVm::new();
+    run(async {
+        platform.lost_replies.set(3);
+        let since = Instant::now();
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+
+        submit(&mut front, 1).await;
+
+        let waited = since.elapsed();
+        assert!(waited < Duration::from_millis(600), "after {waited:?}");
+    });
+}
+
 /// Guards against a wait that is too short: a successor counts leases from when it saw the renewal row
 /// for the first time, so its takeover has to fail if that row has changed since.
 #[test]
