cell: a list of ends that may be cut off proves nothing about absent runs

Cause: a VM lists 500 ends that are not acknowledged, and none can be while the store is away. A run whose end was the 501st was listed neither as running nor as ended; `drop_absent_runs` took it for lost and its task started again. Likewise a successor counted a VM as known after its first report, although later ends followed, and started tasks that these ends had done. It also did when the recovery deadline passed, which is the longest lease of VMs that don't reply: the lease of one that replies doesn't expire.

Class: absence from a partial list read as absence. With an incomplete list a run that is gone keeps its task, and only frees its capacity (`RunPhase::Ended`), so the VM gets further work; such a run isn't judged as stalled or stopped either. A VM is awaited until a complete list has arrived, or its lease has expired. Polls with such a list wait shorter, so that the next page follows its acknowledgement.

Evidence: before, `runs_whose_ends_may_be_cut_off_are_not_lost` failed with "their ends may be on the next page" (five tasks of eight started as run 2), `capacity_of_runs_with_unlisted_ends_is_free` with "left: 0 right: 5" and `a_successor_waits_for_complete_lists_of_ends` as well.

Ruled out: keeping the capacity of unlisted runs occupied (it is free, and the VM would idle as long as the store is away), and giving such VMs no work.

--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -17,7 +17,8 @@
         let Some(at) = target.find(task, run) else {
             return;
         };
-        if !matches!(target.runs[at].phase, RunPhase::Stopping { .. }) {
+        let phase = target.runs[at].phase;
+        if !matches!(phase, RunPhase::Stopping { .. } | RunPhase::Ended) {
             target.runs[at].phase = RunPhase::Stopping { acked_at: None };
             self.push_stop(vm, task, run, reason);
         }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -40,7 +40,6 @@
         let vm = &mut self.vms[key];
         if !vm.fenced {
             vm.fenced = true;
-            vm.awaited = false;
             self.plan_needed = true;
             // The previous leader may have requested a lease up to this time. Runs known before the
             // first report were ordered with a lease on the clock of the previous incarnation, of
@@ -64,6 +63,7 @@
             vm.answered_at = now;
         }
         let last_end = vm.last_end;
+        vm.awaited &= report.has_more_ends;
         for end in report.ended.iter().filter(|end| end.number > last_end) {
             let seq_before = self.seq;
             self.apply_end(key, end, now);
@@ -115,6 +115,12 @@
     }
 
     fn apply_running(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
+        let vm = &self.vms[key];
+        let known = vm.find(reported.task, reported.run);
+        if known.is_some_and(|at| vm.runs[at].phase == RunPhase::Ended) {
+            // It has started late, and no longer counts towards the VM's capacity.
+            self.release(key, reported.task, reported.run);
+        }
         let vm = &mut self.vms[key];
         if let Some(at) = vm.find(reported.task, reported.run) {
             let vm_run = &mut vm.runs[at];
@@ -183,7 +189,8 @@
         }
     }
 
-    /// Releases runs that the report would list if they still existed.
+    /// Releases runs that the report would list if they still existed. If it may not list all ends,
+    /// only their capacity is released.
     fn drop_absent_runs(&mut self, key: VmKey, report: &Report, sent: Millis) {
         let mut absent = Vec::new();
         for vm_run in &self.vms[key].runs {
@@ -193,7 +200,8 @@
             let is_gone = match vm_run.phase {
                 RunPhase::Stopping { acked_at: Some(at) } => at + slack < sent,
                 RunPhase::Running => vm_run.confirmed_at + slack < sent,
-                _ => false,
+                RunPhase::Ended => !report.has_more_ends,
+                RunPhase::Starting | RunPhase::Stopping { acked_at: None } => false,
             };
             let listed = report
                 .running
@@ -203,6 +211,14 @@
                 absent.push((vm_run.task, vm_run.run));
             }
         }
+        if report.has_more_ends {
+            let vm = &mut self.vms[key];
+            for (task, run) in absent {
+                vm.mark_ended(task, run);
+                self.plan_needed = true;
+            }
+            return;
+        }
         for (task, run) in absent {
             self.events.push(CellEvent::RunAbsent {
                 vm: self.vms[key].info.id.clone(),
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -43,8 +43,11 @@
         if self.recovered {
             return;
         }
-        let all_known = self.vms.values().all(|vm| !vm.awaited);
-        if now >= self.recovery_deadline || (all_known && now > self.took_over_at) {
+        let is_overdue = now >= self.recovery_deadline;
+        // The lease of a VM that replies doesn't expire: its ends are awaited however long it takes.
+        let is_missing = |vm: &Vm| vm.awaited && (vm.fenced || !is_overdue);
+        let all_known = !self.vms.values().any(is_missing);
+        if all_known && (is_overdue || now > self.took_over_at) {
             self.recovered = true;
             self.plan_needed = true;
             let mut missing = Vec::new();
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -114,8 +114,10 @@
     pub clock: Millis,
     /// Runs in progress.
     pub running: Vec<ReportedRun>,
-    /// Ends that have not been acknowledged.
+    /// Ends that have not been acknowledged, oldest first.
     pub ended: Vec<ReportedEnd>,
+    /// Set if there may be later ends that `ended` doesn't list.
+    pub has_more_ends: bool,
 }
 
 /// A VM's reply to a start order.
@@ -155,6 +157,8 @@
         /// Time of the VM's acknowledgement; `None` until then.
         acked_at: Option<Millis>,
     },
+    /// The run has ended and occupies no capacity; its VM has not listed the end yet.
+    Ended,
 }
 
 /// Whether the store names a VM as one on which runs may be stopping.
@@ -244,8 +248,8 @@
     pub fenced: bool,
     /// Set while the store names the VM as one that may have runs. No run is started before that.
     pub recorded: bool,
-    /// Set on VMs that an earlier term may have given runs, until they reply or their leases have
-    /// expired: recovery waits for them.
+    /// Set on VMs that an earlier term may have given runs, until they have listed all their ends or
+    /// their leases have expired: recovery waits for them.
     pub awaited: bool,
     /// Set if an earlier term may have ordered stops whose runs still occupy capacity.
     pub may_be_stopping: bool,
@@ -377,6 +381,18 @@
         Some(removed)
     }
 
+    /// Frees the capacity of a run whose end is not listed yet.
+    pub fn mark_ended(&mut self, task: TaskName, run: u32) {
+        if let Some(at) = self.find(task, run) {
+            let vm_run = &mut self.runs[at];
+            vm_run.phase = RunPhase::Ended;
+            // It was on this incarnation, so its order is not waiting for the next one.
+            vm_run.reported = true;
+            self.used = self.used.minus(&vm_run.size);
+            vm_run.size = Size::ZERO;
+        }
+    }
+
     /// Limits the time for which a confirmed run that may crash the VM keeps others away.
     pub fn start_probation(&mut self, at: usize, now: Millis) {
         match self.runs[at].caution {
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -194,6 +194,7 @@
                 clock: now,
                 running: process.runs.iter().map(progress).collect(),
                 ended: process.ends.clone(),
+                has_more_ends: false,
             };
             self.bench.cell.apply_report(process.key, &report, now, now);
             let acked = self.bench.cell.vm(process.key).map(|vm| vm.durable_end);
--- /dev/null
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -0,0 +1,184 @@
+//! Ends of runs: lists that are cut off, and ends of runs that aren't current.
+
+use crate::support::{Bench, ended, independent_tasks, task};
+use dotterel_cell::{JobId, JobState, ReportedEnd, RunOutcome};
+
+/// Ends that a VM lists at most in these tests.
+const PAGE_ENDS: usize = 3;
+
+/// Returns a bench with one VM on which `count` tasks of job 1 run, for longer than a stop takes.
+fn with_running_tasks(vms: usize, count: u32) -> Bench {
+    let mut bench = Bench::new(vms);
+    bench.submit(1, independent_tasks(count, 60_000));
+    bench.commit_all();
+    bench.plan();
+    bench.confirm_starts();
+    bench.advance(700);
+    bench.report_running(10);
+    bench
+}
+
+fn done_ends(indices: std::ops::Range<u32>) -> Vec<ReportedEnd> {
+    let end = |index| ended(u64::from(index) + 1, task(1, index), 1, RunOutcome::Done);
+    indices.map(end).collect()
+}
+
+/// Has the VM list the first page of these ends that aren't acknowledged, and nothing as running.
+fn report_first_page(bench: &mut Bench, ends: &[ReportedEnd]) {
+    let acked = bench.vm(0).durable_end;
+    let left: Vec<ReportedEnd> = ends
+        .iter()
+        .filter(|end| end.number > acked)
+        .cloned()
+        .collect();
+    let page = &left[..left.len().min(PAGE_ENDS)];
+    bench.report_page(0, &[], page, left.len() >= PAGE_ENDS);
+}
+
+// Guards against a second start of tasks whose ends are beyond the first page while the store is away.
+#[test]
+fn runs_whose_ends_may_be_cut_off_are_not_lost() {
+    let mut bench = with_running_tasks(1, 8);
+    let ends = done_ends(0..8);
+
+    for _ in 0..10 {
+        bench.advance(500);
+        report_first_page(&mut bench, &ends);
+        bench.cell.tick(bench.now);
+        bench.plan();
+    }
+    let while_store_is_away = bench.take_starts();
+    for _ in 0..4 {
+        bench.advance(500);
+        bench.commit_all();
+        report_first_page(&mut bench, &ends);
+        bench.cell.tick(bench.now);
+        bench.plan();
+    }
+    bench.commit_all();
+
+    assert_eq!(
+        while_store_is_away,
+        [],
+        "their ends may be on the next page"
+    );
+    assert_eq!(bench.take_starts(), []);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Completed));
+}
+
+// Guards against stops and ejection of VMs for runs that only show no progress as they have ended.
+#[test]
+fn capacity_of_runs_with_unlisted_ends_is_free() {
+    let mut bench = with_running_tasks(1, 8);
+    let ends = done_ends(0..8);
+
+    for _ in 0..10 {
+        bench.advance(500);
+        report_first_page(&mut bench, &ends);
+        bench.cell.tick(bench.now);
+    }
+    let orders = bench.cell.take_orders();
+
+    assert_eq!(orders, [], "nothing runs that could be stopped");
+    assert_eq!(bench.vm(0).runs.len(), 5);
+    assert_eq!(bench.vm(0).free(), bench.vm(0).info.capacity);
+}
+
+// Guards against runs that are kept for good when their end never follows.
+#[test]
+fn a_run_absent_from_a_complete_list_is_lost() {
+    let mut bench = with_running_tasks(1, 4);
+    bench.advance(500);
+    bench.report_page(0, &[], &done_ends(0..3), true);
+
+    bench.advance(500);
+    bench.report(0, &[], &done_ends(0..3));
+    bench.plan();
+
+    let restarted: Vec<u32> = bench
+        .take_starts()
+        .iter()
+        .map(|start| start.task.index)
+        .collect();
+    assert_eq!(restarted, [3]);
+}
+
+/// Returns a successor that restores job 1 with eight tasks, all of which are done on its VM 0.
+fn successor_with_done_tasks() -> Bench {
+    let mut bench = Bench::successor(2);
+    let record = independent_tasks(8, 60_000);
+    bench.cell.restore_job(JobId(1), record, None, 0, bench.now);
+    bench.advance(10);
+    bench
+}
+
+// Guards against starts by a successor that has read only the first page of a VM's ends.
+#[test]
+fn a_successor_waits_for_complete_lists_of_ends() {
+    let mut bench = successor_with_done_tasks();
+    let ends = done_ends(0..8);
+
+    // The store is slow for longer than the successor waits for silent VMs.
+    for _ in 0..20 {
+        bench.advance(500);
+        bench.report(1, &[], &[]);
+        report_first_page(&mut bench, &ends);
+        bench.extend_lease(bench.vms[0]);
+        bench.cell.tick(bench.now);
+        bench.plan();
+    }
+    let before = bench.take_starts();
+    for _ in 0..4 {
+        bench.advance(500);
+        bench.commit_all();
+        bench.report(1, &[], &[]);
+        report_first_page(&mut bench, &ends);
+        bench.cell.tick(bench.now);
+        bench.plan();
+    }
+    bench.commit_all();
+
+    assert_eq!(before, [], "later ends are not known yet");
+    assert_eq!(bench.take_starts(), []);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Completed));
+}
+
+// Guards against a recovery that never ends as a VM is lost before it has listed all its ends.
+#[test]
+fn a_successor_does_not_wait_for_ends_of_a_lost_vm() {
+    let mut bench = successor_with_done_tasks();
+    report_first_page(&mut bench, &done_ends(0..8));
+
+    for percent in 0..40 {
+        bench.advance(500);
+        bench.commit_all();
+        bench.report_runs(1, percent);
+        bench.cell.tick(bench.now);
+        bench.plan();
+    }
+    let mut started: Vec<u32> = bench
+        .take_starts()
+        .iter()
+        .map(|start| start.task.index)
+        .collect();
+    started.sort_unstable();
+
+    assert_eq!(started, [3, 4, 5, 6, 7]);
+}
+
+// Guards against idle VMs while a successor waits for the rest of their ends.
+#[test]
+fn new_jobs_start_on_a_vm_with_a_cut_off_list() {
+    let mut bench = Bench::successor(1);
+    bench.advance(10);
+    bench.report_page(0, &[], &done_ends(0..3), true);
+    bench.submit(2, independent_tasks(1, 1000));
+    bench.cell.tick(bench.now);
+    bench.commit_all();
+    bench.advance(600);
+    bench.report_page(0, &[], &done_ends(0..3), true);
+
+    bench.plan();
+
+    assert_eq!(bench.take_starts().len(), 1);
+}
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod crashing_vms;
 mod durable;
+mod ends;
 mod gangs;
 mod replace;
 mod stall;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -106,12 +106,24 @@
     }
 
     pub(crate) fn report(&mut self, vm: usize, running: &[ReportedRun], ended: &[ReportedEnd]) {
+        self.report_page(vm, running, ended, false);
+    }
+
+    /// Has a VM report a list of ends that may be cut off.
+    pub(crate) fn report_page(
+        &mut self,
+        vm: usize,
+        running: &[ReportedRun],
+        ended: &[ReportedEnd],
+        has_more_ends: bool,
+    ) {
         let key = self.vms[vm];
         let report = Report {
             incarnation: 7,
             clock: self.now,
             running: running.to_vec(),
             ended: ended.to_vec(),
+            has_more_ends,
         };
         self.cell.apply_report(key, &report, self.now, self.now);
     }
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -351,7 +351,7 @@
         incarnation: 8,
         clock: Millis(900),
         running: vec![running(task(1, 0), 1, 5)],
-        ended: Vec::new(),
+        ..dotterel_cell::Report::default()
     };
     bench.cell.apply_report(key, &report, bench.now, bench.now);
     let longest = bench.cell.limits().lease_max.0;
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -19,6 +19,8 @@
 const CATCH_UP_PAUSE: Millis = Millis(100);
 /// How long a VM may delay its reply to a poll until a run ends.
 const HOLD_WAIT: Millis = Millis(1000);
+/// The same while the VM has more ends than a reply lists: the rest follows once these are acknowledged.
+const BACKLOG_WAIT: Millis = Millis(200);
 /// Backoff between polls of a VM that doesn't reply: doubles from the minimum up to the maximum.
 const MIN_BACKOFF: Millis = Millis(100);
 const MAX_BACKOFF: Millis = Millis(800);
@@ -197,9 +199,13 @@
         if lease.is_some() {
             wait = HOLD_WAIT;
         }
+        if session.has_more_ends {
+            wait = wait.min(BACKLOG_WAIT);
+        }
         let polled = self.platform.hold(target, connection, lease, acked, wait);
         let report = polled.await?;
         session.incarnation = Some(report.incarnation);
+        session.has_more_ends = report.has_more_ends;
         Ok(report)
     }
 
@@ -275,6 +281,8 @@
     connection: Option<C>,
     /// The incarnation that has replied on it.
     incarnation: Option<u64>,
+    /// The last reply may not have listed all ends.
+    has_more_ends: bool,
 }
 
 impl<C> Default for Session<C> {
@@ -282,6 +290,7 @@
         Self {
             connection: None,
             incarnation: None,
+            has_more_ends: false,
         }
     }
 }
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -118,6 +118,7 @@
             clock: Millis(1000),
             running: self.running.borrow().iter().map(reported).collect(),
             ended: self.ends.borrow().clone(),
+            has_more_ends: false,
         }
     }
 }
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -297,6 +297,7 @@
             clock: vm.clock(now),
             running: running.iter().map(reported).collect(),
             ended: vm.ends.borrow().clone(),
+            has_more_ends: false,
         })
     }
 
