cell: a run that fails after its task is done counts no attempt

Cause: `apply_end` counted each failed end as an attempt, also once the task was done by another run, a copy or one of an earlier term. With the last attempt the job failed.

Class: an end judged by its own outcome only, not by the state of its task. A task that is done stays done.

Evidence: `a_failure_after_the_task_is_done_does_not_fail_the_job` failed before with "left: Some(Failed) right: Some(Running)".

--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -39,7 +39,7 @@
         // The first copy that is done counts.
         let counts_as_copy = copies_allowed(step) && end.outcome == RunOutcome::Done;
         let is_failure = end.outcome == RunOutcome::Failed;
-        if already_counted || !(is_current || is_late || is_failure || counts_as_copy) {
+        if already_counted || is_done || !(is_current || is_late || is_failure || counts_as_copy) {
             if !is_done && end.outcome == RunOutcome::Done {
                 self.note_uncounted_end(vm, end, "not the current run");
             }
--- a/crates/dotterel-cell/tests/cell/ends.rs
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -1,7 +1,7 @@
 //! Ends of runs: lists that are cut off, and ends of runs that aren't current.
 
-use crate::support::{Bench, ended, independent_tasks, task};
-use dotterel_cell::{JobId, JobState, ReportedEnd, RunOutcome};
+use crate::support::{Bench, Start, ended, independent_tasks, running, task};
+use dotterel_cell::{JobId, JobRecord, JobState, ReportedEnd, RunOutcome};
 
 /// Ends that a VM lists at most in these tests.
 const PAGE_ENDS: usize = 3;
@@ -182,3 +182,35 @@
 
     assert_eq!(bench.take_starts().len(), 1);
 }
+
+/// Returns a successor of two VMs that has started a task which an earlier term had run on VM 0, as
+/// VM 0 has not replied in time, and the new start.
+fn successor_that_started_again(record: JobRecord) -> (Bench, Vec<Start>) {
+    let mut bench = Bench::successor(2);
+    bench.cell.restore_job(JobId(1), record, None, 0, bench.now);
+    for _ in 0..20 {
+        bench.advance(500);
+        bench.report_runs(1, 10);
+        bench.cell.tick(bench.now);
+        bench.commit_all();
+    }
+    bench.plan();
+    let starts = bench.confirm_starts();
+    (bench, starts)
+}
+
+// Guards against a job shown as failed for a run that failed after another one was done.
+#[test]
+fn a_failure_after_the_task_is_done_does_not_fail_the_job() {
+    let mut record = independent_tasks(2, 60_000);
+    record.policy.max_attempts = 1;
+    let (mut bench, starts) = successor_that_started_again(record);
+    let done = ended(1, task(1, 0), starts[0].run, RunOutcome::Done);
+
+    bench.report(1, &[running(task(1, 1), starts[1].run, 20)], &[done]);
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Failed)]);
+    bench.advance(300);
+    bench.commit_all();
+
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Running));
+}
