cell: the first run that is done counts, whichever it is

Callers saw: tasks that ran to their end a second time after a takeover (TWICE).

Cause: `apply_end` counted an end as done only for the current run, a waiting task or a step with copies.

Class: an end that is acknowledged without having been counted. `judge_end` now returns either an end that counts or the reason why it can have no effect any more (`NoEffect`). A failed run counted as an attempt already, and ends the job and its newer run when it was the last attempt; that has a test now.

Ruled out: refusing to acknowledge such an end. It would stay on its VM, in front of all later ones. Tasks that last and ends that show nothing about the task (stopped, lapsed) still need the current run.

--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -1,55 +1,130 @@
 //! Processing of ended runs.
 
+use std::sync::Arc;
+
 use dotterel_kernel::Millis;
 
 use super::Cell;
 use super::replace::copies_allowed;
 use crate::job::{JobKey, JobState, Phase};
-use crate::spec::TaskName;
+use crate::spec::{JobSpec, TaskName};
 use crate::vm::{ReportedEnd, RunOutcome, VmKey};
 
+/// Why an end has no effect, in this term or a later one. Only such ends are acknowledged without having
+/// been counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoEffect {
+    /// Jobs are stored before their first start, so its end has been, and is no longer retained.
+    JobForgotten,
+    /// The job has ended. The end is acknowledged once that is durable.
+    JobEnded,
+    /// The round isn't in progress.
+    RoundDone,
+    /// The job has no such task.
+    UnknownTask,
+    /// The task is done.
+    TaskDone,
+    /// The same failure has been reported before.
+    CountedBefore,
+    /// A later run is current, and this one has shown nothing about its task.
+    Superseded,
+}
+
+impl NoEffect {
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::JobForgotten => "job not known",
+            Self::JobEnded => "job has ended",
+            Self::RoundDone => "round not in progress",
+            Self::UnknownTask => "no such task",
+            Self::TaskDone => "task is done",
+            Self::CountedBefore => "counted before",
+            Self::Superseded => "not the current run",
+        }
+    }
+
+    /// Returns true if the log should tell about the end.
+    const fn is_notable(self, outcome: RunOutcome) -> bool {
+        match self {
+            Self::JobForgotten | Self::RoundDone | Self::UnknownTask => true,
+            Self::Superseded => matches!(outcome, RunOutcome::Done),
+            Self::JobEnded | Self::TaskDone | Self::CountedBefore => false,
+        }
+    }
+}
+
+/// An end that has an effect on its task.
+struct CountedEnd {
+    job: JobKey,
+    spec: Arc<JobSpec>,
+    /// It ends the current run.
+    is_current: bool,
+    /// The task waits, and this end is from a run of an earlier term, or one that was released while its
+    /// VM was unresponsive.
+    is_late: bool,
+}
+
 impl Cell {
     /// Applies an end reported by a VM.
     pub(crate) fn apply_end(&mut self, vm: VmKey, end: &ReportedEnd, now: Millis) {
         let had_run = self.vms[vm].remove(end.task, end.run).is_some();
         self.plan_needed = true;
         self.forget_loss(end.task, end.run, now);
-        let Some(key) = self.job_key(end.task.job) else {
-            self.note_uncounted_end(vm, end, "job not known");
-            return;
-        };
-        if self.jobs[key].end.is_some() {
-            return;
+        match self.judge_end(vm, end, had_run) {
+            Ok(counted) => self.count_end(vm, end, &counted, now),
+            Err(why) if why.is_notable(end.outcome) => self.note_uncounted_end(vm, end, why),
+            Err(_) => {}
+        }
+    }
+
+    /// Decides whether an end counts: the end of the current run does, and so does each run that is done
+    /// or has failed, however old it is.
+    fn judge_end(
+        &self,
+        vm: VmKey,
+        end: &ReportedEnd,
+        had_run: bool,
+    ) -> Result<CountedEnd, NoEffect> {
+        let name = end.task;
+        let key = self.job_key(name.job).ok_or(NoEffect::JobForgotten)?;
+        let job = &self.jobs[key];
+        if job.end.is_some() {
+            return Err(NoEffect::JobEnded);
+        }
+        let round = job.round(name.round).ok_or(NoEffect::RoundDone)?;
+        let at = usize::from(name.step);
+        let found = job.spec.steps.get(at).zip(round.steps.get(at));
+        let (step, state) = found.ok_or(NoEffect::UnknownTask)?;
+        let task = state.tasks.get(name.index as usize);
+        let task = task.ok_or(NoEffect::UnknownTask)?;
+        if task.phase == Phase::Done {
+            return Err(NoEffect::TaskDone);
+        }
+        if task.failed_runs.contains(&end.run) {
+            return Err(NoEffect::CountedBefore);
         }
-        let Some(task) = self.task_mut(end.task) else {
-            self.note_uncounted_end(vm, end, "round not in progress");
-            return;
-        };
         let is_current = task.last_run == end.run && task.phase == Phase::Placed(vm);
-        // A late end is from a run of an earlier term, or one that was released while the VM was
-        // unresponsive. A failure always counts as an attempt; other ends count only if the task
-        // has not been restarted since.
-        let already_counted = task.failed_runs.contains(&end.run);
-        let is_done = task.phase == Phase::Done;
         let is_late = !had_run && task.phase == Phase::Waiting;
-        let spec = self.jobs[key].spec.clone();
-        let Some(step) = spec.steps.get(usize::from(end.task.step)) else {
-            return;
-        };
-        // The first copy that is done counts.
-        let counts_as_copy = copies_allowed(step) && end.outcome == RunOutcome::Done;
-        let is_failure = end.outcome == RunOutcome::Failed;
-        if already_counted || is_done || !(is_current || is_late || is_failure || counts_as_copy) {
-            if !is_done && end.outcome == RunOutcome::Done {
-                self.note_uncounted_end(vm, end, "not the current run");
-            }
-            return;
+        let is_final = matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed);
+        if !is_current && !is_late && (step.long_running || !is_final) {
+            return Err(NoEffect::Superseded);
         }
-        let Some(task) = self.task_mut(end.task) else {
-            return;
-        };
-        task.last_run = task.last_run.max(end.run);
-        if step.checkpoint && !end.saved.is_empty() && (is_current || is_late) {
+        Ok(CountedEnd {
+            job: key,
+            spec: Arc::clone(&job.spec),
+            is_current,
+            is_late,
+        })
+    }
+
+    fn count_end(&mut self, vm: VmKey, end: &ReportedEnd, counted: &CountedEnd, now: Millis) {
+        let key = counted.job;
+        let step = &counted.spec.steps[usize::from(end.task.step)];
+        let is_latest = counted.is_current || counted.is_late;
+        if let Some(task) = self.task_mut(end.task) {
+            task.last_run = task.last_run.max(end.run);
+        }
+        if step.checkpoint && !end.saved.is_empty() && is_latest {
             self.save_state(key, end.task, &end.saved, step.gang);
             self.mark_changed(key, now);
         }
@@ -58,17 +133,17 @@
             RunOutcome::Done if !step.long_running => {
                 self.vms[vm].health.run_succeeded();
                 self.task_done(key, end.task, step.gang, now);
-                if copies_allowed(step) {
-                    self.stop_copies(end.task);
+                if !counted.is_current || copies_allowed(step) {
+                    self.stop_other_runs(end.task, end.run, step.gang);
                 }
             }
             RunOutcome::Failed if !step.long_running => {
                 self.vms[vm].health.run_failed(end.task, now);
                 self.task_failed(vm, key, end, step.gang, now);
             }
-            _ => self.task_interrupted(vm, end.task, is_current),
+            _ => self.task_interrupted(vm, end.task, counted.is_current),
         }
-        if step.gang && end.outcome != RunOutcome::Done && (is_current || is_late) {
+        if step.gang && end.outcome != RunOutcome::Done && is_latest {
             self.stop_gang_run(end.task, end.run);
         }
     }
--- a/crates/dotterel-cell/src/cell/events.rs
+++ b/crates/dotterel-cell/src/cell/events.rs
@@ -4,6 +4,7 @@
 use dotterel_kernel::Millis;
 
 use super::Cell;
+use super::ends::NoEffect;
 use crate::spec::TaskName;
 use crate::vm::{ReportedEnd, RunOutcome, VmKey};
 
@@ -51,19 +52,14 @@
         std::mem::take(&mut self.events)
     }
 
-    pub(super) fn note_uncounted_end(
-        &mut self,
-        key: VmKey,
-        end: &ReportedEnd,
-        reason: &'static str,
-    ) {
+    pub(super) fn note_uncounted_end(&mut self, key: VmKey, end: &ReportedEnd, why: NoEffect) {
         let last_run = self.task_mut(end.task).map_or(0, |task| task.last_run);
         self.events.push(CellEvent::EndNotCounted {
             vm: self.vms[key].info.id.clone(),
             task: end.task,
             run: end.run,
             outcome: end.outcome,
-            reason,
+            reason: why.reason(),
             last_run,
         });
     }
--- a/crates/dotterel-cell/src/cell/replace.rs
+++ b/crates/dotterel-cell/src/cell/replace.rs
@@ -82,11 +82,20 @@
         }
     }
 
-    /// Stops all runs of a task that is done.
-    pub(super) fn stop_copies(&mut self, name: TaskName) {
+    /// Stops all runs of a task but the one that is done; for a gang, those of all its members.
+    pub(super) fn stop_other_runs(&mut self, name: TaskName, done_run: u32, gang: bool) {
         for (vm, task, run) in self.runs_of_job(name.job) {
-            if task == name {
-                self.order_stop(vm, task, run, "another copy is done");
+            let is_other = if gang {
+                run != done_run
+                    && TaskName {
+                        index: name.index,
+                        ..task
+                    } == name
+            } else {
+                task == name
+            };
+            if is_other {
+                self.order_stop(vm, task, run, "another run is done");
             }
         }
     }
--- a/crates/dotterel-cell/tests/cell/ends.rs
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -1,7 +1,7 @@
 //! Ends of runs: lists that are cut off, and ends of runs that aren't current.
 
-use crate::support::{Bench, Start, ended, independent_tasks, running, task};
-use dotterel_cell::{JobId, JobRecord, JobState, ReportedEnd, RunOutcome};
+use crate::support::{Bench, Start, ended, gang, independent_tasks, running, step, task};
+use dotterel_cell::{JobId, JobRecord, JobState, Order, ReportedEnd, RunOutcome, Step, TaskName};
 
 /// Ends that a VM lists at most in these tests.
 const PAGE_ENDS: usize = 3;
@@ -199,6 +199,85 @@
     (bench, starts)
 }
 
+fn stops(orders: &[Order]) -> Vec<(TaskName, u32)> {
+    let stops = orders.iter().filter_map(|order| match order {
+        Order::Stop { task, run, .. } => Some((*task, *run)),
+        _ => None,
+    });
+    stops.collect()
+}
+
+// Guards against a second run that goes on to its end although the first one is done.
+#[test]
+fn a_late_done_of_an_earlier_run_completes_the_task() {
+    let (mut bench, starts) = successor_that_started_again(independent_tasks(1, 60_000));
+
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Done)]);
+    let acked_early = bench.vm(0).durable_end;
+    bench.advance(300);
+    bench.commit_all();
+    let orders = bench.cell.take_orders();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Completed));
+    assert_eq!(stops(&orders), [(task(1, 0), starts[0].run)]);
+    assert_eq!((acked_early, bench.vm(0).durable_end), (0, 1));
+}
+
+// Guards against later steps that wait for the second run of a task that is done.
+#[test]
+fn a_late_done_of_one_task_leaves_the_others_running() {
+    let (mut bench, starts) = successor_that_started_again(independent_tasks(3, 60_000));
+
+    bench.report(0, &[], &[ended(1, task(1, 1), 1, RunOutcome::Done)]);
+    bench.advance(300);
+    bench.commit_all();
+    let orders = bench.cell.take_orders();
+
+    assert_eq!(starts.len(), 3);
+    assert_eq!(stops(&orders), [(task(1, 1), starts[1].run)]);
+    assert_eq!(bench.vm(0).durable_end, 1);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Running));
+}
+
+// Guards against a gang that runs again although a member of its earlier run is done.
+#[test]
+fn a_late_done_of_a_gang_member_stops_the_later_run() {
+    let mut record = gang(2, 60_000);
+    record.spec.steps.push(Step {
+        after: vec![0],
+        ..step(1, 60_000)
+    });
+    let (mut bench, starts) = successor_that_started_again(record);
+
+    bench.report(0, &[], &[ended(1, task(1, 1), 1, RunOutcome::Done)]);
+    bench.advance(300);
+    bench.commit_all();
+    let orders = bench.cell.take_orders();
+    bench.plan();
+    let next = bench.take_starts();
+
+    let run = starts[0].run;
+    assert_eq!(stops(&orders), [(task(1, 0), run), (task(1, 1), run)]);
+    assert_eq!(next.len(), 1, "the step after the gang starts");
+    assert_eq!(next[0].task.step, 1);
+}
+
+// Guards against an attempt too many when an earlier run turns out to have failed.
+#[test]
+fn a_late_failure_counts_and_ends_a_job_without_attempts_left() {
+    let mut record = independent_tasks(1, 60_000);
+    record.policy.max_attempts = 1;
+    let (mut bench, starts) = successor_that_started_again(record);
+
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Failed)]);
+    bench.commit_all();
+    let orders = bench.cell.take_orders();
+
+    assert_eq!(stops(&orders), [(task(1, 0), starts[0].run)]);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Failed));
+}
+
 // Guards against a job shown as failed for a run that failed after another one was done.
 #[test]
 fn a_failure_after_the_task_is_done_does_not_fail_the_job() {
