cell: an end without effect waits for the changes of its job

Cause: an end that changed nothing, as another run of its task had been done before, could be acknowledged at once. The end that had counted was not durable yet; with its VM and the leader lost, no trace of either was left.

Class: an acknowledgement that depends on a change made by another event. Jobs now have the number of their last change, and each end waits until the changes of its job so far are durable.

Evidence: `an_end_without_effect_waits_until_the_one_that_counted_is_durable` failed before with "left: (1, 1) right: (0, 1)".

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -447,6 +447,7 @@
 
     fn mark_changed(&mut self, key: JobKey, now: Millis) {
         self.seq += 1;
+        self.jobs[key].changed_seq = self.seq;
         if let Err(at) = self.changed_jobs.binary_search(&key) {
             if self.changed_jobs.is_empty() {
                 self.changed_at = now;
@@ -462,6 +463,7 @@
             return;
         }
         self.seq += 1;
+        job.changed_seq = self.seq;
         job.end = Some(state);
         job.ended_at = now;
         let id = job.id;
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -65,9 +65,8 @@
         let last_end = vm.last_end;
         vm.awaited &= report.has_more_ends;
         for end in report.ended.iter().filter(|end| end.number > last_end) {
-            let seq_before = self.seq;
             self.apply_end(key, end, now);
-            self.track_end(key, end, seq_before);
+            self.track_end(key, end);
         }
         self.vms[key].update_durable_end(&self.jobs);
         for run in &report.running {
@@ -76,22 +75,25 @@
         self.drop_absent_runs(key, report, sent);
     }
 
-    /// Records what has to be durable before an end may be acknowledged.
-    fn track_end(&mut self, key: VmKey, end: &ReportedEnd, seq_before: u64) {
-        let job = self.job_key(end.task.job);
-        let is_ending = job.is_some_and(|job| {
-            let job = &self.jobs[job];
-            job.end.is_some() && !job.end_durable
-        });
+    /// Records what has to be durable before an end may be acknowledged: all changes of its job so far.
+    /// An end that had no effect may depend on one that did, from a VM that is lost by now.
+    fn track_end(&mut self, key: VmKey, end: &ReportedEnd) {
+        self.vms[key].last_end = end.number;
+        let Some(job_key) = self.job_key(end.task.job) else {
+            return;
+        };
+        let job = &self.jobs[job_key];
         // While a job is ending, a successor that doesn't see its end needs all other ends of the
         // job, so they are kept until the job's end is durable.
-        let seq = if is_ending { u64::MAX } else { self.seq };
-        let vm = &mut self.vms[key];
-        vm.last_end = end.number;
-        if let Some(job) = job.filter(|_| is_ending || self.seq > seq_before) {
-            vm.pending_ends.push_back(PendingEnd {
+        let seq = if job.end.is_some() && !job.end_durable {
+            u64::MAX
+        } else {
+            job.changed_seq
+        };
+        if job.durable_seq < seq {
+            self.vms[key].pending_ends.push_back(PendingEnd {
                 end_number: end.number,
-                job,
+                job: job_key,
                 seq,
             });
         }
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -93,6 +93,8 @@
     pub end_durable: bool,
     /// Store lane that writes the job's rows; `None` until the first write.
     pub lane: Option<u8>,
+    /// Sequence number of the last change that has to be written.
+    pub changed_seq: u64,
     /// Sequence number of the last durable change.
     pub durable_seq: u64,
     /// Set once the job may have a progress row.
@@ -130,6 +132,7 @@
             end: None,
             end_durable: false,
             lane: None,
+            changed_seq: 0,
             durable_seq: 0,
             has_progress_row: false,
             ended_at: Millis::ZERO,
--- a/crates/dotterel-cell/tests/cell/ends.rs
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -293,3 +293,18 @@
 
     assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Running));
 }
+
+// Guards against an acknowledged end of a task whose other, counted end is lost with its VM.
+#[test]
+fn an_end_without_effect_waits_until_the_one_that_counted_is_durable() {
+    let (mut bench, starts) = successor_that_started_again(independent_tasks(2, 60_000));
+    let done = ended(1, task(1, 0), starts[0].run, RunOutcome::Done);
+    bench.report(1, &[running(task(1, 1), starts[1].run, 20)], &[done]);
+
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Done)]);
+    let early = bench.vm(0).durable_end;
+    bench.advance(300);
+    bench.commit_all();
+
+    assert_eq!((early, bench.vm(0).durable_end), (0, 1));
+}
