cell: a round that a VM knows has started

Cause: rounds start by the leader's wall clock, and rounds without a task that is done or failed aren't in the store. A successor whose clock is behind didn't know the latest rounds: it dropped their ends ("round not in progress"), which were then acknowledged, and stopped their running tasks as not expected.

Class: an end that is acknowledged without having been counted, as the state that it belongs to was missing. Whatever a VM reports of a later round than those started proves that an earlier leader has started the rounds up to it; they are started here as well, and stored. A round that is absent is now certainly done.

Evidence: before, `an_end_of_a_round_that_is_not_due_yet_counts` failed with "left: Some(Running) right: Some(Completed)" and `a_running_task_of_a_round_that_is_not_due_yet_is_adopted` with a stop of round 1.

Ruled out: storing each round before its first start, a write for each round that the VMs make unnecessary.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -429,6 +429,24 @@
         self.enqueue_open_steps(key, now);
     }
 
+    /// Starts the rounds up to that of a task which a VM knows: an earlier leader, whose clock was ahead,
+    /// has started them.
+    fn start_known_rounds(&mut self, name: TaskName, now: Millis) {
+        let Some(key) = self.job_key(name.job) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let is_known = job.end.is_some() || name.round < job.next_round;
+        if is_known || name.round >= job.spec.repeats.max(1) {
+            return;
+        }
+        while job.next_round <= name.round {
+            job.start_round(job.next_round, now);
+        }
+        self.mark_changed(key, now);
+        self.enqueue_open_steps(key, now);
+    }
+
     /// Adds the job's newly ready steps to the queue.
     fn enqueue_open_steps(&mut self, key: JobKey, now: Millis) {
         let job = &mut self.jobs[key];
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -18,7 +18,7 @@
     JobForgotten,
     /// The job has ended. The end is acknowledged once that is durable.
     JobEnded,
-    /// The round isn't in progress.
+    /// The round is done.
     RoundDone,
     /// The job has no such task.
     UnknownTask,
@@ -35,7 +35,7 @@
         match self {
             Self::JobForgotten => "job not known",
             Self::JobEnded => "job has ended",
-            Self::RoundDone => "round not in progress",
+            Self::RoundDone => "round is done",
             Self::UnknownTask => "no such task",
             Self::TaskDone => "task is done",
             Self::CountedBefore => "counted before",
@@ -70,6 +70,7 @@
         let had_run = self.vms[vm].remove(end.task, end.run).is_some();
         self.plan_needed = true;
         self.forget_loss(end.task, end.run, now);
+        self.start_known_rounds(end.task, now);
         match self.judge_end(vm, end, had_run) {
             Ok(counted) => self.count_end(vm, end, &counted, now),
             Err(why) if why.is_notable(end.outcome) => self.note_uncounted_end(vm, end, why),
@@ -91,6 +92,9 @@
         if job.end.is_some() {
             return Err(NoEffect::JobEnded);
         }
+        if name.round >= job.next_round {
+            return Err(NoEffect::UnknownTask);
+        }
         let round = job.round(name.round).ok_or(NoEffect::RoundDone)?;
         let at = usize::from(name.step);
         let found = job.spec.steps.get(at).zip(round.steps.get(at));
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -148,6 +148,7 @@
         let mut run = self.new_vm_run(reported.task, reported.run, capacity, now);
         run.percent = reported.percent;
         run.reported = true;
+        self.start_known_rounds(reported.task, now);
         let is_expected = self
             .job_key(reported.task.job)
             .is_some_and(|job| self.jobs[job].end.is_none());
--- a/crates/dotterel-cell/tests/cell/ends.rs
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -1,7 +1,8 @@
 //! Ends of runs: lists that are cut off, and ends of runs that aren't current.
 
-use crate::support::{Bench, Start, ended, gang, independent_tasks, running, step, task};
+use crate::support::{Bench, Start, ended, gang, independent_tasks, running, starts, step, task};
 use dotterel_cell::{JobId, JobRecord, JobState, Order, ReportedEnd, RunOutcome, Step, TaskName};
+use dotterel_kernel::Millis;
 
 /// Ends that a VM lists at most in these tests.
 const PAGE_ENDS: usize = 3;
@@ -308,3 +309,63 @@
 
     assert_eq!((early, bench.vm(0).durable_end), (0, 1));
 }
+
+/// Returns a job with a round every minute, of which the first was due before the clock of the bench.
+fn repeating(rounds: u32) -> JobRecord {
+    let mut record = independent_tasks(1, 60_000);
+    record.spec.repeats = rounds;
+    record.spec.first_due = Millis(999_000);
+    record.spec.period = Millis::secs(60);
+    record
+}
+
+fn task_of_round(round: u32) -> TaskName {
+    TaskName {
+        round,
+        ..task(1, 0)
+    }
+}
+
+// Guards against a second run of a round that the earlier leader, whose clock was ahead, has started.
+#[test]
+fn an_end_of_a_round_that_is_not_due_yet_counts() {
+    let mut bench = Bench::successor(1);
+    bench
+        .cell
+        .restore_job(JobId(1), repeating(2), None, 0, bench.now);
+    bench.advance(10);
+
+    let done = [
+        ended(1, task_of_round(0), 1, RunOutcome::Done),
+        ended(2, task_of_round(1), 1, RunOutcome::Done),
+    ];
+    bench.report(0, &[], &done);
+    bench.advance(300);
+    bench.commit_all();
+
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Completed));
+    assert_eq!(bench.vm(0).durable_end, 2);
+}
+
+// Guards against a stop of a round that the earlier leader, whose clock was ahead, has started.
+#[test]
+fn a_running_task_of_a_round_that_is_not_due_yet_is_adopted() {
+    let mut bench = Bench::successor(1);
+    bench
+        .cell
+        .restore_job(JobId(1), repeating(3), None, 0, bench.now);
+    bench.advance(10);
+
+    bench.report(0, &[running(task_of_round(1), 1, 30)], &[]);
+    bench.cell.tick(bench.now);
+    bench.commit_all();
+    bench.plan();
+    let orders = bench.cell.take_orders();
+
+    let started: Vec<u32> = starts(&orders)
+        .iter()
+        .map(|start| start.task.round)
+        .collect();
+    assert_eq!(started, [0], "round 1 runs, and round 2 is not due");
+    assert_eq!(stops(&orders), []);
+}
