cell: tell the current run of a task from its highest run number

Cause: `last_run` named the current run and also kept new run numbers rising. The end of a later run of an earlier term raised it while an older run was current; when that one ended, the task stayed placed for good. Adopting an older run lowered it, and the next start had the number of a run of this term: its VM refuses it, and its failure counts as reported before.

Class: one field with two meanings that differ only when reports arrive in odd order. `highest_run` now keeps the numbers rising and is what the store gets; `last_run` names the current run.

Evidence: before, `an_end_of_a_later_run_leaves_the_adopted_run_current` failed with "left: 0 right: 1" and `run_numbers_rise_after_an_earlier_run_was_adopted` with "left: [65] right: [66]".

--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -126,7 +126,7 @@
         let step = &counted.spec.steps[usize::from(end.task.step)];
         let is_latest = counted.is_current || counted.is_late;
         if let Some(task) = self.task_mut(end.task) {
-            task.last_run = task.last_run.max(end.run);
+            task.highest_run = task.highest_run.max(end.run);
         }
         if step.checkpoint && !end.saved.is_empty() && is_latest {
             self.save_state(key, end.task, &end.saved, step.gang);
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -152,6 +152,9 @@
         let is_expected = self
             .job_key(reported.task.job)
             .is_some_and(|job| self.jobs[job].end.is_none());
+        if let Some(task) = self.task_mut(reported.task) {
+            task.highest_run = task.highest_run.max(reported.run);
+        }
         let is_adopted = is_expected
             && self
                 .task_mut(reported.task)
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -33,8 +33,10 @@
 pub struct Task {
     /// Current phase.
     pub phase: Phase,
-    /// Highest run number used.
+    /// Number of the current run, or of the last one.
     pub last_run: u32,
+    /// Highest run number known; it can be that of an earlier term's run, and no current one.
+    pub highest_run: u32,
     /// Numbers of the failed runs.
     pub failed_runs: Vec<u32>,
     /// Saved state to resume from; empty for none.
@@ -146,6 +148,7 @@
         let task = Task {
             phase: Phase::Waiting,
             last_run: 0,
+            highest_run: 0,
             failed_runs: Vec::new(),
             saved: CompactString::default(),
             avoided_vms: Vec::new(),
@@ -190,7 +193,7 @@
                 marks.push(TaskMark {
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                     failed_runs: task.failed_runs.clone(),
-                    last_run: task.last_run,
+                    last_run: task.highest_run,
                     saved: task.saved.clone(),
                     lost_runs: task.lost_runs.clone(),
                 });
@@ -216,6 +219,7 @@
             if let Some(task) = self.tasks.get_mut(mark.index as usize) {
                 task.failed_runs = mark.failed_runs.clone();
                 task.last_run = mark.last_run;
+                task.highest_run = mark.last_run;
                 task.saved = mark.saved.clone();
                 task.lost_runs = mark.lost_runs.clone();
             }
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -282,7 +282,8 @@
         let step = &mut round.steps[usize::from(step_ref.step)];
         let opened = step.opened_at;
         let task_state = &mut step.tasks[index as usize];
-        task_state.last_run = task_state.last_run.max(run_floor) + 1;
+        task_state.highest_run = task_state.highest_run.max(run_floor) + 1;
+        task_state.last_run = task_state.highest_run;
         task_state.phase = Phase::Placed(vm);
         let run = task_state.last_run;
         let saved = task_state.saved.clone();
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -204,17 +204,17 @@
                 std::cmp::Reverse(*members),
             )
         });
-        let last_run = self.step_state(step_ref).map_or(1, |state| {
+        let highest_run = self.step_state(step_ref).map_or(1, |state| {
             state
                 .tasks
                 .iter()
-                .map(|task| task.last_run)
+                .map(|task| task.highest_run)
                 .max()
                 .unwrap_or(0)
         });
         if let Some(state) = self.step_state_mut(step_ref) {
             for task in &mut state.tasks {
-                task.last_run = last_run;
+                task.highest_run = highest_run;
             }
         }
         let mut index = 0;
--- a/crates/dotterel-cell/tests/cell/ends.rs
+++ b/crates/dotterel-cell/tests/cell/ends.rs
@@ -369,3 +369,45 @@
     assert_eq!(started, [0], "round 1 runs, and round 2 is not due");
     assert_eq!(stops(&orders), []);
 }
+
+// Guards against a task that waits for good, or a run number used twice, after reports in odd order.
+#[test]
+fn an_end_of_a_later_run_leaves_the_adopted_run_current() {
+    let mut bench = Bench::successor(2);
+    let mut record = independent_tasks(1, 60_000);
+    record.policy.max_attempts = 3;
+    bench.cell.restore_job(JobId(1), record, None, 0, bench.now);
+    bench.advance(10);
+    bench.report(0, &[running(task(1, 0), 1, 30)], &[]);
+    bench.report(1, &[], &[ended(1, task(1, 0), 2, RunOutcome::Failed)]);
+
+    bench.advance(600);
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Stopped)]);
+    bench.report(1, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.commit_all();
+    bench.plan();
+
+    assert_eq!(bench.take_starts().len(), 1);
+}
+
+// Guards against a run number that is used twice: its VM refuses it, and a failure would not count.
+#[test]
+fn run_numbers_rise_after_an_earlier_run_was_adopted() {
+    let mut record = independent_tasks(1, 60_000);
+    record.policy.max_attempts = 3;
+    let (mut bench, starts) = successor_that_started_again(record);
+    let first = starts[0].run;
+    bench.report(1, &[], &[ended(1, task(1, 0), first, RunOutcome::Failed)]);
+    bench.report(0, &[running(task(1, 0), 1, 30)], &[]);
+
+    bench.advance(600);
+    bench.report(0, &[], &[ended(1, task(1, 0), 1, RunOutcome::Stopped)]);
+    bench.report(1, &[], &[]);
+    bench.cell.tick(bench.now);
+    bench.commit_all();
+    bench.plan();
+
+    let runs: Vec<u32> = bench.take_starts().iter().map(|start| start.run).collect();
+    assert_eq!(runs, [first + 1]);
+}
