cell: a property test of acknowledged ends

The test fails with each of these changes taken back: the wait for complete lists (first report or recovery deadline), absence from a cut-off list, the wait of ends for the changes of their job, rounds known from ends, and the count of failed runs. It doesn't show that the first run that is done counts, nor rounds known from running tasks; `ends.rs` has tests for these.

--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod crashing_vms;
 mod durable;
 mod ends;
+mod ends_property;
 mod gangs;
 mod replace;
 mod stall;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -1,11 +1,15 @@
 //! Fixtures: a cell whose VMs, clock and store are driven by the test.
 
+use std::collections::BTreeMap;
+
 use compact_str::{CompactString, format_compact};
 use dotterel_cell::cell::VmRecord;
+use dotterel_cell::record::{JobRow, decode};
 use dotterel_cell::vm::Vm;
 use dotterel_cell::{
-    AdviceRequest, AdviceTerms, Cell, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report,
-    ReportedEnd, ReportedRun, RunOutcome, StartAnswer, Step, Submitted, TaskName, VmInfo, VmKey,
+    AdviceRequest, AdviceTerms, Batch, Cell, JobId, JobRecord, JobSpec, Limits, Order, Policy,
+    Report, ReportedEnd, ReportedRun, RowWrite, RunOutcome, StartAnswer, Step, Submitted, TaskName,
+    VmInfo, VmKey,
 };
 use dotterel_kernel::{Millis, Size};
 
@@ -162,6 +166,67 @@
     }
 }
 
+/// A xorshift generator.
+pub(crate) struct Random(u64);
+
+impl Random {
+    pub(crate) const fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
+
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % bound
+    }
+
+    pub(crate) fn one_in(&mut self, count: u64) -> bool {
+        self.below(count) == 0
+    }
+}
+
+/// Rows that are durable, without the list of VMs on which runs may be stopping.
+#[derive(Default)]
+pub(crate) struct Store {
+    jobs: BTreeMap<JobId, Vec<u8>>,
+    progress: BTreeMap<JobId, Vec<u8>>,
+    vm_lists: BTreeMap<u8, Vec<u8>>,
+}
+
+impl Store {
+    pub(crate) fn apply(&mut self, batch: &Batch) {
+        for write in batch.writes.clone() {
+            match write {
+                RowWrite::Job(id, row) => drop(self.jobs.insert(id, row)),
+                RowWrite::Progress(id, row) => drop(self.progress.insert(id, row)),
+                RowWrite::DropProgress(id) => drop(self.progress.remove(&id)),
+                RowWrite::DropJob(id) => drop(self.jobs.remove(&id)),
+                RowWrite::VmList(row, list) => drop(self.vm_lists.insert(row, list)),
+                RowWrite::StopList(_) => {}
+            }
+        }
+    }
+
+    /// Restores a cell whose leader's wall clock is `lag` behind that of the first one.
+    pub(crate) fn restore(&self, cell: &mut Cell, lag: Millis, now: Millis) {
+        for list in self.vm_lists.values() {
+            let records: Vec<VmRecord> = decode(list).expect("the row is valid");
+            cell.restore_vm_list(&records, now);
+        }
+        for (id, row) in &self.jobs {
+            match decode(row).expect("the row is valid") {
+                JobRow::Open(mut record) => {
+                    record.spec.first_due += lag;
+                    let progress = self.progress.get(id).and_then(|row| decode(row));
+                    cell.restore_job(*id, *record, progress.as_ref(), 0, now);
+                }
+                JobRow::Ended(end) => cell.restore_ended_job(*id, &end, 0, now),
+            }
+        }
+    }
+}
+
 pub(crate) fn starts(orders: &[Order]) -> Vec<Start> {
     let starts = orders.iter().filter_map(|order| match order {
         Order::Start {
