--- a/crates/dotterel-cell/src/cell/replace.rs
+++ b/crates/dotterel-cell/src/cell/replace.rs
@@ -82,15 +82,12 @@
         }
     }
 
-    /// Stops all runs of a task but the one that is done; for a gang, those of all its members.
+    /// Stops the other runs of a task that is done. For a gang, these are the other runs of all members.
     pub(super) fn stop_other_runs(&mut self, name: TaskName, done_run: u32, gang: bool) {
         for (vm, task, run) in self.runs_of_job(name.job) {
+            let same_step = (task.round, task.step) == (name.round, name.step);
             let is_other = if gang {
-                run != done_run
-                    && TaskName {
-                        index: name.index,
-                        ..task
-                    } == name
+                same_step && run != done_run
             } else {
                 task == name
             };
