--- a/crates/dotterel-cell/src/cell/replace.rs
+++ b/crates/dotterel-cell/src/cell/replace.rs
@@ -82,11 +82,17 @@
         }
     }
 
-    /// Stops all runs of a task that is done.
-    pub(super) fn stop_copies(&mut self, name: TaskName) {
+    /// Stops the other runs of a task that is done. For a gang, these are the other runs of all members.
+    pub(super) fn stop_other_runs(&mut self, name: TaskName, done_run: u32, gang: bool) {
         for (vm, task, run) in self.runs_of_job(name.job) {
-            if task == name {
-                self.order_stop(vm, task, run, "another copy is done");
+            let same_step = (task.round, task.step) == (name.round, name.step);
+            let is_other = if gang {
+                same_step && run != done_run
+            } else {
+                task == name
+            };
+            if is_other {
+                self.order_stop(vm, task, run, "another run is done");
             }
         }
     }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -40,7 +40,6 @@
         let vm = &mut self.vms[key];
         if !vm.fenced {
             vm.fenced = true;
-            vm.awaited = false;
             self.plan_needed = true;
             // The previous leader may have requested a lease up to this time. Runs known before the
             // first report were ordered with a lease on the clock of the previous incarnation, of
@@ -64,10 +63,10 @@
             vm.answered_at = now;
         }
         let last_end = vm.last_end;
+        vm.awaited &= report.has_more_ends;
         for end in report.ended.iter().filter(|end| end.number > last_end) {
-            let seq_before = self.seq;
             self.apply_end(key, end, now);
-            self.track_end(key, end, seq_before);
+            self.track_end(key, end);
         }
         self.vms[key].update_durable_end(&self.jobs);
         for run in &report.running {
@@ -76,22 +75,25 @@
         self.drop_absent_runs(key, report, sent);
     }
 
-    /// Records what has to be durable before an end may be acknowledged.
-    fn track_end(&mut self, key: VmKey, end: &ReportedEnd, seq_before: u64) {
-        let job = self.job_key(end.task.job);
-        let is_ending = job.is_some_and(|job| {
-            let job = &self.jobs[job];
-            job.end.is_some() && !job.end_durable
-        });
+    /// Records what has to be durable before an end may be acknowledged: all changes of its job so far.
+    /// An end that had no effect may depend on one that did, from a VM that is lost by now.
+    fn track_end(&mut self, key: VmKey, end: &ReportedEnd) {
+        self.vms[key].last_end = end.number;
+        let Some(job_key) = self.job_key(end.task.job) else {
+            return;
+        };
+        let job = &self.jobs[job_key];
         // While a job is ending, a successor that doesn't see its end needs all other ends of the
         // job, so they are kept until the job's end is durable.
-        let seq = if is_ending { u64::MAX } else { self.seq };
-        let vm = &mut self.vms[key];
-        vm.last_end = end.number;
-        if let Some(job) = job.filter(|_| is_ending || self.seq > seq_before) {
-            vm.pending_ends.push_back(PendingEnd {
+        let seq = if job.end.is_some() && !job.end_durable {
+            u64::MAX
+        } else {
+            job.changed_seq
+        };
+        if job.durable_seq < seq {
+            self.vms[key].pending_ends.push_back(PendingEnd {
                 end_number: end.number,
-                job,
+                job: job_key,
                 seq,
             });
         }
@@ -115,6 +117,12 @@
     }
 
     fn apply_running(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
+        let vm = &self.vms[key];
+        let known = vm.find(reported.task, reported.run);
+        if known.is_some_and(|at| vm.runs[at].phase == RunPhase::Ended) {
+            // It has started late, and no longer counts towards the VM's capacity.
+            self.release(key, reported.task, reported.run);
+        }
         let vm = &mut self.vms[key];
         if let Some(at) = vm.find(reported.task, reported.run) {
             let vm_run = &mut vm.runs[at];
@@ -140,9 +148,13 @@
         let mut run = self.new_vm_run(reported.task, reported.run, capacity, now);
         run.percent = reported.percent;
         run.reported = true;
+        self.start_known_rounds(reported.task, now);
         let is_expected = self
             .job_key(reported.task.job)
             .is_some_and(|job| self.jobs[job].end.is_none());
+        if let Some(task) = self.task_mut(reported.task) {
+            task.highest_run = task.highest_run.max(reported.run);
+        }
         let is_adopted = is_expected
             && self
                 .task_mut(reported.task)
@@ -183,7 +195,8 @@
         }
     }
 
-    /// Releases runs that the report would list if they still existed.
+    /// Releases runs that the report would list if they still existed. If it may not list all ends,
+    /// only their capacity is released.
     fn drop_absent_runs(&mut self, key: VmKey, report: &Report, sent: Millis) {
         let mut absent = Vec::new();
         for vm_run in &self.vms[key].runs {
@@ -193,7 +206,8 @@
             let is_gone = match vm_run.phase {
                 RunPhase::Stopping { acked_at: Some(at) } => at + slack < sent,
                 RunPhase::Running => vm_run.confirmed_at + slack < sent,
-                _ => false,
+                RunPhase::Ended => !report.has_more_ends,
+                RunPhase::Starting | RunPhase::Stopping { acked_at: None } => false,
             };
             let listed = report
                 .running
@@ -203,6 +217,14 @@
                 absent.push((vm_run.task, vm_run.run));
             }
         }
+        if report.has_more_ends {
+            let vm = &mut self.vms[key];
+            for (task, run) in absent {
+                vm.mark_ended(task, run);
+                self.plan_needed = true;
+            }
+            return;
+        }
         for (task, run) in absent {
             self.events.push(CellEvent::RunAbsent {
                 vm: self.vms[key].info.id.clone(),
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -5,6 +5,8 @@
 mod crashes;
 mod crashing_vms;
 mod durable;
+mod ends;
+mod ends_property;
 mod gangs;
 mod replace;
 mod stall;
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -329,10 +329,10 @@
     bench.cell.stop_answered(key, start.task, 1, bench.now);
     bench.advance(800);
     bench.report_running(0);
-    let report = dotterel_cell::Report {
+    let report = Report {
         incarnation: 8,
         clock: Millis(900),
-        ..dotterel_cell::Report::default()
+        ..Report::default()
     };
     bench.cell.apply_report(key, &report, bench.now, bench.now);
     bench.plan();
@@ -398,11 +398,11 @@
 #[test]
 fn a_restarted_vm_may_hold_the_longest_lease_when_it_falls_silent() {
     let (mut bench, key, other) = with_start_on_restarted_vm();
-    let report = dotterel_cell::Report {
+    let report = Report {
         incarnation: 8,
         clock: Millis(900),
         running: vec![running(task(1, 0), 1, 5)],
-        ended: Vec::new(),
+        ..Report::default()
     };
     bench.cell.apply_report(key, &report, bench.now, bench.now);
     let longest = bench.cell.limits().lease_max.0;
