election: follow a successor instead of replacing it

Cause: a node that watched the renewals of a leader went on watching when the row named another one, which doesn't renew while it restores the state.

Such a node now links to the successor. The test outages::a_node_follows_a_successor_instead_of_replacing_it failed before: no link within 3 s.

--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -161,7 +161,7 @@
                 }
                 LinkLoss::Closed => self.sleep(Millis(10)).await,
                 LinkLoss::Silent => {
-                    self.watch_renewals(RENEWAL_TIMEOUT).await;
+                    self.watch_renewals(&leader, RENEWAL_TIMEOUT).await;
                 }
                 LinkLoss::StoreAway => {}
             }
@@ -175,8 +175,8 @@
     }
 
     /// Watches the renewal row and takes over when it stays unchanged for `max_age`. Returns true
-    /// if a takeover was tried, and false once the leader has renewed.
-    async fn watch_renewals(&self, max_age: Millis) -> bool {
+    /// if a takeover was tried or another node leads, and false once the leader has renewed.
+    async fn watch_renewals(&self, followed: &LeaderRow, max_age: Millis) -> bool {
         let mut baseline: Option<(u64, Millis)> = None;
         let mut max_age = max_age;
         loop {
@@ -187,6 +187,11 @@
                 let read_time = now.since(started_at);
                 max_age = max_age.max(Millis(read_time.0 * SLOW_READ_FACTOR));
                 let version = rows.version();
+                let is_followed = |(leader, _): &(LeaderRow, u64)| leader.term == followed.term;
+                if !rows.leader.as_ref().is_some_and(is_followed) {
+                    // Its successor has to restore the state first, and doesn't renew meanwhile.
+                    return true;
+                }
                 match baseline {
                     Some((seen, since)) if seen == version => {
                         if now.since(since) >= max_age {
@@ -384,7 +389,7 @@
                         && renewal_watch.is_none()
                         && !self.host.leads(self.cell)
                     {
-                        renewal_watch = Some(Box::pin(self.watch_renewals(RENEWAL_TIMEOUT)));
+                        renewal_watch = Some(Box::pin(self.watch_renewals(leader, RENEWAL_TIMEOUT)));
                     }
                     if sender.try_send(FrontMessage::Ping).is_err() {
                         break LinkLoss::Closed;
@@ -430,7 +435,8 @@
                     // The leader keeps running what it has. If another node reaches the store, that
                     // node takes over; if none does, a takeover is impossible anyway.
                     if renewal_watch.is_none() && !self.host.leads(self.cell) {
-                        renewal_watch = Some(Box::pin(self.watch_renewals(STORE_OUTAGE_TIMEOUT)));
+                        renewal_watch =
+                            Some(Box::pin(self.watch_renewals(leader, STORE_OUTAGE_TIMEOUT)));
                     }
                 }
             }
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::format_compact;
+use dotterel_cell::record;
 use dotterel_kernel::Millis;
-use dotterel_node::election::{LEADER_KEY, RENEWAL_KEY};
+use dotterel_node::election::{LEADER_KEY, LeaderRow, RENEWAL_KEY};
 use dotterel_node::link::{CellNo, SchedulerMessage};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{OneVm, connect, follow, next_message, run, start_scheduler, submit};
 
@@ -179,6 +181,36 @@
     address.to_string()
 }
 
+/// Pattern: a leader is replaced, and the nodes that still watch its row replace its successor while
+/// that restores the state.
+#[test]
+fn a_node_follows_a_successor_instead_of_replacing_it() {
+    let platform = OneVm::new();
+    run(async {
+        let silent = silent_node().await;
+        let successor = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = successor.local_addr().expect("it has an address");
+        let host = follow(&platform, &silent);
+        sleep(Duration::from_millis(100)).await;
+        let leader = LeaderRow {
+            node: "entry-8".into(),
+            incarnation: 1,
+            address: format_compact!("{address}"),
+            term: 2,
+            released: false,
+            largest_node: 1000,
+        };
+        platform.put_role(LEADER_KEY, &record::encode(&leader));
+
+        let linked = timeout(Duration::from_secs(3), successor.accept()).await;
+
+        assert!(linked.is_ok(), "the node links to the successor");
+        assert!(!host.leads(CellNo(0)));
+    });
+}
+
 /// Pattern: replies of the store are lost, and the cell has no scheduler for the timeouts of the
 /// takeover.
 #[test]
