scheduler: judge each start when it is sent, and place overdue ones elsewhere

What callers saw: tasks of a cancelled job started up to 5 s after the cancel, and copies of a task started after it was done. Cause: orders wait in a queue for each VM, two in flight, each for up to a second without a reply. A start was decided when it joined the queue and nobody looked again when it was sent; START_ORDER_TIMEOUT was assumed in a calculation and enforced nowhere. Stops waited in the same queue behind the starts that they were to undo. The class: a decision that is carried out later than what it was based on holds.

Cell::authorize_start now judges a start before each attempt: its run is placed there and starting, its job hasn't ended, the VM may be given tasks and its capacity isn't exceeded, the ticket is valid, the start hasn't waited for over 2 s, and the lease can be extended. The cell knows whether a start was ever sent. If not, the VM knows nothing of the run: it is released at once when it is to be stopped, when its VM drains, falls silent or shrinks, or when the time is over; no stop is sent, no loss or crash counted, and the VM isn't blamed (StartAnswer::Withheld; an unhealthy VM was assumed before). A start without a reply is stopped as before its task goes elsewhere; if the VM has listed the run meanwhile, it goes on. Stops are sent before starts, and a queue has at most one start and one stop of a run. Queues end with the term.

The planner gives no tasks to a VM that has not replied for 1.4 s (2 s before): its lease isn't extended from then on, so such starts would be withheld and planned again at once.

Ruled out: judging a start in the queue of the node. It can't know of tickets, capacity or copies, and the run would occupy its VM until its turn comes.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -11,7 +11,7 @@
 use crate::plan::caution::{GuardedRate, RiskBudget};
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
+use crate::vm::{Caution, Delivery, RunPhase, Vm, VmKey, VmRun};
 
 mod admission;
 mod batch;
@@ -21,6 +21,7 @@
 mod held_starts;
 mod load;
 mod orders;
+mod queued_starts;
 mod registry;
 mod replace;
 mod reports;
@@ -34,6 +35,7 @@
 pub use events::CellEvent;
 pub(crate) use held_starts::HeldStart;
 pub use load::Load;
+pub use queued_starts::{DueStart, Withheld};
 pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
 
 /// Limits stated by the platform and set for the cell.
@@ -528,6 +530,7 @@
             checkpoint: step
                 .is_some_and(|step| step.checkpoint && !step.gang && !step.long_running),
             phase: RunPhase::Starting,
+            delivery: Delivery::Pending,
             ordered_at: now,
             reported: false,
             confirmed_at: now,
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -93,7 +93,7 @@
             self.note_suspects(key, &suspects, now);
         }
         for vm_run in self.vms[key].runs.clone() {
-            if self.is_held(&vm_run) {
+            if vm_run.is_unsent() {
                 self.forget_loss(vm_run.task, vm_run.run, now);
             } else {
                 self.note_loss(key, &vm_run, Suspicion::Bystander, false, now);
@@ -123,7 +123,7 @@
     /// Returns the runs that had not been going on for long when their VM was last known to be up.
     fn suspects(&self, key: VmKey, alive_until: Millis) -> Vec<VmRun> {
         let runs = self.vms[key].runs.iter();
-        let young = runs.filter(|run| run.is_young(alive_until) && !self.is_held(run));
+        let young = runs.filter(|run| run.is_young(alive_until) && !run.is_unsent());
         young.cloned().collect()
     }
 
--- a/crates/dotterel-cell/src/cell/held_starts.rs
+++ b/crates/dotterel-cell/src/cell/held_starts.rs
@@ -69,11 +69,7 @@
         else {
             return HeldState::Gone;
         };
-        let is_usable = vm.listed
-            && vm.fenced
-            && !vm.info.draining
-            && vm.silent_since.is_none()
-            && vm.used.fits(&vm.info.capacity);
+        let is_usable = self.accepts_run(vm, *task) && vm.used.fits(&vm.info.capacity);
         let durable_seq = self.jobs.get(held.job).map(|job| job.durable_seq);
         if vm_run.phase != RunPhase::Starting {
             // It is being stopped, as its job has ended.
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -9,7 +9,8 @@
 use crate::vm::{RunPhase, StartAnswer, VmKey};
 
 impl Cell {
-    /// Orders a run to stop, unless it is already being stopped.
+    /// Orders a run to stop, unless it is already being stopped. A run whose start was never sent is
+    /// released at once.
     pub(crate) fn order_stop(&mut self, vm: VmKey, task: TaskName, run: u32, reason: &'static str) {
         let Some(target) = self.vms.get_mut(vm) else {
             return;
@@ -17,7 +18,9 @@
         let Some(at) = target.find(task, run) else {
             return;
         };
-        if !matches!(target.runs[at].phase, RunPhase::Stopping { .. }) {
+        if target.runs[at].is_unsent() {
+            self.release(vm, task, run);
+        } else if !matches!(target.runs[at].phase, RunPhase::Stopping { .. }) {
             target.runs[at].phase = RunPhase::Stopping { acked_at: None };
             self.push_stop(vm, task, run, reason);
         }
@@ -38,6 +41,12 @@
         let Some(at) = target.find(task, run) else {
             return;
         };
+        let vm_run = &mut target.runs[at];
+        if answer != StartAnswer::Withheld {
+            vm_run.note_sent(now);
+        } else if !vm_run.is_unsent() {
+            return;
+        }
         match answer {
             StartAnswer::Started => {
                 let vm_run = &mut target.runs[at];
@@ -52,6 +61,8 @@
                 }
                 return;
             }
+            // The VM has reported the run in the meantime.
+            StartAnswer::Unknown if target.runs[at].phase == RunPhase::Running => return,
             StartAnswer::Unknown | StartAnswer::Fenced => {
                 // The order may still be carried out, so the run is stopped before the task is
                 // placed elsewhere.
@@ -72,7 +83,8 @@
             }
             StartAnswer::Unhealthy => target.health.run_stalled(now),
             StartAnswer::BadTicket => self.expire_ticket(vm, task),
-            StartAnswer::NoRoom
+            StartAnswer::Withheld
+            | StartAnswer::NoRoom
             | StartAnswer::Late
             | StartAnswer::Reborn
             | StartAnswer::Malformed => {}
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -44,14 +44,14 @@
         key
     }
 
-    /// Removes and returns the runs that the VM's previous incarnation never reported: their start
-    /// orders may have reached the new incarnation.
+    /// Removes and returns the runs that the VM's previous incarnation never reported although their
+    /// starts were sent: the orders may have reached the new incarnation.
     fn take_unreported(&mut self, key: VmKey) -> Vec<VmRun> {
         let vm = &mut self.vms[key];
         let unreported: Vec<VmRun> = vm
             .runs
             .iter()
-            .filter(|vm_run| !vm_run.reported)
+            .filter(|vm_run| !vm_run.reported && !vm_run.is_unsent())
             .cloned()
             .collect();
         for vm_run in &unreported {
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -4,7 +4,9 @@
 
 use super::{Cell, CellEvent};
 use crate::job::Phase;
-use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
+use crate::vm::{
+    MAX_REPLY_AGE, PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey,
+};
 
 /// Added to the stop timeout after a takeover: a stop order of the previous leader may still have
 /// been in flight.
@@ -12,10 +14,6 @@
 /// Added to the stop timeout: a VM's clock may run slow and its reply may arrive late.
 const ABSENCE_MARGIN: Millis = Millis(150);
 
-/// A VM that has not replied for this long gets no lease renewal: at least one poll and its wait
-/// have passed.
-const RENEWAL_MAX_REPLY_AGE: Millis = Millis(1400);
-
 impl Cell {
     /// Applies a VM's report; `sent` is when the VM was polled.
     ///
@@ -105,7 +103,7 @@
     pub fn extend_lease(&mut self, key: VmKey, leadership: Millis, now: Millis) -> Option<Millis> {
         let lease = self.limits.lease_ttl.min(leadership);
         let vm = self.vms.get_mut(key)?;
-        let is_silent = now.since(vm.answered_at) > RENEWAL_MAX_REPLY_AGE;
+        let is_silent = now.since(vm.answered_at) > MAX_REPLY_AGE;
         if !vm.fenced || is_silent || lease == Millis::ZERO {
             return None;
         }
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -24,9 +24,6 @@
 pub mod preempt;
 pub mod reserve;
 
-/// A VM that has not replied for this long gets no new tasks. Twice the polling interval.
-pub(crate) const MAX_REPLY_AGE: Millis = Millis(2000);
-
 /// Queue length that counts as a backlog. Planning a step goes through all VMs that it may use.
 const BACKLOG_STEPS: usize = 100;
 /// In a backlog, a step that found no capacity is planned again after this time, or when advice
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -9,9 +9,9 @@
 use crate::cell::Cell;
 use crate::job::StepRef;
 use crate::plan::caution::EXPOSURE_WEIGHT;
-use crate::plan::{MAX_REPLY_AGE, occupied_size};
+use crate::plan::occupied_size;
 use crate::spec::{Step, TaskName};
-use crate::vm::{RunPhase, Vm, VmKey};
+use crate::vm::{MAX_REPLY_AGE, RunPhase, Vm, VmKey};
 
 /// A ticket with less time left than this might expire in transit.
 pub(crate) const TICKET_MARGIN: Millis = Millis(120);
@@ -26,16 +26,10 @@
 impl Cell {
     /// Returns true if a VM may run tasks of a step, regardless of capacity.
     pub(crate) fn is_usable(&self, vm: &Vm, service: &str, step: &Step, now: Millis) -> bool {
-        vm.fenced
-            && vm.recorded
-            && vm.listed
-            && !vm.info.draining
+        vm.may_run(service, step)
             && now >= vm.not_before
             && now >= vm.exclusive_until
-            && vm.silent_since.is_none()
-            && now.since(vm.answered_at) < MAX_REPLY_AGE
-            && vm.info.service == service
-            && (step.label.is_empty() || vm.info.labels.contains(&step.label))
+            && now.since(vm.answered_at) <= MAX_REPLY_AGE
             && vm.health.accepts_task(vm.runs.len(), now)
     }
 
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -8,7 +8,7 @@
 
 use crate::health::VmHealth;
 use crate::job::{Job, JobKey};
-use crate::spec::TaskName;
+use crate::spec::{Step, TaskName};
 
 new_key_type! {
     /// Key of a VM in the cell.
@@ -22,7 +22,11 @@
 
 /// Time after which a start order is no longer sent; it covers the wait for other orders to the VM
 /// and both attempts.
-const START_ORDER_TIMEOUT: Millis = Millis(2000);
+pub(crate) const START_ORDER_TIMEOUT: Millis = Millis(2000);
+
+/// A VM that has not replied for longer gets neither tasks nor lease renewals: at least one poll and
+/// its wait have passed.
+pub(crate) const MAX_REPLY_AGE: Millis = Millis(1400);
 
 /// Time for which a run has to go on before others are started beside it if it may crash the VM. A
 /// crash at the start shows within a round trip, as the connection breaks.
@@ -141,6 +145,8 @@
     Malformed,
     /// No reply: the order may have been carried out, or may be later.
     Unknown,
+    /// The order was not sent.
+    Withheld,
 }
 
 /// State of a run on a VM.
@@ -157,6 +163,37 @@
     },
 }
 
+/// How far the start order of a run has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It has not reached the VM's queue of orders.
+    Pending,
+    /// It waits in the VM's queue of orders.
+    Queued {
+        /// Since when.
+        since: Millis,
+    },
+    /// It was sent at least once.
+    Sent {
+        /// When it joined the VM's queue of orders.
+        queued_at: Millis,
+        /// Time of the last attempt.
+        at: Millis,
+    },
+}
+
+impl Delivery {
+    /// Returns when the order joined its VM's queue.
+    #[must_use]
+    pub const fn queued_at(self) -> Option<Millis> {
+        match self {
+            Self::Pending => None,
+            Self::Queued { since } => Some(since),
+            Self::Sent { queued_at, .. } => Some(queued_at),
+        }
+    }
+}
+
 /// Whether the store names a VM as one on which runs may be stopping.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StopRecord {
@@ -184,6 +221,8 @@
     pub checkpoint: bool,
     /// State of the run.
     pub phase: RunPhase,
+    /// How far the start order has got.
+    pub delivery: Delivery,
     /// Time of the start order.
     pub ordered_at: Millis,
     /// Set once the VM's current incarnation has reported the run.
@@ -213,6 +252,27 @@
 }
 
 impl VmRun {
+    /// Returns true if the start order has certainly not been sent, so that the VM knows nothing of
+    /// the run.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self.phase, RunPhase::Starting) && !matches!(self.delivery, Delivery::Sent { .. })
+    }
+
+    /// Records that the start order was sent.
+    pub fn note_sent(&mut self, now: Millis) {
+        let queued_at = self.delivery.queued_at().unwrap_or(now);
+        self.delivery = Delivery::Sent { queued_at, at: now };
+    }
+
+    /// Returns the time of the last attempt to send the start order.
+    const fn sent_at(&self) -> Millis {
+        match self.delivery {
+            Delivery::Sent { at, .. } => at,
+            Delivery::Pending | Delivery::Queued { .. } => self.ordered_at,
+        }
+    }
+
     /// Returns true if the run had not been going on for long at `time`.
     #[must_use]
     pub fn is_young(&self, time: Millis) -> bool {
@@ -318,6 +378,18 @@
         self.fenced || self.awaited || !self.runs.is_empty()
     }
 
+    /// Returns true if the VM may be given tasks of a step of `service`, regardless of capacity.
+    #[must_use]
+    pub fn may_run(&self, service: &str, step: &Step) -> bool {
+        self.fenced
+            && self.recorded
+            && self.listed
+            && !self.info.draining
+            && self.silent_since.is_none()
+            && self.info.service == service
+            && (step.label.is_empty() || self.info.labels.contains(&step.label))
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub fn free(&self) -> Size {
@@ -342,7 +414,7 @@
     /// replied since it restarted; none if there are no runs.
     #[must_use]
     pub fn unreported_expiry(&self, lease_max: Millis) -> Option<Millis> {
-        let last_order = self.runs.iter().map(|vm_run| vm_run.ordered_at).max()?;
+        let last_order = self.runs.iter().map(VmRun::sent_at).max()?;
         let lease = longest_duration(lease_max);
         Some(last_order + START_ORDER_TIMEOUT + lease + LEASE_EXPIRY_MARGIN)
     }
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod crashing_vms;
 mod durable;
 mod gangs;
+mod queued_starts;
 mod replace;
 mod stall;
 mod stored_lists;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -1,7 +1,7 @@
 //! Fixtures: a cell whose VMs, clock and store are driven by the test.
 
 use compact_str::{CompactString, format_compact};
-use dotterel_cell::cell::VmRecord;
+use dotterel_cell::cell::{DueStart, VmRecord, Withheld};
 use dotterel_cell::vm::Vm;
 use dotterel_cell::{
     AdviceRequest, AdviceTerms, Cell, JobId, JobRecord, JobSpec, Limits, Order, Policy, Report,
@@ -23,6 +23,7 @@
     pub(crate) task: TaskName,
     pub(crate) run: u32,
     pub(crate) saved: CompactString,
+    pub(crate) ticket: CompactString,
 }
 
 impl Bench {
@@ -90,6 +91,47 @@
         starts(&self.cell.take_orders())
     }
 
+    /// Takes the start orders into the queues of their VMs.
+    pub(crate) fn queue_starts(&mut self) -> Vec<Start> {
+        let starts = self.take_starts();
+        for start in &starts {
+            let now = self.now;
+            self.cell.start_queued(start.vm, start.task, start.run, now);
+        }
+        starts
+    }
+
+    /// Returns the lease to send with a start, or why it must not be sent.
+    pub(crate) fn authorize(&mut self, start: &Start) -> Result<Millis, Withheld> {
+        let leadership = self.cell.limits().leadership_ttl;
+        self.authorize_within(start, leadership)
+    }
+
+    /// Returns the same for a leader whose own lease lasts for `leadership`.
+    pub(crate) fn authorize_within(
+        &mut self,
+        start: &Start,
+        leadership: Millis,
+    ) -> Result<Millis, Withheld> {
+        let due = DueStart {
+            vm: start.vm,
+            task: start.task,
+            run: start.run,
+            ticket: &start.ticket,
+        };
+        self.cell.authorize_start(due, leadership, self.now)
+    }
+
+    /// Sends all pending start orders, of which none is answered.
+    pub(crate) fn send_starts(&mut self) -> Vec<Start> {
+        let starts = self.queue_starts();
+        for start in &starts {
+            let lease = self.authorize(start);
+            assert!(lease.is_ok(), "{start:?} is withheld: {lease:?}");
+        }
+        starts
+    }
+
     /// Confirms all pending start orders.
     pub(crate) fn confirm_starts(&mut self) -> Vec<Start> {
         let starts = self.take_starts();
@@ -157,12 +199,14 @@
             task,
             run,
             saved,
+            ticket,
             ..
         } => Some(Start {
             vm: *vm,
             task: *task,
             run: *run,
             saved: saved.clone(),
+            ticket: ticket.clone(),
         }),
         _ => None,
     });
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -265,7 +265,7 @@
     bench.submit(1, independent_tasks(1, 1000));
     bench.commit_all();
     bench.plan();
-    let start = bench.take_starts().remove(0);
+    let start = bench.send_starts().remove(0);
     let vm_index = bench.index_of(start.vm);
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
@@ -308,7 +308,7 @@
     bench.submit(1, independent_tasks(1, 60_000));
     bench.commit_all();
     bench.plan();
-    let start = bench.take_starts().remove(0);
+    let start = bench.send_starts().remove(0);
     let vm_index = bench.index_of(start.vm);
     let mut restarted = support::vm_info(vm_index);
     restarted.incarnation += 1;
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::settings::Settings;
 
 pub mod host;
+mod order_queue;
 mod orders;
 mod peers;
 mod recovery;
--- a/crates/dotterel-node/src/scheduler/orders.rs
+++ b/crates/dotterel-node/src/scheduler/orders.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use dotterel_cell::cell::{DueStart, Withheld};
 use dotterel_cell::{AdviceRequest, Order, StartAnswer, TaskName, VmKey};
 use dotterel_kernel::Millis;
 use tokio::sync::{Semaphore, mpsc};
 
+use super::order_queue::OrderQueue;
 use super::{AdviceCall, Scheduler};
 use crate::link::SchedulerMessage;
 use crate::platform::{Platform, StartOrder, VmError};
@@ -57,6 +59,7 @@
                             "start ordered");
                         cell.job(task.job).map(|job| job.spec.text.clone())
                     };
+                    self.cell.borrow_mut().start_queued(vm, task, run, now);
                     self.send_order(
                         vm,
                         VmOrder::Start(
@@ -102,16 +105,32 @@
         }
     }
 
-    /// Sends the orders for one VM, up to `MAX_ORDERS_IN_FLIGHT` at a time.
+    /// Sends the orders for one VM, up to `MAX_ORDERS_IN_FLIGHT` at a time, until the VM is gone or
+    /// the term ends.
     pub(super) async fn deliver_orders(
         self: Rc<Self>,
         key: VmKey,
         mut orders: mpsc::UnboundedReceiver<VmOrder>,
     ) {
         let permits = Arc::new(Semaphore::new(MAX_ORDERS_IN_FLIGHT));
-        while let Some(order) = orders.recv().await {
-            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-                return;
+        let mut queue = OrderQueue::default();
+        let mut ended = self.ended.subscribe();
+        loop {
+            // Orders are received first, so that those which replace others do so in time.
+            let permit = tokio::select! {
+                biased;
+                _ = ended.wait_for(|ended| *ended) => return,
+                order = orders.recv() => match order {
+                    Some(order) => {
+                        queue.push(order);
+                        continue;
+                    }
+                    None => return,
+                },
+                permit = Arc::clone(&permits).acquire_owned(), if !queue.is_empty() => permit,
+            };
+            let (Ok(permit), Some(order)) = (permit, queue.pop()) else {
+                continue;
             };
             let scheduler = Rc::clone(&self);
             tokio::task::spawn_local(async move {
@@ -152,17 +171,19 @@
                 return;
             };
             let now = self.clock.now();
-            let leadership = self.leadership_remaining();
-            let lease = self.cell.borrow_mut().extend_lease(key, leadership, now);
-            let Some(lease) = lease else {
-                // No start is sent to a VM without a valid lease, but a copy sent earlier may still
-                // arrive.
-                if attempt == 0 {
-                    outcome = StartAnswer::Unhealthy;
+            match self.authorize_start(key, &start, now) {
+                Ok(lease) => start.lease = lease,
+                Err(reason) => {
+                    log::info!(
+                        task:% = start.task, run = start.run, attempt, reason:? = reason;
+                        "start withheld");
+                    // A copy sent earlier may still arrive.
+                    if attempt == 0 {
+                        outcome = StartAnswer::Withheld;
+                    }
+                    break;
                 }
-                break;
-            };
-            start.lease = lease;
+            }
             self.note_extended_lease();
             outcome = self.platform.start(&target, &start).await;
             self.metrics
@@ -189,6 +210,28 @@
         }
     }
 
+    /// Returns the lease to request with a start, or why the start must not be sent.
+    fn authorize_start(
+        &self,
+        vm: VmKey,
+        start: &StartOrder,
+        now: Millis,
+    ) -> Result<Millis, Withheld> {
+        let due = DueStart {
+            vm,
+            task: start.task,
+            run: start.run,
+            ticket: &start.ticket,
+        };
+        let leadership = if self.is_unconfirmed() {
+            Millis::ZERO
+        } else {
+            self.leadership_remaining()
+        };
+        let mut cell = self.cell.borrow_mut();
+        cell.authorize_start(due, leadership, now)
+    }
+
     async fn stop(&self, key: VmKey, task: TaskName, run: u32) {
         if *self.ended.borrow() {
             return;
--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod outages;
+mod queued_orders;
 mod restarted_vm;
 mod support;
 mod two_leaders;
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -40,6 +40,9 @@
     store = "127.0.0.1:8169"
 "#;
 
+/// Time after which a start order without a reply is given up.
+const START_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A platform with a store, and one VM on which tasks are done at once.
 #[derive(Default)]
 pub(crate) struct OneVm {
@@ -67,6 +70,12 @@
     last_end: Cell<u64>,
     /// Number of start orders received.
     pub(crate) starts: Cell<u32>,
+    /// Start orders get no reply and have no effect.
+    pub(crate) starts_unanswered: Cell<bool>,
+    /// Start orders received: time, task and run.
+    pub(crate) start_log: RefCell<Vec<(Instant, TaskName, u32)>>,
+    /// Stop orders received: time, task and run.
+    pub(crate) stop_log: RefCell<Vec<(Instant, TaskName, u32)>>,
     /// Number of completed runs, by task.
     pub(crate) done: RefCell<BTreeMap<TaskName, u32>>,
 }
@@ -216,6 +225,12 @@
             self.restart();
         }
         self.starts.set(self.starts.get() + 1);
+        let received = (Instant::now(), order.task, order.run);
+        self.start_log.borrow_mut().push(received);
+        if self.starts_unanswered.get() {
+            sleep(START_TIMEOUT).await;
+            return StartAnswer::Unknown;
+        }
         if self.fenced.get() {
             return StartAnswer::Fenced;
         }
@@ -227,7 +242,8 @@
         StartAnswer::Started
     }
 
-    async fn stop(&self, _: &VmTarget, _: TaskName, _: u32) -> Result<(), VmError> {
+    async fn stop(&self, _: &VmTarget, task: TaskName, run: u32) -> Result<(), VmError> {
+        self.stop_log.borrow_mut().push((Instant::now(), task, run));
         Ok(())
     }
 
@@ -407,6 +423,28 @@
     submit_record(stream, id, job_record()).await;
 }
 
+/// Submits a job of several tasks, and returns once it is accepted.
+pub(crate) async fn submit_tasks(stream: &mut TcpStream, id: u64, count: u32) {
+    let mut record = job_record();
+    record.spec.steps[0].count = count;
+    submit_record(stream, id, record).await;
+}
+
+/// Cancels a job, and returns once that is acknowledged.
+pub(crate) async fn cancel(stream: &mut TcpStream, id: u64) {
+    let request_id = 1000 + id;
+    let request = FrontMessage::Request(request_id, Request::Cancel(JobId(id)));
+    send(stream, request).await;
+    loop {
+        if let SchedulerMessage::Reply(replied, reply) = next_message(stream).await
+            && replied == request_id
+        {
+            assert_eq!(reply, Reply::Cancelled(true));
+            return;
+        }
+    }
+}
+
 async fn submit_record(stream: &mut TcpStream, id: u64, record: JobRecord) {
     loop {
         let request = Request::Submit(JobId(id), Box::new(record.clone()));
