scheduler: bar starts without a reply before their VM gets another lease

What callers could see: a task that runs twice. The VM replies again and its lease is extended, but the start may be carried out only now, as calls without a reply may be carried out seconds later. Its own deadline has passed; whether a VM judges that by the deadline of the order or by its lease, which never shortens, the platform's pages leave open. The stop of the run was dropped with the run. The class: an obligation that is forgotten with the object it was attached to.

A VM remembers the runs whose starts were sent and neither reported, stopped nor answered when it was given up. Once it replies again it is ordered to stop them; until it has acknowledged that, its lease isn't extended and it gets no tasks. Up to then its lease stays expired, so the start is late whichever way it is judged; afterwards the run is rejected as an old one. The price is a round trip for VMs that return with such starts.

Evidence, failed before: queued_starts::a_vm_gets_no_lease_before_late_starts_are_barred ("the start could be carried out, left: Some(..), right: None") and the_stop_of_a_late_start_is_repeated_until_it_is_acknowledged (0 stops).

Not covered: a VM that has been out of the registry for more than 10 s is forgotten with its starts.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -19,6 +19,7 @@
 mod ends;
 mod events;
 mod held_starts;
+mod late_starts;
 mod load;
 mod orders;
 mod queued_starts;
--- a/crates/dotterel-cell/src/cell/orders.rs
+++ b/crates/dotterel-cell/src/cell/orders.rs
@@ -96,6 +96,7 @@
 
     /// Applies a VM's acknowledgement of a stop.
     pub fn stop_answered(&mut self, vm: VmKey, task: TaskName, run: u32, now: Millis) {
+        self.late_start_barred(vm, task, run);
         let Some(target) = self.vms.get_mut(vm) else {
             return;
         };
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -118,6 +118,7 @@
             silent: now.since(vm.answered_at),
             runs: runs.collect(),
         };
+        self.note_late_starts(key);
         for (task, run, _) in &lost.runs {
             self.release(key, *task, *run);
         }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -54,6 +54,7 @@
             }
             self.update_vm_record(key);
         }
+        self.bar_late_starts(key, now);
         let vm = &mut self.vms[key];
         vm.silent_since = None;
         vm.is_suspected = false;
@@ -98,13 +99,13 @@
     /// Returns the lease to request from a VM: its expiry on the VM's clock. It lasts for at most
     /// `leadership`, the remaining time of the leader's own lease.
     ///
-    /// Returns `None` before the VM's first reply and while it is unresponsive: it may process
+    /// Returns `None` before the VM's first reply, until late starts are barred there, and while it is unresponsive: it may process
     /// requests without replying, and renewals would keep its lease from ever expiring.
     pub fn extend_lease(&mut self, key: VmKey, leadership: Millis, now: Millis) -> Option<Millis> {
         let lease = self.limits.lease_ttl.min(leadership);
         let vm = self.vms.get_mut(key)?;
         let is_silent = now.since(vm.answered_at) > MAX_REPLY_AGE;
-        if !vm.fenced || is_silent || lease == Millis::ZERO {
+        if !vm.fenced || !vm.late_starts.is_empty() || is_silent || lease == Millis::ZERO {
             return None;
         }
         let requested = vm.min_clock_at(now) + lease;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -5,11 +5,11 @@
 use super::{Cell, CellEvent, LossReason, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
-use crate::vm::{RunPhase, StopRecord, Vm};
+use crate::vm::{RunPhase, StopRecord, Vm, VmKey};
 
 /// Interval between retries of an unacknowledged stop: slightly more than a round trip between
 /// regions plus the call's timeout.
-const STOP_RETRY_INTERVAL: Millis = Millis(700);
+pub(super) const STOP_RETRY_INTERVAL: Millis = Millis(700);
 /// Time after which an idle VM that left the registry is removed.
 const UNLISTED_VM_RETENTION: Millis = Millis::secs(10);
 /// Time after a takeover for VMs to report the members of a gang.
@@ -94,6 +94,15 @@
 
     fn retry_stops(&mut self, now: Millis) {
         let recorded = |vm: &Vm| vm.stops == StopRecord::Durable;
+        let late: Vec<VmKey> = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| !vm.late_starts.is_empty())
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            self.bar_late_starts(key, now);
+        }
         for (key, vm) in self.vms.iter_mut().filter(|(_, vm)| recorded(vm)) {
             for vm_run in &mut vm.runs {
                 if vm_run.phase == (RunPhase::Stopping { acked_at: None })
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -237,6 +237,17 @@
     pub caution: Caution,
 }
 
+/// A run that was released although its start may still be carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct LateStart {
+    /// Task that the run belongs to.
+    pub task: TaskName,
+    /// Run number.
+    pub run: u32,
+    /// Time of the last stop order.
+    pub barred_at: Millis,
+}
+
 /// What may be started beside a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Caution {
@@ -318,6 +329,8 @@
     pub used: Size,
     /// Runs on the VM.
     pub runs: Vec<VmRun>,
+    /// Runs that were released although their starts may still be carried out.
+    pub late_starts: Vec<LateStart>,
     /// Number of the last end applied.
     pub last_end: u64,
     /// Ends up to this number are durable or need no row, and may be acknowledged.
@@ -358,6 +371,7 @@
             not_before: Millis::ZERO,
             used: Size::ZERO,
             runs: Vec::new(),
+            late_starts: Vec::new(),
             last_end: 0,
             durable_end: 0,
             pending_ends: VecDeque::new(),
@@ -383,6 +397,7 @@
     pub fn may_run(&self, service: &str, step: &Step) -> bool {
         self.fenced
             && self.recorded
+            && self.late_starts.is_empty()
             && self.listed
             && !self.info.draining
             && self.silent_since.is_none()
--- a/crates/dotterel-cell/tests/cell/queued_starts.rs
+++ b/crates/dotterel-cell/tests/cell/queued_starts.rs
@@ -251,6 +251,64 @@
     assert_eq!(stops(&mut bench), 0);
 }
 
+/// Returns a cell in which the start of a task got no reply, the VM fell silent until its lease had
+/// expired, and the task has started elsewhere.
+fn with_late_start() -> (Bench, Start) {
+    let (mut bench, start) = with_queued_start(2, independent_tasks(1, 60_000));
+    assert!(bench.authorize(&start).is_ok());
+    answered_unknown(&mut bench, &start);
+    let other = 1 - bench.index_of(start.vm);
+    let mut again = Vec::new();
+    for _ in 0..20 {
+        bench.advance(500);
+        bench.report_runs(other, 10);
+        again.append(&mut plan_again(&mut bench));
+        bench.advance(200);
+        bench.commit_all();
+        again.append(&mut bench.queue_starts());
+    }
+    assert_eq!(again.len(), 1, "it starts elsewhere");
+    assert_eq!(bench.index_of(again[0].vm), other);
+    (bench, start)
+}
+
+/// Guards against a task that runs twice, as a start without a reply is carried out after its VM has
+/// been given up and has got a new lease.
+#[test]
+fn a_vm_gets_no_lease_before_late_starts_are_barred() {
+    let (mut bench, late) = with_late_start();
+    let vm_index = bench.index_of(late.vm);
+    bench.cell.take_orders();
+
+    bench.report(vm_index, &[], &[]);
+    let before = bench.extend_lease(late.vm);
+    let ordered = stops(&mut bench);
+    bench
+        .cell
+        .stop_answered(late.vm, late.task, late.run, bench.now);
+    let after = bench.extend_lease(late.vm);
+
+    assert_eq!(before, None, "the start could be carried out");
+    assert_eq!(ordered, 1);
+    assert!(after.is_some());
+}
+
+#[test]
+fn the_stop_of_a_late_start_is_repeated_until_it_is_acknowledged() {
+    let (mut bench, late) = with_late_start();
+    let vm_index = bench.index_of(late.vm);
+
+    let mut ordered = 0;
+    for _ in 0..10 {
+        bench.report(vm_index, &[], &[]);
+        bench.cell.tick(bench.now);
+        ordered += stops(&mut bench);
+        bench.advance(200);
+    }
+
+    assert!((2..=3).contains(&ordered), "{ordered} stops");
+}
+
 /// Guards against waiting for a stop on a restarted VM that neither of its lives was sent a start.
 #[test]
 fn an_unsent_start_is_not_stopped_on_a_restarted_vm() {
