plan: prefer VMs that are not behind with their orders

Cause: best fit prefers the VM with the least capacity left, and starts that wait for a VM's reply take capacity there, so a VM that answers late drew further starts beside VMs that were free.

A VM on which a start has waited for over 0.5 s, in the queue or for its reply, comes after the others of its rack until the start is answered or withdrawn. It is still used if there is no other.

Evidence, failed before: queued_starts::tasks_are_placed_on_vms_that_answer_their_orders (the VM with the unanswered start was chosen). The effect on served work has not been measured.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -224,6 +224,8 @@
     pub(crate) advisers: Vec<Adviser>,
     /// Capacity held in this planning pass for steps that come earlier in the queue.
     pub(crate) held: SecondaryMap<VmKey, Size>,
+    /// VMs that were behind with their orders at the start of this planning pass.
+    pub(crate) late_vms: SecondaryMap<VmKey, ()>,
     /// Capacity reserved by gangs in recent planning passes.
     pub(crate) reserved: SecondaryMap<VmKey, Size>,
 }
@@ -272,6 +274,7 @@
             approval_rates: Vec::new(),
             advisers: Vec::new(),
             held: SecondaryMap::new(),
+            late_vms: SecondaryMap::new(),
             reserved: SecondaryMap::new(),
         }
     }
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -20,10 +20,18 @@
 const RESERVED_WEIGHT: u64 = 10_000;
 /// Penalty for a VM that is risked for tasks that may crash it: the same as for reserved capacity.
 const RISKED_WEIGHT: u64 = 10_000;
+/// Penalty for a VM that is behind with its orders: the same as for reserved capacity.
+const LATE_VM_WEIGHT: u64 = 10_000;
 /// Penalty for a VM outside the rack that holds the data: more than any leftover capacity.
 const OTHER_RACK_WEIGHT: u64 = 1_000_000;
 
 impl Cell {
+    /// Finds the VMs that are behind with their orders.
+    pub(crate) fn collect_late_vms(&mut self, now: Millis) {
+        let late = self.vms.iter().filter(|(_, vm)| vm.has_delayed_starts(now));
+        self.late_vms = late.map(|(key, _)| (key, ())).collect();
+    }
+
     /// Returns true if a VM may run tasks of a step, regardless of capacity.
     pub(crate) fn is_usable(&self, vm: &Vm, service: &str, step: &Step, now: Millis) -> bool {
         vm.may_run(service, step)
@@ -189,6 +197,9 @@
             if now < vm.risked_until {
                 weight += RISKED_WEIGHT;
             }
+            if self.late_vms.contains_key(key) {
+                weight += LATE_VM_WEIGHT;
+            }
             if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
                 best = Some((weight, key, ticket));
             }
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -24,6 +24,9 @@
 /// and both attempts.
 pub(crate) const START_ORDER_TIMEOUT: Millis = Millis(2000);
 
+/// A start that waits for longer is delayed: one attempt, its own or an earlier order's, has timed out.
+const DELAYED_START_AGE: Millis = Millis(500);
+
 /// A VM that has not replied for longer gets neither tasks nor lease renewals: at least one poll and
 /// its wait have passed.
 pub(crate) const MAX_REPLY_AGE: Millis = Millis(1400);
@@ -472,6 +475,16 @@
         }
     }
 
+    /// Returns true if the start of a run is delayed, in the queue or without a reply.
+    #[must_use]
+    pub fn has_delayed_starts(&self, now: Millis) -> bool {
+        self.runs.iter().any(|vm_run| {
+            let queued_at = vm_run.delivery.queued_at();
+            vm_run.phase == RunPhase::Starting
+                && queued_at.is_some_and(|since| now.since(since) > DELAYED_START_AGE)
+        })
+    }
+
     /// Returns true if a run on the VM has not been going on for long.
     #[must_use]
     pub fn has_young_runs(&self, now: Millis) -> bool {
--- a/crates/dotterel-cell/tests/cell/queued_starts.rs
+++ b/crates/dotterel-cell/tests/cell/queued_starts.rs
@@ -251,6 +251,35 @@
     assert_eq!(stops(&mut bench), 0);
 }
 
+/// Guards against a VM that answers orders late and collects a queue of starts, as it looks the fullest,
+/// beside VMs that would start them at once.
+#[test]
+fn tasks_are_placed_on_vms_that_answer_their_orders() {
+    let (mut bench, late) = with_queued_start(2, independent_tasks(1, 1000));
+    assert!(bench.authorize(&late).is_ok());
+    bench.advance(600);
+    bench.report(0, &[], &[]);
+    bench.report(1, &[], &[]);
+    bench.submit(2, independent_tasks(1, 1000));
+    bench.commit_all();
+
+    let start = plan_again(&mut bench).remove(0);
+
+    assert_ne!(start.vm, late.vm);
+}
+
+#[test]
+fn tasks_are_placed_on_a_vm_with_late_orders_if_there_is_no_other() {
+    let (mut bench, late) = with_queued_start(1, independent_tasks(1, 1000));
+    assert!(bench.authorize(&late).is_ok());
+    bench.advance(600);
+    bench.report(0, &[], &[]);
+    bench.submit(2, independent_tasks(1, 1000));
+    bench.commit_all();
+
+    assert_eq!(plan_again(&mut bench).len(), 1);
+}
+
 /// Returns a cell in which the start of a task got no reply, the VM fell silent until its lease had
 /// expired, and the task has started elsewhere.
 fn with_late_start() -> (Bench, Start) {
