plan: place no tasks on a VM that has shrunk below what its runs occupy

Follows from judging starts when they are sent: such a start is withheld, its run released, and the planner placed a task that needs no CPU there again at once, with a new run number each time; the numbers of a term are limited. The class: a check on sending that is stricter than the plan.

Evidence, failed before: queued_starts::no_start_is_planned_that_would_be_withheld (a best-effort task was planned on a VM with 6 of 4 cores in use). Compared for the other reasons by reading: the plan is at least as strict for the VM's state, the age of its reply, late starts and tickets.

--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -60,6 +60,10 @@
         vm: &Vm,
         capacity: &Size,
     ) -> u32 {
+        // A VM that has shrunk below what its runs occupy gets no others, whichever capacity they need.
+        if !vm.used.fits(&vm.info.capacity) {
+            return 0;
+        }
         let runs = self.step_runs(step_ref, step, vm, |_| true);
         slots_beside(step, runs, capacity)
     }
--- a/crates/dotterel-cell/tests/cell/queued_starts.rs
+++ b/crates/dotterel-cell/tests/cell/queued_starts.rs
@@ -135,6 +135,25 @@
     assert_eq!(left, size(4000, 8192), "the others fit");
 }
 
+/// Guards against a start that is planned and withheld again and again, as the capacity that it needs
+/// is free while another is exceeded.
+#[test]
+fn no_start_is_planned_that_would_be_withheld() {
+    let (mut bench, _) = with_queued_start(1, independent_tasks(3, 1000));
+    let mut shrunk = vm_info(0);
+    shrunk.capacity = size(4000, 65_536);
+    bench.cell.vm_listed(shrunk, bench.now);
+    let mut filler = independent_tasks(1, 1000);
+    filler.spec.steps[0].best_effort = true;
+    bench.submit(2, filler);
+    bench.commit_all();
+
+    bench.plan();
+    let planned = bench.queue_starts();
+
+    assert_eq!(planned, []);
+}
+
 /// Guards against starts that a VM receives long after they were decided, and against blaming the VM
 /// for an order that it never received.
 #[test]
