--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -11,7 +11,7 @@
 use crate::plan::caution::{GuardedRate, RiskBudget};
 use crate::record::{EndRecord, JobRecord, Progress};
 use crate::spec::{JobId, Step, TaskName};
-use crate::vm::{Caution, RunPhase, Vm, VmKey, VmRun};
+use crate::vm::{Caution, Delivery, RunPhase, Vm, VmKey, VmRun};
 
 mod admission;
 mod batch;
@@ -19,8 +19,10 @@
 mod ends;
 mod events;
 mod held_starts;
+mod late_starts;
 mod load;
 mod orders;
+mod queued_starts;
 mod registry;
 mod replace;
 mod reports;
@@ -34,6 +36,7 @@
 pub use events::CellEvent;
 pub(crate) use held_starts::HeldStart;
 pub use load::Load;
+pub use queued_starts::{DueStart, Withheld};
 pub use vm_list::{VM_LIST_ROWS, VmRecord, vm_list_row};
 
 /// Limits stated by the platform and set for the cell.
@@ -221,6 +224,8 @@
     pub(crate) advisers: Vec<Adviser>,
     /// Capacity held in this planning pass for steps that come earlier in the queue.
     pub(crate) held: SecondaryMap<VmKey, Size>,
+    /// VMs that were behind with their orders at the start of this planning pass.
+    pub(crate) late_vms: SecondaryMap<VmKey, ()>,
     /// Capacity reserved by gangs in recent planning passes.
     pub(crate) reserved: SecondaryMap<VmKey, Size>,
 }
@@ -269,6 +274,7 @@
             approval_rates: Vec::new(),
             advisers: Vec::new(),
             held: SecondaryMap::new(),
+            late_vms: SecondaryMap::new(),
             reserved: SecondaryMap::new(),
         }
     }
@@ -548,6 +554,7 @@
             checkpoint: step
                 .is_some_and(|step| step.checkpoint && !step.gang && !step.long_running),
             phase: RunPhase::Starting,
+            delivery: Delivery::Pending,
             ordered_at: now,
             reported: false,
             confirmed_at: now,
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -4,7 +4,9 @@
 
 use super::{Cell, CellEvent};
 use crate::job::Phase;
-use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
+use crate::vm::{
+    MAX_REPLY_AGE, PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey,
+};
 
 /// Added to the stop timeout after a takeover: a stop order of the previous leader may still have
 /// been in flight.
@@ -12,10 +14,6 @@
 /// Added to the stop timeout: a VM's clock may run slow and its reply may arrive late.
 const ABSENCE_MARGIN: Millis = Millis(150);
 
-/// A VM that has not replied for this long gets no lease renewal: at least one poll and its wait
-/// have passed.
-const RENEWAL_MAX_REPLY_AGE: Millis = Millis(1400);
-
 impl Cell {
     /// Applies a VM's report; `sent` is when the VM was polled.
     ///
@@ -55,6 +53,7 @@
             }
             self.update_vm_record(key);
         }
+        self.bar_late_starts(key, now);
         let vm = &mut self.vms[key];
         vm.silent_since = None;
         vm.is_suspected = false;
@@ -102,13 +101,13 @@
     /// Returns the lease to request from a VM: its expiry on the VM's clock. It lasts for at most
     /// `leadership`, the remaining time of the leader's own lease.
     ///
-    /// Returns `None` before the VM's first reply and while it is unresponsive: it may process
+    /// Returns `None` before the VM's first reply, until late starts are barred there, and while it is unresponsive: it may process
     /// requests without replying, and renewals would keep its lease from ever expiring.
     pub fn extend_lease(&mut self, key: VmKey, leadership: Millis, now: Millis) -> Option<Millis> {
         let lease = self.limits.lease_ttl.min(leadership);
         let vm = self.vms.get_mut(key)?;
-        let is_silent = now.since(vm.answered_at) > RENEWAL_MAX_REPLY_AGE;
-        if !vm.fenced || is_silent || lease == Millis::ZERO {
+        let is_silent = now.since(vm.answered_at) > MAX_REPLY_AGE;
+        if !vm.fenced || !vm.late_starts.is_empty() || is_silent || lease == Millis::ZERO {
             return None;
         }
         let requested = vm.min_clock_at(now) + lease;
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -9,9 +9,9 @@
 use crate::cell::Cell;
 use crate::job::StepRef;
 use crate::plan::caution::EXPOSURE_WEIGHT;
-use crate::plan::{MAX_REPLY_AGE, occupied_size};
+use crate::plan::occupied_size;
 use crate::spec::{Step, TaskName};
-use crate::vm::{RunPhase, Vm, VmKey};
+use crate::vm::{MAX_REPLY_AGE, RunPhase, Vm, VmKey};
 
 /// A ticket with less time left than this might expire in transit.
 pub(crate) const TICKET_MARGIN: Millis = Millis(120);
@@ -20,22 +20,24 @@
 const RESERVED_WEIGHT: u64 = 10_000;
 /// Penalty for a VM that is risked for tasks that may crash it: the same as for reserved capacity.
 const RISKED_WEIGHT: u64 = 10_000;
+/// Penalty for a VM that is behind with its orders: the same as for reserved capacity.
+const LATE_VM_WEIGHT: u64 = 10_000;
 /// Penalty for a VM outside the rack that holds the data: more than any leftover capacity.
 const OTHER_RACK_WEIGHT: u64 = 1_000_000;
 
 impl Cell {
+    /// Finds the VMs that are behind with their orders.
+    pub(crate) fn collect_late_vms(&mut self, now: Millis) {
+        let late = self.vms.iter().filter(|(_, vm)| vm.has_delayed_starts(now));
+        self.late_vms = late.map(|(key, _)| (key, ())).collect();
+    }
+
     /// Returns true if a VM may run tasks of a step, regardless of capacity.
     pub(crate) fn is_usable(&self, vm: &Vm, service: &str, step: &Step, now: Millis) -> bool {
-        vm.fenced
-            && vm.recorded
-            && vm.listed
-            && !vm.info.draining
+        vm.may_run(service, step)
             && now >= vm.not_before
             && now >= vm.exclusive_until
-            && vm.silent_since.is_none()
-            && now.since(vm.answered_at) < MAX_REPLY_AGE
-            && vm.info.service == service
-            && (step.label.is_empty() || vm.info.labels.contains(&step.label))
+            && now.since(vm.answered_at) <= MAX_REPLY_AGE
             && vm.health.accepts_task(vm.runs.len(), now)
     }
 
@@ -58,6 +60,10 @@
         vm: &Vm,
         capacity: &Size,
     ) -> u32 {
+        // A VM that has shrunk below what its runs occupy gets no others, whichever capacity they need.
+        if !vm.used.fits(&vm.info.capacity) {
+            return 0;
+        }
         let runs = self.step_runs(step_ref, step, vm, |_| true);
         slots_beside(step, runs, capacity)
     }
@@ -195,6 +201,9 @@
             if now < vm.risked_until {
                 weight += RISKED_WEIGHT;
             }
+            if self.late_vms.contains_key(key) {
+                weight += LATE_VM_WEIGHT;
+            }
             if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
                 best = Some((weight, key, ticket));
             }
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod ends_property;
 mod gangs;
+mod queued_starts;
 mod replace;
 mod stall;
 mod stored_lists;
