node: don't leave abandoned calls to the advice service behind

Cause: calls of a node wait for each other in the node, and the wait counted against their timeout, so a call could be sent with a few ms left and given up at once. The service works through such calls all the same, one at a time for each node. With 30 of them waiting there (1.1 s at 35 ms each), every later call timed out after 0.74 s and left another one behind.

A call is now given up before it is sent, once it has waited for half of its timeout, or its answer is awaited for as long as the service can take. The class: retries that keep the overload going.

--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -13,10 +13,11 @@
 use dotterel_kernel::{Clock, Millis};
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::advice::AdviceCalls;
 use crate::commit_probe::{CommitProbe, Probe};
 use crate::front::Relay;
 use crate::link::{self, CellNo, FrontMessage, IDLE_TIMEOUT, PING_INTERVAL, SchedulerMessage};
@@ -66,10 +67,6 @@
 const SMALL_NODE_DELAY: Millis = Millis(300);
 /// Size assumed for the largest node, in thousandths of a core, until a leader has been recorded.
 const DEFAULT_MILLI_CORES: u32 = 500;
-/// Calls to the advice service that a node has in flight; the service handles calls of one node one
-/// after the other.
-const MAX_ADVICE_CALLS: usize = 2;
-
 /// Why a link to the leader ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkLoss {
@@ -100,14 +97,8 @@
     pub clock: Clock,
     /// Set while the node is stopping: it no longer takes over a cell.
     pub stopping: Rc<Cell<bool>>,
-    /// Limits the node's concurrent calls to the advice service.
-    pub advice_limiter: Rc<Semaphore>,
-}
-
-/// Returns the limiter of a node's calls to the advice service.
-#[must_use]
-pub fn advice_limiter() -> Rc<Semaphore> {
-    Rc::new(Semaphore::new(MAX_ADVICE_CALLS))
+    /// The node's calls to the advice service.
+    pub advice_calls: Rc<AdviceCalls>,
 }
 
 impl<P: Platform> Election<P> {
@@ -456,22 +447,14 @@
     ) {
         let platform = Rc::clone(&self.platform);
         let sender = sender.clone();
-        let limiter = Rc::clone(&self.advice_limiter);
+        let calls = Rc::clone(&self.advice_calls);
         let (metrics, clock) = (Rc::clone(&self.metrics), self.clock);
         tokio::task::spawn_local(async move {
-            let queued_at = clock.now();
-            let Ok(_permit) = limiter.acquire().await else {
-                return;
-            };
             let started_at = clock.now();
-            let timeout = timeout - started_at.since(queued_at);
-            let advice = platform.advise(step, &vms, timeout).await;
+            let advice = calls.call(&*platform, clock, step, &vms, timeout).await;
             metrics.record_call("advise", clock.now().since(started_at));
-            if let Err(err) = advice {
-                log::info!(job:% = step.0, step = step.2, fault:? = err; "advice call failed");
-            }
             // The scheduler repeats the call if this reply doesn't reach it.
-            let _ = sender.send(FrontMessage::Advised(call, advice.ok())).await;
+            let _ = sender.send(FrontMessage::Advised(call, advice)).await;
         });
     }
 
--- a/crates/dotterel-node/src/lib.rs
+++ b/crates/dotterel-node/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`node`]: runs all parts in one process.
 //! - [`logging`], [`metrics`]: logs and metrics for operators.
 
+pub mod advice;
 mod commit_probe;
 pub mod election;
 pub mod front;
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -12,7 +12,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::election::{Election, advice_limiter};
+use crate::advice::AdviceCalls;
+use crate::election::Election;
 use crate::front::{Front, Relay};
 use crate::http::{Body, Service, json_response, serve};
 use crate::link::CellNo;
@@ -117,7 +118,7 @@
         tokio::task::spawn_local(serve(bind(address).await?, service, admin_stop));
     }
     tokio::task::spawn_local(watch_config(Rc::clone(&platform), Rc::clone(&config)));
-    let advice_limiter = advice_limiter();
+    let advice_calls = Rc::new(AdviceCalls::default());
     for (number, relay) in (0..CELL_COUNT).zip(relays.iter()) {
         let election = Election {
             platform: Rc::clone(&platform),
@@ -129,7 +130,7 @@
             metrics: Rc::clone(&metrics),
             clock,
             stopping: Rc::clone(&stopping),
-            advice_limiter: Rc::clone(&advice_limiter),
+            advice_calls: Rc::clone(&advice_calls),
         };
         tokio::task::spawn_local(election.run());
     }
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -14,9 +14,7 @@
     RunOutcome, StartAnswer, Step, TaskName, VmInfo,
 };
 use dotterel_kernel::{Clock, Millis, Size};
-use dotterel_node::election::{
-    Election, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow, advice_limiter,
-};
+use dotterel_node::election::{Election, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
 use dotterel_node::front::Relay;
 use dotterel_node::link::{self, CellNo, FrontMessage, Reply, Request, SchedulerMessage};
 use dotterel_node::metrics::Metrics;
@@ -375,7 +373,7 @@
         metrics: Rc::new(Metrics::new()),
         clock,
         stopping: Rc::default(),
-        advice_limiter: advice_limiter(),
+        advice_calls: Rc::default(),
     };
     tokio::task::spawn_local(election.run());
     host
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -103,6 +103,7 @@
         Rc::new(View {
             world: Rc::clone(self),
             store_silent: Cell::new(false),
+            advice_until: Cell::new(Millis::ZERO),
             unreachable: RefCell::default(),
         })
     }
@@ -202,6 +203,8 @@
     pub(crate) world: Rc<World>,
     /// Calls to the store get no reply.
     pub(crate) store_silent: Cell<bool>,
+    /// When the advice service has handled all calls of the node so far.
+    advice_until: Cell<Millis>,
     /// VMs that the node can't reach.
     pub(crate) unreachable: RefCell<Vec<CompactString>>,
 }
@@ -325,9 +328,24 @@
         &self,
         _: (JobId, u32, u16),
         _: &[CompactString],
-        _: Millis,
+        timeout: Millis,
     ) -> Result<Vec<AdvisedVm>, AdviceError> {
-        Err(AdviceError::Away)
+        /// The service handles the calls of a node one after the other, also those given up.
+        const DURATION: Millis = Millis(35);
+        const MAX_WAITING: u64 = 32;
+        let now = self.world.clock.now();
+        let from = self.advice_until.get().max(now);
+        let until = from + DURATION;
+        if until.since(now).0 > MAX_WAITING * DURATION.0 {
+            return Err(AdviceError::Busy);
+        }
+        self.advice_until.set(until);
+        if until.since(now) > timeout {
+            sleep(timeout.duration()).await;
+            return Err(AdviceError::Away);
+        }
+        sleep(until.since(now).duration()).await;
+        Ok(Vec::new())
     }
 
     fn decode_job(&self, _: &[u8]) -> Result<RawJob, CompactString> {
