http: don't send a request without the header that limits it to its server

Seen: nothing yet; found by reading. A header value that can't be sent was left out, and a path that can't be parsed became "/". An order for a VM whose id has an odd character then went out without the header that names the VM, and any VM at that address would have carried it out.

Cause: build_request dropped what it couldn't encode. Class: an error that is swallowed removes a guard.

Evidence: a_request_whose_header_cannot_be_sent_is_not_sent failed before: left: None, right: Some(NotSent), for the pooled client; it passes now.

Why it works: a request that can't be built in full is reported as not sent, which is what callers already handle: the start counts as not carried out, the poll as unanswered.

--- a/crates/dotterel-node/src/http/client.rs
+++ b/crates/dotterel-node/src/http/client.rs
@@ -95,8 +95,9 @@
             if self.0.ready().await.is_err() {
                 return Err(CallError::NotSent);
             }
+            let request = build_request(call)?;
             sent = true;
-            match self.0.try_send_request(build_request(call)).await {
+            match self.0.try_send_request(request).await {
                 Ok(response) => read_reply(response).await,
                 Err(mut err) => match err.take_message() {
                     Some(_) => Err(CallError::NotSent),
@@ -142,7 +143,7 @@
 
     async fn exchange(&self, call: Call<'_>, sent: &mut bool) -> Result<Reply, CallError> {
         let address = call.address;
-        let mut request = build_request(call);
+        let mut request = build_request(call)?;
         loop {
             let (mut sender, reused) = match self.take_idle(address) {
                 Some(sender) => (sender, true),
@@ -194,11 +195,13 @@
     }
 }
 
-fn build_request(call: Call<'_>) -> Request<Full<Bytes>> {
+/// Builds a request. One whose path or header can't be sent is an error: without the header, it might
+/// be accepted by a server that it isn't meant for.
+fn build_request(call: Call<'_>) -> Result<Request<Full<Bytes>>, CallError> {
     let empty = call.body.is_empty();
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
-    *request.uri_mut() = call.path.parse().unwrap_or_default();
+    *request.uri_mut() = call.path.parse().map_err(|_| CallError::NotSent)?;
     let headers = request.headers_mut();
     if let Ok(host) = HeaderValue::from_str(call.address) {
         headers.insert(header::HOST, host);
@@ -209,12 +212,11 @@
             HeaderValue::from_static("application/json"),
         );
     }
-    if let Some((name, value)) = call.header
-        && let Ok(value) = HeaderValue::from_str(value)
-    {
+    if let Some((name, value)) = call.header {
+        let value = HeaderValue::from_str(value).map_err(|_| CallError::NotSent)?;
         headers.insert(name, value);
     }
-    request
+    Ok(request)
 }
 
 async fn read_reply(response: Response<Incoming>) -> Result<Reply, CallError> {
--- a/crates/dotterel-node/tests/client.rs
+++ b/crates/dotterel-node/tests/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dotterel_kernel::Millis;
-use dotterel_node::http::client::Call;
+use dotterel_node::http::client::{Call, Connection};
 use dotterel_node::http::{CallError, Client};
 use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -74,3 +74,40 @@
         assert!(next.is_ok(), "the other silent connection is not used");
     });
 }
+
+/// Guards against a request that reaches a server without the header that limits it to another.
+#[test]
+fn a_request_whose_header_cannot_be_sent_is_not_sent() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener
+            .local_addr()
+            .expect("it has an address")
+            .to_string();
+        tokio::task::spawn_local(async move {
+            for number in 0.. {
+                let (stream, _) = listener.accept().await.expect("it listens");
+                tokio::task::spawn_local(serve(stream, number, Rc::default()));
+            }
+        });
+        let call = || Call {
+            header: Some(("Expect-Instance", "i\n1")),
+            ..get(&address)
+        };
+        let mut connection = Connection::open(&address)
+            .await
+            .expect("the server listens");
+
+        let pooled = Client::default().call(call()).await;
+        let alone = connection.call(call()).await;
+
+        assert_eq!(pooled.err(), Some(CallError::NotSent));
+        assert_eq!(alone.err(), Some(CallError::NotSent));
+    });
+}
