--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -123,7 +123,11 @@
             }
         }
         for id in removed {
-            log::info!(vm = id.as_str(); "VM removed from the registry");
+            // An entry that is malformed is removed again with each of its changes.
+            let key = cell.vm_by_id(&id);
+            if key.and_then(|key| cell.vm(key)).is_some_and(|vm| vm.listed) {
+                log::info!(vm = id.as_str(); "VM removed from the registry");
+            }
             cell.vm_unlisted(&id, now);
         }
         Ok(RegistryRead { version, has_more })
