cell: believe a VM's restart or move only once the VM shows it

What callers saw: a task ran twice at the same time. An entry under the id of a running VM with a later `born` released all that ran there, whoever had written it, and the tasks started elsewhere while they went on. An entry of the same life with another VM's address did so as well: the VM there answered that it is another one, which counted as the end of the first. A VM that had restarted as another kind, or smaller, got work by the entry of its former life until its own was read.

Cause: the registry was taken as proof that a VM's life has ended, and the entry of one life was copied to the next. Class: a hint is used as a permission.

Now an entry that names a later life, or another address, is kept aside. It counts once the VM has replied as it says, or once the lease of the known life has certainly expired; nothing starts on the VM until then, and it is used again when an entry of its own is read. A silent VM is polled at the address of that entry too, so a restart is seen within a poll. An answer of another VM counts only at an address where the VM has been. An entry of an earlier life changes nothing. A life that replies without an entry of its own gets no starts, and one that replies counts instead of a life that only an entry has named. A successor takes life and address of the VMs that may have runs from the stored list and keeps differing entries aside in the same way. A crash counts against a job once the VM's successor has replied.

An entry of the same life and address is still taken over in full: capacity may shrink while a VM runs and grow back, VMs write their entry at each heartbeat, which corrects an odd one, and such an entry releases nothing.

Ruled out: refusing every entry with an unlikely `born`, as any later number reads as a restart; comparing the fields of two entries, as either may be the odd one.

Tests that took the entry as proof now let the VM reply before they check the same: three in takeover and a_vm_that_returns_under_another_id_has_crashed, which also checks that the entry alone proves nothing. The VMs in memory answer by address, and their runs go on instead of standing still at 50 %, which made the scheduler move them after 12 s.

--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -288,6 +288,7 @@
         let mut addresses: Vec<(&str, u64)> = self
             .vms
             .values()
+            .filter(|vm| vm.has_replied())
             .map(|vm| (vm.info.address.as_str(), vm.info.incarnation))
             .collect();
         addresses.sort_unstable();
@@ -295,8 +296,8 @@
             .open_losses
             .iter()
             .map(|loss| {
-                let next = (loss.address.as_str(), loss.incarnation + 1);
-                let at = addresses.partition_point(|entry| *entry < next);
+                let lost = (loss.address.as_str(), loss.incarnation);
+                let at = addresses.partition_point(|entry| *entry <= lost);
                 let successor = addresses.get(at);
                 let is_replaced = successor.is_some_and(|(address, _)| *address == loss.address);
                 if is_replaced && !loss.is_precaution {
@@ -385,7 +386,7 @@
         return Some(Resolution::Alive);
     }
     if let Some(vm) = vm {
-        if vm.info.incarnation > loss.incarnation {
+        if vm.info.incarnation > loss.incarnation && vm.has_replied() {
             return Some(Resolution::Crashed);
         }
         let vm_run = vm.find(loss.task, loss.run).map(|at| &vm.runs[at]);
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -8,29 +8,165 @@
 
 impl Cell {
     /// Adds or updates a VM from its registry entry.
+    ///
+    /// An entry may come from another writer, so it can't show that the VM's current life has ended:
+    /// one of a later life, or at another address, is kept aside until the VM replies as it says,
+    /// or until none of the current life's runs can be left. Until then nothing is started there.
+    /// An entry of the current life is taken over in full, as VMs may shrink and grow while they run.
     pub fn vm_listed(&mut self, info: VmInfo, now: Millis) -> VmKey {
-        if let Some(key) = self.vm_by_id(&info.id) {
-            let incarnation = self.vms[key].info.incarnation;
-            if incarnation == info.incarnation {
-                let vm = &mut self.vms[key];
-                vm.listed = true;
-                self.plan_needed |= vm.info.draining != info.draining;
-                vm.recorded &= vm.info.address == info.address;
-                vm.info = info;
-                return key;
+        let Some(key) = self.vm_by_id(&info.id) else {
+            return self.add_vm(info);
+        };
+        let vm = &mut self.vms[key];
+        if vm.info.is_same_process(&info) {
+            self.plan_needed |= !vm.listed || vm.info.draining != info.draining;
+            vm.listed = true;
+            vm.unconfirmed = None;
+            vm.set_entry(info);
+            return key;
+        }
+        let is_older = info.incarnation < vm.info.incarnation;
+        if is_older && (vm.has_replied() || vm.may_have_runs()) {
+            return key;
+        }
+        if vm.may_have_runs() {
+            vm.unlist(now);
+            vm.unconfirmed = Some(info);
+            return key;
+        }
+        self.replace_vm(key, info)
+    }
+
+    /// Replaces a VM without runs by another life of it, or one at another address.
+    fn replace_vm(&mut self, key: VmKey, info: VmInfo) -> VmKey {
+        let may_be_stopping = self.vms[key].may_be_stopping;
+        self.remove_vm(key);
+        let key = self.add_vm(info);
+        self.vms[key].may_be_stopping = may_be_stopping;
+        key
+    }
+
+    /// Replaces a VM by a later life of it. Runs that may have been ordered there are stopped.
+    fn restart_vm(&mut self, key: VmKey, info: VmInfo, reason: LossReason, now: Millis) -> VmKey {
+        self.note_lost_runs(key, reason, now);
+        let unreported = self.take_unreported(key);
+        self.release_lost_runs(key, reason, now);
+        let key = self.replace_vm(key, info);
+        self.stop_on_restarted_vm(key, unreported);
+        key
+    }
+
+    /// Replaces a VM by the life of it that has replied. What it may run is known only from an entry
+    /// of the same life.
+    pub(super) fn vm_restarted(&mut self, key: VmKey, incarnation: u64, now: Millis) -> VmKey {
+        let vm = &mut self.vms[key];
+        let replied = VmInfo {
+            id: vm.info.id.clone(),
+            address: vm.info.address.clone(),
+            incarnation,
+            ..VmInfo::default()
+        };
+        let is_later = incarnation > vm.info.incarnation;
+        let entry = vm.unconfirmed.take();
+        let entry = entry.filter(|entry| entry.incarnation >= incarnation);
+        let is_confirmed = entry
+            .as_ref()
+            .is_some_and(|entry| entry.is_same_process(&replied));
+        let key = if is_later {
+            self.restart_vm(key, replied, LossReason::Restarted, now)
+        } else if self.vms[key].runs.is_empty() {
+            // The life that an entry named has never replied.
+            self.replace_vm(key, replied)
+        } else {
+            self.restart_vm(key, replied, LossReason::LeaseExpired, now)
+        };
+        let vm = &mut self.vms[key];
+        match entry {
+            Some(entry) if is_confirmed => vm.set_entry(entry),
+            entry => {
+                vm.unlist(now);
+                vm.unconfirmed = entry;
             }
-            if incarnation > info.incarnation {
-                return key;
+        }
+        key
+    }
+
+    /// Records that a VM has replied at an address. An entry with another one isn't the VM's own.
+    pub fn vm_replied_at(&mut self, key: VmKey, address: &str, now: Millis) {
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
+        if vm.info.address != address {
+            vm.info.address = address.into();
+            vm.recorded = false;
+            vm.unlist(now);
+        }
+    }
+
+    /// Takes over an entry that was kept aside if the VM has replied as it says.
+    pub(super) fn confirm_entry(&mut self, key: VmKey) {
+        let vm = &mut self.vms[key];
+        let info = &vm.info;
+        if let Some(entry) = vm.unconfirmed.take_if(|entry| entry.is_same_process(info)) {
+            vm.set_entry(entry);
+            vm.listed = true;
+            self.plan_needed = true;
+        }
+    }
+
+    /// Drops an entry that was kept aside, as another VM uses the address in it.
+    pub fn entry_refuted(&mut self, key: VmKey, address: &str) {
+        if let Some(vm) = self.vms.get_mut(key) {
+            vm.unconfirmed.take_if(|entry| entry.address == address);
+        }
+    }
+
+    /// Takes over the entries of VMs on which nothing can be running any more.
+    pub(super) fn settle_entries(&mut self) {
+        let free = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.unconfirmed.is_some() && !vm.may_have_runs());
+        let free: Vec<VmKey> = free.map(|(key, _)| key).collect();
+        for key in free {
+            if let Some(entry) = self.vms[key].unconfirmed.take() {
+                self.replace_vm(key, entry);
             }
-            self.note_lost_runs(key, LossReason::Restarted, now);
-            let unreported = self.take_unreported(key);
-            self.release_lost_runs(key, LossReason::Restarted, now);
-            self.remove_vm(key);
-            let key = self.add_vm(info);
-            self.stop_on_restarted_vm(key, unreported);
+        }
+    }
+
+    /// Releases the runs of a VM whose lease has certainly expired.
+    pub(super) fn vm_expired(&mut self, key: VmKey, now: Millis) {
+        let vm = &mut self.vms[key];
+        let incarnation = vm.info.incarnation;
+        let next = vm
+            .unconfirmed
+            .take_if(|entry| entry.incarnation > incarnation);
+        match next {
+            // A start that was never reported may have reached the later life.
+            Some(entry) => {
+                self.restart_vm(key, entry, LossReason::LeaseExpired, now);
+            }
+            None => self.release_lost_runs(key, LossReason::LeaseExpired, now),
+        }
+    }
+
+    /// Adds a VM that an earlier term has given runs. An entry that names another life or address is
+    /// kept aside.
+    pub(super) fn vm_recorded(&mut self, info: VmInfo, now: Millis) -> VmKey {
+        let listed = self.vm_by_id(&info.id);
+        if let Some(key) = listed.filter(|key| self.vms[*key].info.is_same_process(&info)) {
             return key;
         }
-        self.add_vm(info)
+        let entry = listed.map(|key| self.vms[key].info.clone());
+        if let Some(key) = listed {
+            self.remove_vm(key);
+        }
+        let key = self.add_vm(info);
+        let vm = &mut self.vms[key];
+        vm.unlist(now);
+        vm.unconfirmed = entry.filter(|entry| entry.incarnation >= vm.info.incarnation);
+        key
     }
 
     fn add_vm(&mut self, info: VmInfo) -> VmKey {
@@ -80,10 +216,8 @@
     pub fn vm_unlisted(&mut self, id: &str, now: Millis) {
         if let Some(key) = self.vm_by_id(id) {
             let vm = &mut self.vms[key];
-            if vm.listed {
-                vm.listed = false;
-                vm.unlisted_at = now;
-            }
+            vm.unlist(now);
+            vm.unconfirmed = None;
         }
     }
 
@@ -98,9 +232,14 @@
 
     /// Records that another VM uses a VM's address, so that the VM is gone.
     pub fn vm_replaced(&mut self, key: VmKey, now: Millis) {
-        if self.vms.contains_key(key) {
+        if let Some(vm) = self.vms.get_mut(key) {
+            let entry = vm.unconfirmed.take();
+            let entry = entry.filter(|entry| entry.address != vm.info.address);
             self.release_lost_runs(key, LossReason::Replaced, now);
             self.remove_vm(key);
+            if let Some(entry) = entry {
+                self.add_vm(entry);
+            }
         }
     }
 
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -4,7 +4,7 @@
 
 use super::{Cell, CellEvent};
 use crate::job::Phase;
-use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmInfo, VmKey};
+use crate::vm::{PendingEnd, Report, ReportedEnd, ReportedRun, RunPhase, VmKey};
 
 /// Added to the stop timeout after a takeover: a stop order of the previous leader may still have
 /// been in flight.
@@ -24,19 +24,17 @@
         let Some(vm) = self.vms.get(key) else {
             return;
         };
-        if report.incarnation > vm.info.incarnation {
-            // The VM has restarted and the registry doesn't show it yet.
-            let info = VmInfo {
-                incarnation: report.incarnation,
-                ..vm.info.clone()
-            };
-            let key = self.vm_listed(info, now);
+        if report.incarnation > vm.info.incarnation
+            || (report.incarnation < vm.info.incarnation && !vm.has_replied())
+        {
+            let key = self.vm_restarted(key, report.incarnation, now);
             self.apply_report(key, report, sent, now);
             return;
         }
         if vm.info.incarnation != report.incarnation {
             return;
         }
+        self.confirm_entry(key);
         let vm = &mut self.vms[key];
         if !vm.fenced {
             vm.fenced = true;
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -2,7 +2,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::{Cell, CellEvent, LossReason, Order};
+use super::{Cell, CellEvent, Order};
 use crate::job::{JobKey, StepRef};
 use crate::spec::TaskName;
 use crate::vm::{RunPhase, StopRecord, Vm};
@@ -20,6 +20,7 @@
     pub fn tick(&mut self, now: Millis) {
         self.update_recovery(now);
         self.expire_leases(now);
+        self.settle_entries();
         self.settle_losses(now);
         self.cancel_unusable_held_starts(now);
         self.guarded_rate.update(now);
@@ -78,13 +79,14 @@
                 vm.fenced = false;
                 expired.push(key);
             }
-            let is_removable = !vm.listed && vm.runs.is_empty() && !vm.fenced;
+            let is_removable =
+                !vm.listed && vm.unconfirmed.is_none() && vm.runs.is_empty() && !vm.fenced;
             if is_removable && now.since(vm.unlisted_at) > UNLISTED_VM_RETENTION {
                 removable.push(key);
             }
         }
         for key in expired {
-            self.release_lost_runs(key, LossReason::LeaseExpired, now);
+            self.vm_expired(key, now);
         }
         for key in removable {
             self.remove_vm(key);
--- a/crates/dotterel-cell/src/cell/vm_list.rs
+++ b/crates/dotterel-cell/src/cell/vm_list.rs
@@ -40,20 +40,16 @@
     /// are polled as well, since they may only be cut off from it.
     pub fn restore_vm_list(&mut self, records: &[VmRecord], now: Millis) {
         for record in records {
-            let key = self.vm_by_id(&record.id).unwrap_or_else(|| {
-                let info = VmInfo {
-                    id: record.id.clone(),
-                    address: record.address.clone(),
-                    incarnation: record.incarnation,
-                    ..VmInfo::default()
-                };
-                let key = self.vm_listed(info, now);
-                self.vm_unlisted(&record.id, now);
-                key
-            });
+            let info = VmInfo {
+                id: record.id.clone(),
+                address: record.address.clone(),
+                incarnation: record.incarnation,
+                ..VmInfo::default()
+            };
+            let key = self.vm_recorded(info, now);
             let vm = &mut self.vms[key];
             vm.awaited = true;
-            vm.recorded = vm.info.address == record.address;
+            vm.recorded = true;
         }
     }
 
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -58,6 +58,14 @@
     pub remaining: Option<Millis>,
 }
 
+impl VmInfo {
+    /// Returns true if both name the same life of a VM, at the same address.
+    #[must_use]
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.address == other.address
+    }
+}
+
 /// Outcome of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -234,9 +242,12 @@
 /// The scheduler's view of a VM.
 #[derive(Clone, Debug)]
 pub struct Vm {
-    /// Registry entry.
+    /// Registry entry of the VM's current life; only its id, address and incarnation while none is
+    /// known.
     pub info: VmInfo,
-    /// Set while the VM is listed in the registry.
+    /// Entry of a later life, or with another address, that the VM has not confirmed.
+    pub unconfirmed: Option<VmInfo>,
+    /// Set while the registry lists the VM's current life.
     pub listed: bool,
     /// Time at which the VM left the registry.
     pub unlisted_at: Millis,
@@ -288,6 +299,7 @@
     pub fn new(info: VmInfo) -> Self {
         Self {
             info,
+            unconfirmed: None,
             listed: true,
             unlisted_at: Millis::ZERO,
             fenced: false,
@@ -318,6 +330,34 @@
         self.fenced || self.awaited || !self.runs.is_empty()
     }
 
+    /// Returns true if the VM's current life has replied.
+    #[must_use]
+    pub fn has_replied(&self) -> bool {
+        self.answered_at > Millis::ZERO
+    }
+
+    /// Takes over an entry of the VM's current life.
+    pub fn set_entry(&mut self, info: VmInfo) {
+        if self.info.capacity == Size::ZERO {
+            // Runs of unknown size occupy the whole VM, and its capacity wasn't known.
+            for vm_run in &mut self.runs {
+                if vm_run.size == Size::ZERO {
+                    vm_run.size = info.capacity;
+                    self.used = self.used.plus(&info.capacity);
+                }
+            }
+        }
+        self.info = info;
+    }
+
+    /// Marks the VM's current life as not listed in the registry.
+    pub fn unlist(&mut self, now: Millis) {
+        if self.listed {
+            self.listed = false;
+            self.unlisted_at = now;
+        }
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub fn free(&self) -> Size {
--- a/crates/dotterel-cell/tests/cell/crashes.rs
+++ b/crates/dotterel-cell/tests/cell/crashes.rs
@@ -4,7 +4,7 @@
 use dotterel_cell::record::{Progress, Suspicion, decode};
 use dotterel_cell::vm::Caution;
 use dotterel_cell::{
-    JobId, JobRecord, JobState, ReportedRun, RowWrite, StartAnswer, Submitted, VmInfo,
+    JobId, JobRecord, JobState, Report, ReportedRun, RowWrite, StartAnswer, Submitted, VmInfo,
 };
 use dotterel_kernel::Millis;
 
@@ -100,9 +100,18 @@
     successor.id = "vm-new".into();
     successor.incarnation += 1;
 
-    bench.cell.vm_listed(successor, bench.now);
+    let key = bench.cell.vm_listed(successor, bench.now);
+    bench.cell.tick(bench.now);
+    let listed = lost_runs(&bench, 1);
+    let report = Report {
+        incarnation: 8,
+        clock: bench.now,
+        ..Report::default()
+    };
+    bench.cell.apply_report(key, &report, bench.now, bench.now);
     bench.cell.tick(bench.now);
 
+    assert_eq!(listed, [(Suspicion::Sole, false)], "an entry may be odd");
     assert_eq!(lost_runs(&bench, 1), [(Suspicion::Sole, true)]);
 }
 
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod durable;
 mod gangs;
 mod replace;
+mod restarts;
 mod stall;
 mod stored_lists;
 mod support;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -116,6 +116,21 @@
         self.cell.apply_report(key, &report, self.now, self.now);
     }
 
+    /// Has a VM's next life reply, and returns its new key.
+    pub(crate) fn reply_restarted(&mut self, vm: usize, running: &[ReportedRun]) -> VmKey {
+        let report = Report {
+            incarnation: 8,
+            clock: Millis(900),
+            running: running.to_vec(),
+            ended: Vec::new(),
+        };
+        let key = self.vms[vm];
+        self.cell.apply_report(key, &report, self.now, self.now);
+        let key = self.cell.vm_by_id(&vm_info(vm).id);
+        self.vms[vm] = key.expect("the VM is known");
+        self.vms[vm]
+    }
+
     /// Has each VM report its runs as running.
     pub(crate) fn report_running(&mut self, percent: u8) {
         for index in 0..self.vms.len() {
@@ -192,6 +207,14 @@
     }
 }
 
+/// Returns the registry entry of a VM's next life.
+pub(crate) fn restarted_info(index: usize) -> VmInfo {
+    VmInfo {
+        incarnation: 8,
+        ..vm_info(index)
+    }
+}
+
 pub(crate) fn vm_record(index: usize) -> VmRecord {
     let info = vm_info(index);
     VmRecord {
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -267,14 +267,14 @@
     bench.plan();
     let start = bench.take_starts().remove(0);
     let vm_index = bench.index_of(start.vm);
-    let mut restarted = support::vm_info(vm_index);
-    restarted.incarnation += 1;
+    bench
+        .cell
+        .vm_listed(support::restarted_info(vm_index), bench.now);
 
-    let key = bench.cell.vm_listed(restarted, bench.now);
+    let key = bench.reply_restarted(vm_index, &[]);
     bench.commit_all();
     bench.plan();
     let orders = bench.cell.take_orders();
-    bench.vms[vm_index] = key;
     bench.cell.stop_answered(key, start.task, 1, bench.now);
     bench.advance(800);
     bench.report_running(0);
@@ -310,8 +310,7 @@
     bench.plan();
     let start = bench.take_starts().remove(0);
     let vm_index = bench.index_of(start.vm);
-    let mut restarted = support::vm_info(vm_index);
-    restarted.incarnation += 1;
+    let restarted = support::restarted_info(vm_index);
     let key = bench.cell.vm_listed(restarted, bench.now);
     (bench, key, 1 - vm_index)
 }
@@ -373,10 +372,11 @@
     // A run that has just started is stored as a suspect before it starts again.
     bench.advance(300);
     bench.report_running(10);
-    let mut restarted = support::vm_info(vm_index);
-    restarted.incarnation += 1;
+    bench
+        .cell
+        .vm_listed(support::restarted_info(vm_index), bench.now);
 
-    bench.cell.vm_listed(restarted, bench.now);
+    bench.reply_restarted(vm_index, &[]);
     bench.plan();
 
     assert_eq!(bench.take_starts().len(), 1);
@@ -408,15 +408,15 @@
 #[test]
 fn an_older_registry_entry_does_not_bring_back_a_previous_incarnation() {
     let mut bench = Bench::new(1);
-    let mut restarted = support::vm_info(0);
-    restarted.incarnation += 1;
-    let current = bench.cell.vm_listed(restarted, bench.now);
+    bench.cell.vm_listed(support::restarted_info(0), bench.now);
+    let current = bench.reply_restarted(0, &[]);
 
     let listed = bench.cell.vm_listed(support::vm_info(0), bench.now);
 
     assert_eq!(listed, current);
     let vm = bench.cell.vm(current).expect("the VM is known");
-    assert_eq!(vm.info.incarnation, 8);
+    assert_eq!(vm.info, support::restarted_info(0));
+    assert!(vm.listed);
 }
 
 #[test]
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -3,7 +3,8 @@
 use std::collections::hash_map::Entry;
 use std::rc::Rc;
 
-use dotterel_cell::{Report, VmKey};
+use compact_str::CompactString;
+use dotterel_cell::{Cell, Report, VmKey};
 use dotterel_kernel::Millis;
 use tokio::sync::mpsc;
 
@@ -119,7 +120,17 @@
                         incarnation = info.incarnation;
                         "VM joined the registry");
                 }
-                cell.vm_listed(info, now);
+                let incarnation = info.incarnation;
+                let address = info.address.clone();
+                let key = cell.vm_by_id(&info.id);
+                let was_unconfirmed = key.is_some_and(|key| has_unconfirmed_entry(&cell, key));
+                let key = cell.vm_listed(info, now);
+                if has_unconfirmed_entry(&cell, key) && !was_unconfirmed {
+                    log::info!(
+                        vm = cell.vm(key).map_or("", |vm| &vm.info.id),
+                        address = address.as_str(), incarnation;
+                        "registry entry names another process than the VM's, waiting for its reply");
+                }
             }
         }
         for id in removed {
@@ -153,6 +164,14 @@
         }
     }
 
+    /// Returns another address at which a VM may reply, from an entry that it hasn't confirmed.
+    fn unconfirmed_address(&self, key: VmKey) -> Option<CompactString> {
+        let cell = self.cell.borrow();
+        let vm = cell.vm(key)?;
+        let entry = vm.unconfirmed.as_ref()?;
+        (entry.address != vm.info.address).then(|| entry.address.clone())
+    }
+
     /// Polls a VM until it is removed from the cell or the term ends.
     async fn watch_vm(self: Rc<Self>, key: VmKey) {
         let mut ended = self.ended.subscribe();
@@ -210,8 +229,15 @@
     async fn poll_vm(self: &Rc<Self>, key: VmKey) {
         let mut backoff = MIN_BACKOFF;
         let mut unavailable = false;
+        let mut tried_move = false;
         let mut session = Session::default();
-        while let Some(target) = self.target(key) {
+        while let Some(mut target) = self.target(key) {
+            let moved_to = self.unconfirmed_address(key);
+            let tries_move = unavailable && !tried_move && moved_to.is_some();
+            if let Some(address) = moved_to.filter(|_| tries_move) {
+                target.address = address;
+            }
+            tried_move = tries_move;
             let sent_at = self.clock.now();
             let result = self.poll_once(key, &target, &mut session, sent_at).await;
             let now = self.clock.now();
@@ -230,6 +256,7 @@
                                 task:% = end.task, run = end.run, how:? = end.outcome,
                                 vm = target.id.as_str(), end = end.number; "run ended");
                         }
+                        cell.vm_replied_at(key, &target.address, now);
                         cell.apply_report(key, &report, sent_at, now);
                         let after = cell.vm(key).map(|vm| vm.last_end);
                         (after.is_some_and(|after| after > last_end), after.is_none())
@@ -248,9 +275,18 @@
                     self.end("a VM has seen a higher fencing token");
                     return;
                 }
+                Err(VmError::OtherVm) if tries_move => {
+                    log::warn!(
+                        vm = target.id.as_str(), address = target.address.as_str();
+                        "another VM uses the address in this VM's registry entry");
+                    session = Session::default();
+                    self.cell.borrow_mut().entry_refuted(key, &target.address);
+                    tokio::time::sleep(backoff.duration()).await;
+                }
                 Err(VmError::OtherVm) => {
                     log::warn!(vm = target.id.as_str(); "another VM uses this VM's address");
                     self.cell.borrow_mut().vm_replaced(key, now);
+                    self.sync_watchers();
                     self.plan_wakeup.notify_one();
                     return;
                 }
@@ -274,6 +310,10 @@
     }
 }
 
+fn has_unconfirmed_entry(cell: &Cell, key: VmKey) -> bool {
+    cell.vm(key).is_some_and(|vm| vm.unconfirmed.is_some())
+}
+
 /// The connection for polls of one VM.
 struct Session<C> {
     connection: Option<C>,
--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler on a platform in memory.
 
 mod faults;
+mod odd_entries;
 mod outages;
 mod restarted_vm;
 mod support;
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -18,7 +18,7 @@
 use crate::support::{run_paused, settings};
 use crate::world::{View, World};
 
-const TASK: TaskName = TaskName {
+pub(crate) const TASK: TaskName = TaskName {
     job: JobId(1),
     round: 0,
     step: 0,
@@ -26,7 +26,7 @@
 };
 
 /// Stores an accepted job with one task that lasts.
-fn store_job(world: &World) {
+pub(crate) fn store_job(world: &World) {
     let step = Step {
         count: 1,
         size: Size {
@@ -54,7 +54,7 @@
 }
 
 /// Makes a node the leader and starts its scheduler.
-async fn lead(view: &Rc<View>, node: &str, term: u32) -> Rc<SchedulerHost<View>> {
+pub(crate) async fn lead(view: &Rc<View>, node: &str, term: u32) -> Rc<SchedulerHost<View>> {
     let part = CellNo(0).part(0);
     let page = view.scan(Table::Role, &part, "", 10).await;
     let rows = page.expect("the store replies").rows;
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -30,6 +30,8 @@
     version: Cell<u64>,
     rows: RefCell<BTreeMap<RowKey, (u64, Bytes)>>,
     vms: RefCell<Vec<Rc<FakeVm>>>,
+    /// An entry of another writer, in place of the one of the VM with its id.
+    pub(crate) odd_entry: RefCell<Option<VmInfo>>,
     /// Runs that have started: time, VM and task.
     pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
     /// Tasks that ran twice at the same time.
@@ -81,6 +83,7 @@
             version: Cell::new(0),
             rows: RefCell::default(),
             vms: RefCell::default(),
+            odd_entry: RefCell::default(),
             starts: RefCell::default(),
             overlaps: RefCell::default(),
         })
@@ -214,8 +217,12 @@
         }
         sleep(ROUND_TRIP).await;
         let vms = self.world.vms.borrow();
-        let vm = vms.iter().find(|vm| vm.id == target.id);
-        vm.cloned().ok_or(VmError::Away)
+        let at_address = vms.iter().find(|vm| address(&vm.id) == target.address);
+        match at_address {
+            Some(vm) if vm.id == target.id => Ok(Rc::clone(vm)),
+            Some(_) => Err(VmError::OtherVm),
+            None => Err(VmError::Away),
+        }
     }
 }
 
@@ -251,13 +258,10 @@
         }
         sleep(ROUND_TRIP).await;
         let vms = self.world.vms.borrow();
-        let listed = vms.iter().map(|vm| VmInfo {
-            id: vm.id.clone(),
-            address: format_compact!("{}:1", vm.id),
-            incarnation: 7,
-            service: "quotes".into(),
-            capacity: size(16_000),
-            ..VmInfo::default()
+        let odd = self.world.odd_entry.borrow();
+        let listed = vms.iter().map(|vm| {
+            let odd = odd.iter().find(|odd| odd.id == vm.id);
+            odd.cloned().unwrap_or_else(|| vm_info(&vm.id))
         });
         Ok(VmChanges {
             listed: listed.collect(),
@@ -292,10 +296,14 @@
         let now = self.world.clock.now();
         vm.expire(now);
         let running = vm.runs.borrow();
+        // Each run goes on, by one percent a second.
+        let percent = u8::try_from(vm.clock(now).0 / 1000)
+            .unwrap_or(u8::MAX)
+            .min(99);
         Ok(Report {
             incarnation: 7,
             clock: vm.clock(now),
-            running: running.iter().map(reported).collect(),
+            running: running.iter().map(|run| reported(run, percent)).collect(),
             ended: vm.ends.borrow().clone(),
         })
     }
@@ -346,12 +354,29 @@
     }
 }
 
-fn reported((task, run): &(TaskName, u32)) -> ReportedRun {
+/// Returns the address of a VM.
+pub(crate) fn address(id: &str) -> CompactString {
+    format_compact!("{id}:1")
+}
+
+/// Returns a VM's own entry in the registry.
+pub(crate) fn vm_info(id: &str) -> VmInfo {
+    VmInfo {
+        id: id.into(),
+        address: address(id),
+        incarnation: 7,
+        service: "quotes".into(),
+        capacity: size(16_000),
+        ..VmInfo::default()
+    }
+}
+
+fn reported((task, run): &(TaskName, u32), percent: u8) -> ReportedRun {
     ReportedRun {
         task: *task,
         run: *run,
         saved: CompactString::default(),
-        percent: 50,
+        percent,
         gauge: None,
     }
 }
