--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod gangs;
 mod queued_starts;
 mod replace;
+mod restarts;
 mod stall;
 mod stored_lists;
 mod support;
--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod advice_calls;
 mod faults;
+mod odd_entries;
 mod outages;
 mod queued_orders;
 mod restarted_vm;
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -30,6 +30,8 @@
     version: Cell<u64>,
     rows: RefCell<BTreeMap<RowKey, (u64, Bytes)>>,
     vms: RefCell<Vec<Rc<FakeVm>>>,
+    /// An entry of another writer, in place of the one of the VM with its id.
+    pub(crate) odd_entry: RefCell<Option<VmInfo>>,
     /// Runs that have started: time, VM and task.
     pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
     /// Tasks that ran twice at the same time.
@@ -39,6 +41,9 @@
 struct FakeVm {
     id: CompactString,
     started_at: Millis,
+    incarnation: Cell<u64>,
+    /// It has lost power.
+    down: Cell<bool>,
     fence: Cell<u64>,
     /// Expiry of the lease on the VM's clock.
     lease_end: Cell<Millis>,
@@ -81,6 +86,7 @@
             version: Cell::new(0),
             rows: RefCell::default(),
             vms: RefCell::default(),
+            odd_entry: RefCell::default(),
             starts: RefCell::default(),
             overlaps: RefCell::default(),
         })
@@ -90,6 +96,8 @@
         self.vms.borrow_mut().push(Rc::new(FakeVm {
             id: id.into(),
             started_at: self.clock.now(),
+            incarnation: Cell::new(7),
+            down: Cell::new(false),
             fence: Cell::new(0),
             lease_end: Cell::new(Millis::ZERO),
             runs: RefCell::default(),
@@ -98,6 +106,28 @@
         }));
     }
 
+    /// Ends all that runs on a VM, and the VM.
+    pub(crate) fn crash_vm(&self, id: &str) {
+        let vms = self.vms.borrow();
+        for vm in vms.iter().filter(|vm| vm.id == id) {
+            vm.down.set(true);
+            vm.runs.borrow_mut().clear();
+            vm.ends.borrow_mut().clear();
+            vm.last_end.set(0);
+            vm.fence.set(0);
+            vm.lease_end.set(Millis::ZERO);
+        }
+    }
+
+    /// Starts a VM again.
+    pub(crate) fn restart_vm(&self, id: &str) {
+        let vms = self.vms.borrow();
+        for vm in vms.iter().filter(|vm| vm.id == id) {
+            vm.down.set(false);
+            vm.incarnation.set(vm.incarnation.get() + 1);
+        }
+    }
+
     /// Returns the view of one node.
     pub(crate) fn view(self: &Rc<Self>) -> Rc<View> {
         Rc::new(View {
@@ -217,8 +247,13 @@
         }
         sleep(ROUND_TRIP).await;
         let vms = self.world.vms.borrow();
-        let vm = vms.iter().find(|vm| vm.id == target.id);
-        vm.cloned().ok_or(VmError::Away)
+        let at_address = vms.iter().find(|vm| address(&vm.id) == target.address);
+        match at_address {
+            Some(vm) if vm.down.get() => Err(VmError::Away),
+            Some(vm) if vm.id == target.id => Ok(Rc::clone(vm)),
+            Some(_) => Err(VmError::OtherVm),
+            None => Err(VmError::Away),
+        }
     }
 }
 
@@ -254,13 +289,13 @@
         }
         sleep(ROUND_TRIP).await;
         let vms = self.world.vms.borrow();
-        let listed = vms.iter().map(|vm| VmInfo {
-            id: vm.id.clone(),
-            address: format_compact!("{}:1", vm.id),
-            incarnation: 7,
-            service: "quotes".into(),
-            capacity: size(16_000),
-            ..VmInfo::default()
+        let odd = self.world.odd_entry.borrow();
+        let listed = vms.iter().map(|vm| {
+            let odd = odd.iter().find(|odd| odd.id == vm.id);
+            odd.cloned().unwrap_or_else(|| VmInfo {
+                incarnation: vm.incarnation.get(),
+                ..vm_info(&vm.id)
+            })
         });
         Ok(VmChanges {
             listed: listed.collect(),
@@ -292,13 +327,20 @@
         vm.lease_end.set(lease_end);
         vm.ends.borrow_mut().retain(|end| end.number > acked);
         sleep(wait.duration().min(Duration::from_millis(200))).await;
+        if vm.down.get() {
+            return Err(VmError::Away);
+        }
         let now = self.world.clock.now();
         vm.expire(now);
         let running = vm.runs.borrow();
+        // Each run goes on, by one percent a second.
+        let percent = u8::try_from(vm.clock(now).0 / 1000)
+            .unwrap_or(u8::MAX)
+            .min(99);
         Ok(Report {
-            incarnation: 7,
+            incarnation: vm.incarnation.get(),
             clock: vm.clock(now),
-            running: running.iter().map(reported).collect(),
+            running: running.iter().map(|run| reported(run, percent)).collect(),
             ended: vm.ends.borrow().clone(),
             has_more_ends: false,
         })
@@ -365,12 +407,29 @@
     }
 }
 
-fn reported((task, run): &(TaskName, u32)) -> ReportedRun {
+/// Returns the address of a VM.
+pub(crate) fn address(id: &str) -> CompactString {
+    format_compact!("{id}:1")
+}
+
+/// Returns a VM's own entry in the registry.
+pub(crate) fn vm_info(id: &str) -> VmInfo {
+    VmInfo {
+        id: id.into(),
+        address: address(id),
+        incarnation: 7,
+        service: "quotes".into(),
+        capacity: size(16_000),
+        ..VmInfo::default()
+    }
+}
+
+fn reported((task, run): &(TaskName, u32), percent: u8) -> ReportedRun {
     ReportedRun {
         task: *task,
         run: *run,
         saved: CompactString::default(),
-        percent: 50,
+        percent,
         gauge: None,
     }
 }
