cell: probe an ejected VM beside the runs that it has

What callers saw: jobs that stay queued for good though the only VM for them is sound and free. A VM that has failed three runs is ejected and then takes one probe, but the probe started only while the VM ran nothing, which never happens under a task that lasts; and a probe that lasts itself never ended. Now the runs from before the ejection don't count, and a probe that has been running for 3 s shows a sound VM as one that is done does.

Ruled out: no ejection under a task that lasts, as such VMs fail what they start as others do.

--- a/crates/dotterel-cell/src/health.rs
+++ b/crates/dotterel-cell/src/health.rs
@@ -2,11 +2,12 @@
 //!
 //! Some VMs fail everything they start while their heartbeats look healthy, and tasks have few
 //! attempts. A VM with consecutive failures is ejected for a while, then probed with a single task
-//! before it gets more.
+//! before it gets more. Runs from before the ejection go on, and show nothing about later starts.
 
 use dotterel_kernel::Millis;
 
 use crate::spec::TaskName;
+use crate::vm::{RunPhase, VmRun};
 
 /// Consecutive failures of different tasks after which a VM is ejected. About one run in twenty
 /// fails through the caller's own fault, so three in a row by chance are about one in eight
@@ -16,6 +17,20 @@
 const MIN_EJECTION_TIME: Millis = Millis(2000);
 /// Longest ejection.
 const MAX_EJECTION_TIME: Millis = Millis(8000);
+/// A probe that has been running for this long shows a sound VM, as tasks that last never end: longer
+/// than it takes to find that a run stands still.
+const PROBE_TIME: Millis = Millis(3000);
+
+/// What the runs on a VM show about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeState {
+    /// Nothing has been started since the last ejection ended.
+    None,
+    /// A probe has not shown anything yet.
+    Pending,
+    /// A probe has been running for long.
+    Passed,
+}
 
 /// Health of a VM, judged by its runs.
 #[derive(Clone, Copy, Debug, Default)]
@@ -50,13 +65,30 @@
         *self = Self::default();
     }
 
-    /// Returns true if the VM may be given another task while it has `running` runs.
+    /// Returns what the runs on the VM show.
+    #[must_use]
+    pub fn probe_state(&self, runs: &[VmRun], now: Millis) -> ProbeState {
+        let mut state = ProbeState::None;
+        for vm_run in runs
+            .iter()
+            .filter(|run| run.ordered_at >= self.ejected_until)
+        {
+            let is_running = vm_run.phase == RunPhase::Running;
+            if is_running && now.since(vm_run.confirmed_at) >= PROBE_TIME {
+                return ProbeState::Passed;
+            }
+            state = ProbeState::Pending;
+        }
+        state
+    }
+
+    /// Returns true if the VM may be given another task.
     #[must_use]
-    pub fn accepts_task(&self, running: usize, now: Millis) -> bool {
+    pub fn accepts_task(&self, probe: ProbeState, now: Millis) -> bool {
         if now < self.ejected_until {
             return false;
         }
-        !self.probing || running == 0
+        !self.probing || probe != ProbeState::Pending
     }
 
     fn eject(&mut self, now: Millis) {
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -38,7 +38,7 @@
             && now >= vm.not_before
             && now >= vm.exclusive_until
             && now.since(vm.answered_at) <= MAX_REPLY_AGE
-            && vm.health.accepts_task(vm.runs.len(), now)
+            && vm.accepts_task(now)
     }
 
     /// Returns the capacity on a VM that is neither occupied nor held for more urgent work.
--- a/crates/dotterel-cell/tests/cell/replace.rs
+++ b/crates/dotterel-cell/tests/cell/replace.rs
@@ -147,6 +147,60 @@
 
     bench.report(vm_index, &[], &ends);
 
-    let health = &bench.vm(vm_index).health;
-    assert!(!health.accepts_task(0, bench.now));
+    assert!(!bench.vm(vm_index).accepts_task(bench.now));
+}
+
+/// Returns a VM that has been ejected while a task that lasts runs on it, once its ejection is over.
+fn ejected_under_a_lasting_task() -> Bench {
+    let mut bench = Bench::new(1);
+    let mut record = independent_tasks(1, 1000);
+    record.spec.steps[0].long_running = true;
+    bench.submit(1, record);
+    bench.submit(2, independent_tasks(3, 1000));
+    bench.commit_all();
+    bench.plan();
+    assert_eq!(bench.confirm_starts().len(), 4);
+    bench.advance(300);
+    let ends: Vec<_> = (0..3u32)
+        .map(|index| ended(u64::from(index) + 1, task(2, index), 1, RunOutcome::Failed))
+        .collect();
+    bench.report(0, &[running(task(1, 0), 1, 100)], &ends);
+    assert!(!bench.vm(0).accepts_task(bench.now));
+    bench.advance(2100);
+    bench.report(0, &[running(task(1, 0), 1, 100)], &[]);
+    bench
+}
+
+/// Guards against jobs that stay queued with room free: an ejected VM got its probe only once it ran
+/// nothing, which never happens under a task that lasts.
+#[test]
+fn an_ejected_vm_is_probed_beside_a_task_that_lasts() {
+    let mut bench = ejected_under_a_lasting_task();
+
+    bench.plan();
+    let probe = bench.confirm_starts();
+    bench.plan();
+    let beside = bench.take_starts();
+
+    assert_eq!(probe.len(), 1);
+    assert!(beside.is_empty(), "the probe has not shown anything yet");
+}
+
+#[test]
+fn a_probe_that_lasts_shows_that_its_vm_is_sound() {
+    let mut bench = ejected_under_a_lasting_task();
+    let mut record = independent_tasks(1, 1000);
+    record.spec.steps[0].long_running = true;
+    record.policy.priority = 0;
+    bench.submit(3, record);
+    bench.commit_all();
+    bench.plan();
+    let probe = bench.confirm_starts();
+    assert_eq!((probe.len(), probe[0].task.job), (1, JobId(3)));
+
+    bench.advance(3100);
+    bench.report_runs(0, 100);
+    bench.plan();
+
+    assert_eq!(bench.take_starts().len(), 3);
 }
