cell: leave run numbers for tasks that are started very often

A term had 64 run numbers for each task. Tasks that last are started again however often they end, and starts that are withheld use up a number each, so a successor could begin below its predecessor's numbers; VMs refuse such runs as older than those that have ended there. By reading; the test run_numbers_of_a_task_that_ends_often_are_not_reused_in_the_next_term ends a task 200 times.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -516,8 +516,9 @@
     }
 
     fn run_floor(&self) -> u32 {
-        /// Upper bound on the runs of one task in a single term; attempts are few.
-        const RUNS_PER_TERM: u32 = 64;
+        /// Upper bound on the runs of one task in a single term: tasks that last are started again however
+        /// often they end, and starts that are withheld use up numbers as well.
+        const RUNS_PER_TERM: u32 = 16_384;
         self.term.saturating_sub(1).saturating_mul(RUNS_PER_TERM)
     }
 
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -143,6 +143,35 @@
     assert_eq!(lease, Some(usual));
 }
 
+/// Guards against starts that their VM refuses as older ones: a task that lasts used up the run numbers of
+/// its term.
+#[test]
+fn run_numbers_of_a_task_that_ends_often_are_not_reused_in_the_next_term() {
+    let mut lasting = independent_tasks(1, 1000);
+    lasting.spec.steps[0].long_running = true;
+    let mut first = Bench::new(1);
+    first.submit(1, lasting.clone());
+    first.commit_all();
+    let mut last_run = 0;
+    for number in 1..=200 {
+        first.advance(100);
+        first.plan();
+        let starts = first.confirm_starts();
+        last_run = starts[0].run;
+        let end = ended(number, task(1, 0), last_run, RunOutcome::Failed);
+        first.report(0, &[], &[end]);
+    }
+
+    let mut second = Bench::with_term(1, 2);
+    second
+        .cell
+        .restore_job(JobId(1), lasting, None, 0, second.now);
+    second.plan();
+
+    let run = second.take_starts()[0].run;
+    assert!(run > last_run, "run {run} after {last_run}");
+}
+
 #[test]
 fn tasks_recorded_as_done_are_not_restarted() {
     let mut first = Bench::new(1);
