--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod queued_starts;
 mod replace;
 mod restarts;
+mod review;
 mod stall;
 mod stored_lists;
 mod support;
--- /dev/null
+++ b/crates/dotterel-cell/tests/cell/review.rs
@@ -0,0 +1,262 @@
+//! Orders of events that a reviewer suspects.
+
+use dotterel_cell::{Cell, Limits, Order, Report, StartAnswer, VmInfo, VmKey};
+use dotterel_kernel::Millis;
+
+use crate::support::{
+    Bench, Start, Store, independent_tasks, restarted_info, running, task, vm_info,
+    vm_record,
+};
+
+/// Longest lease that a VM grants by default, on a clock that is 2 % slow.
+const LONGEST_LEASE: Millis = Millis(10_000 * 100 / 98);
+
+fn stops(bench: &mut Bench) -> usize {
+    let orders = bench.cell.take_orders();
+    orders
+        .iter()
+        .filter(|order| matches!(order, Order::Stop { .. }))
+        .count()
+}
+
+/// As in `queued_starts`: a start got no reply, its VM is given up, the task runs elsewhere.
+fn with_late_start() -> (Bench, Start, Millis) {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.send_starts().remove(0);
+    let now = bench.now;
+    bench
+        .cell
+        .start_answered(start.vm, start.task, start.run, StartAnswer::Unknown, now);
+    let other = 1 - bench.index_of(start.vm);
+    let sent_at = bench.now;
+    let mut again = Vec::new();
+    for _ in 0..13 {
+        bench.advance(500);
+        bench.report_runs(other, 10);
+        bench.cell.tick(bench.now);
+        bench.plan();
+        again.append(&mut bench.queue_starts());
+        bench.advance(200);
+        bench.commit_all();
+        again.append(&mut bench.queue_starts());
+    }
+    assert_eq!(again.len(), 1, "it starts elsewhere");
+    assert_eq!(bench.vm(bench.index_of(start.vm)).late_starts.len(), 1);
+    bench.cell.take_orders();
+    (bench, start, sent_at)
+}
+
+/// A lease or no stop means that the late start may run beside the other run.
+fn assert_barred(bench: &mut Bench, key: VmKey) {
+    let lease = bench.extend_lease(key);
+    let ordered = stops(bench);
+    assert_eq!((lease, ordered), (None, 1), "lease, stops");
+}
+
+/// The entry names another address under the id; the VM itself replies as before.
+#[test]
+fn late_starts_are_barred_after_a_misleading_entry() {
+    let (mut bench, late, _) = with_late_start();
+    let index = bench.index_of(late.vm);
+    let moved = VmInfo {
+        address: "127.0.0.1:1".into(),
+        ..vm_info(index)
+    };
+    bench.vms[index] = bench.cell.vm_listed(moved, bench.now);
+    bench.vms[index] = bench.cell.vm_listed(vm_info(index), bench.now);
+
+    bench.report(index, &[], &[]);
+
+    let key = bench.vms[index];
+    assert_barred(&mut bench, key);
+}
+
+/// The next life has the same id, which the header of a late start names.
+#[test]
+fn late_starts_are_barred_on_the_next_life() {
+    let (mut bench, late, _) = with_late_start();
+    let index = bench.index_of(late.vm);
+
+    let key = bench.reply_restarted(index, &[]);
+
+    assert_barred(&mut bench, key);
+}
+
+/// The VM leaves the registry, is forgotten, and is back within 12 s of the start.
+#[test]
+fn late_starts_are_barred_after_the_vm_was_forgotten() {
+    let (mut bench, late, sent_at) = with_late_start();
+    let index = bench.index_of(late.vm);
+    // It had left the registry just after the start was sent.
+    bench.cell.vm_unlisted(&vm_info(index).id, sent_at + Millis(100));
+    bench.now = sent_at + Millis(11_500);
+    bench.cell.tick(bench.now);
+    bench.vms[index] = bench.cell.vm_listed(vm_info(index), bench.now);
+
+    bench.report(index, &[], &[]);
+
+    let key = bench.vms[index];
+    assert_barred(&mut bench, key);
+}
+
+/// A poll of the former life that hung is carried out by the next one: its expiry, on the former
+/// clock, gets the longest lease there is.
+#[test]
+fn a_lease_asked_of_the_former_life_counts_on_the_next_one() {
+    let mut bench = Bench::new(1);
+    assert!(bench.extend_lease(bench.vms[0]).is_some());
+    bench.advance(1000);
+    bench.cell.vm_listed(restarted_info(0), bench.now);
+    bench.reply_restarted(0, &[]);
+    let granted_at = bench.now;
+    bench.commit_all();
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.send_starts().remove(0);
+    let now = bench.now;
+    bench
+        .cell
+        .start_answered(start.vm, start.task, start.run, StartAnswer::Started, now);
+    bench.advance(200);
+    let report = Report {
+        incarnation: 8,
+        clock: Millis(1100),
+        running: vec![running(task(1, 0), start.run, 10)],
+        ..Report::default()
+    };
+    bench
+        .cell
+        .apply_report(bench.vms[0], &report, bench.now, bench.now);
+
+    while !bench.vm(0).runs.is_empty() {
+        bench.advance(100);
+        bench.cell.tick(bench.now);
+    }
+
+    let held = bench.now.since(granted_at);
+    assert!(held >= LONGEST_LEASE, "released after {held:?}");
+}
+
+/// The same for a successor that knows of the former life only, and sees the next one once.
+#[test]
+fn a_successor_counts_on_the_longest_lease_of_a_next_life() {
+    let mut bench = Bench::successor(1);
+    let job = dotterel_cell::JobId(1);
+    let record = independent_tasks(1, 60_000);
+    bench.cell.restore_job(job, record, None, 0, bench.now);
+    bench.advance(10);
+    let granted_at = bench.now;
+    bench.reply_restarted(0, &[running(task(1, 0), 1, 10)]);
+    assert_eq!(bench.vm(0).runs.len(), 1);
+
+    while !bench.vm(0).runs.is_empty() {
+        bench.advance(100);
+        bench.cell.tick(bench.now);
+    }
+
+    let held = bench.now.since(granted_at);
+    assert!(held >= LONGEST_LEASE, "released after {held:?}");
+}
+
+/// The same for a successor that the next life doesn't reply to: leases of the former life's polls and
+/// starts may last until the takeover and the longest lease, at least.
+#[test]
+fn a_successor_waits_for_the_longest_lease_of_a_next_life() {
+    let wait = dotterel_cell::recovery_wait(&Limits::default());
+    assert!(wait >= LONGEST_LEASE, "it waits for {wait:?}");
+}
+
+/// Runs of one task use up the numbers of a term, and the successor repeats them.
+#[test]
+fn a_successor_repeats_no_run_number() {
+    for answer in [
+        StartAnswer::Withheld,
+        StartAnswer::NoRoom,
+        StartAnswer::Unhealthy,
+        StartAnswer::Late,
+    ] {
+        let (highest, run) = highest_and_next_run(answer);
+        println!("{answer:?}: {highest} then {run}");
+    }
+    let (highest, run) = highest_and_next_run(StartAnswer::NoRoom);
+    assert!(run > highest, "run {run}, and {highest} before");
+}
+
+fn highest_and_next_run(answer: StartAnswer) -> (u32, u32) {
+    let mut bench = Bench::new(1);
+    bench.submit(1, independent_tasks(1, 1000));
+    let mut store = Store::default();
+    let mut highest = 0;
+    for _ in 0..400 {
+        while bench.cell.has_new_rows() || bench.cell.has_rows(0, bench.now) {
+            let batch = bench.cell.take_batch(0, bench.now);
+            store.apply(&batch);
+            bench.cell.batch_committed(&batch);
+        }
+        bench.plan();
+        for start in bench.queue_starts() {
+            highest = highest.max(start.run);
+            let now = bench.now;
+            bench
+                .cell
+                .start_answered(start.vm, start.task, start.run, answer, now);
+        }
+        bench.advance(150);
+        bench.report(0, &[], &[]);
+        bench.cell.tick(bench.now);
+    }
+    let now = bench.now;
+    let mut next = Bench::with_term(1, 2);
+    next.now = now;
+    next.cell = Cell::new(Limits::default(), 2, now, now);
+    next.vms = vec![next.cell.vm_listed(vm_info(0), now)];
+    store.restore(&mut next.cell, Millis::ZERO, now);
+    next.cell.restore_vm_list(&[vm_record(0)], now);
+    next.advance(10);
+    next.report(0, &[], &[]);
+    next.cell.tick(next.now);
+    next.commit_all();
+    next.advance(1000);
+    next.report(0, &[], &[]);
+    next.cell.tick(next.now);
+    next.commit_all();
+    next.plan();
+    (highest, next.send_starts().remove(0).run)
+}
+
+/// An entry of a later life at another address, of another writer: the VM falls silent, its lease
+/// expires, and it replies again as it was.
+#[test]
+fn late_starts_are_barred_after_an_expiry_under_a_misleading_entry() {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 60_000));
+    bench.commit_all();
+    bench.plan();
+    let start = bench.send_starts().remove(0);
+    let now = bench.now;
+    bench
+        .cell
+        .start_answered(start.vm, start.task, start.run, StartAnswer::Unknown, now);
+    bench.cell.take_orders();
+    let index = bench.index_of(start.vm);
+    let odd = VmInfo {
+        address: "127.0.0.1:1".into(),
+        ..vm_info(index)
+    };
+    bench.cell.vm_listed(odd, bench.now);
+    while bench.cell.vm(start.vm).is_some_and(|vm| !vm.runs.is_empty()) {
+        bench.advance(100);
+        bench.cell.tick(bench.now);
+    }
+    bench.vms[index] = bench.cell.vm_listed(vm_info(index), bench.now);
+    bench.cell.take_orders();
+
+    bench.report(index, &[], &[]);
+
+    let key = bench.vms[index];
+    assert_barred(&mut bench, key);
+}
