--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -129,3 +129,42 @@
         assert_eq!(world.vms_running(TASK), ["far"], "it is served again");
     });
 }
+
+/// A poll that hung is carried out late, by the VM's next life: its expiry, on the clock of the former
+/// life, gets the longest lease there is. Then the VM is cut off.
+async fn cut_off_after_a_restart(late: bool) -> Vec<String> {
+    let world = World::new();
+    store_job(&world);
+    world.add_vm("near");
+    let view = world.view();
+    let _leader = lead(&view, "entry-1", 1).await;
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(world.vms_running(TASK), ["near"]);
+    view.late_hold.set(late);
+    sleep(Duration::from_millis(1300)).await;
+    world.crash_vm("near");
+    sleep(Duration::from_millis(200)).await;
+    world.restart_vm("near");
+    sleep(Duration::from_millis(1500)).await;
+    assert_eq!(world.vms_running(TASK), ["near"], "it has started again");
+    world.add_vm("far");
+    sleep(Duration::from_millis(500)).await;
+    view.unreachable.borrow_mut().push("near".into());
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(world.vms_running(TASK), ["far"]);
+    world.overlaps.take()
+}
+
+#[test]
+fn a_restarted_vm_is_cut_off() {
+    run_paused(async {
+        assert_eq!(cut_off_after_a_restart(false).await, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_restarted_vm_is_cut_off_after_a_late_poll_of_its_former_life() {
+    run_paused(async {
+        assert_eq!(cut_off_after_a_restart(true).await, Vec::<String>::new());
+    });
+}
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -40,7 +40,7 @@
 
 struct FakeVm {
     id: CompactString,
-    started_at: Millis,
+    started_at: Cell<Millis>,
     incarnation: Cell<u64>,
     /// It has lost power.
     down: Cell<bool>,
@@ -55,7 +55,7 @@
 impl FakeVm {
     /// The VM's clock runs slow, by as much as the platform allows.
     fn clock(&self, now: Millis) -> Millis {
-        Millis(1000 + now.since(self.started_at).0 * 98 / 100)
+        Millis(1000 + now.since(self.started_at.get()).0 * 98 / 100)
     }
 
     fn end(&self, task: TaskName, run: u32, outcome: RunOutcome) {
@@ -69,6 +69,13 @@
         });
     }
 
+    /// Extends the lease, by as much as the platform allows.
+    fn extend(&self, lease: Millis, now: Millis) {
+        let longest = self.clock(now) + Millis::secs(10);
+        let lease = lease.min(longest);
+        self.lease_end.set(self.lease_end.get().max(lease));
+    }
+
     /// Ends the runs whose lease has expired.
     fn expire(&self, now: Millis) {
         if self.clock(now) > self.lease_end.get() {
@@ -95,7 +102,7 @@
     pub(crate) fn add_vm(&self, id: &str) {
         self.vms.borrow_mut().push(Rc::new(FakeVm {
             id: id.into(),
-            started_at: self.clock.now(),
+            started_at: Cell::new(self.clock.now()),
             incarnation: Cell::new(7),
             down: Cell::new(false),
             fence: Cell::new(0),
@@ -124,6 +131,7 @@
         let vms = self.vms.borrow();
         for vm in vms.iter().filter(|vm| vm.id == id) {
             vm.down.set(false);
+            vm.started_at.set(self.clock.now());
             vm.incarnation.set(vm.incarnation.get() + 1);
         }
     }
@@ -133,6 +141,7 @@
         Rc::new(View {
             world: Rc::clone(self),
             store_silent: Cell::new(false),
+            late_hold: Cell::new(false),
             advice_until: Cell::new(Millis::ZERO),
             unreachable: RefCell::default(),
         })
@@ -215,7 +224,7 @@
         if order.lease < vm.clock(now) {
             return StartAnswer::Late;
         }
-        vm.lease_end.set(vm.lease_end.get().max(order.lease));
+        vm.extend(order.lease, now);
         let elsewhere = self.vms_running(order.task);
         if !elsewhere.is_empty() {
             let overlap = format!("{} started on {}, runs on {elsewhere:?}", order.task, vm.id);
@@ -233,6 +242,8 @@
     pub(crate) world: Rc<World>,
     /// Calls to the store get no reply.
     pub(crate) store_silent: Cell<bool>,
+    /// The next poll with a lease is carried out late.
+    pub(crate) late_hold: Cell<bool>,
     /// When the advice service has handled all calls of the node so far.
     advice_until: Cell<Millis>,
     /// VMs that the node can't reach.
@@ -318,13 +329,25 @@
         wait: Millis,
     ) -> Result<Report, VmError> {
         let vm = self.reach(target, wait.duration()).await?;
+        if lease.is_some() && self.late_hold.take() {
+            // Carried out without an answer, after 2 s.
+            let (clock, fence) = (self.world.clock, target.fence);
+            let lease = lease.unwrap_or_default();
+            tokio::task::spawn_local(async move {
+                sleep(Duration::from_secs(2)).await;
+                if fence >= vm.fence.get() && !vm.down.get() {
+                    vm.extend(lease, clock.now());
+                }
+            });
+            sleep(wait.duration() + Duration::from_millis(500)).await;
+            return Err(VmError::Away);
+        }
         vm.expire(self.world.clock.now());
         if target.fence < vm.fence.get() {
             return Err(VmError::Fenced);
         }
         vm.fence.set(target.fence);
-        let lease_end = vm.lease_end.get().max(lease.unwrap_or_default());
-        vm.lease_end.set(lease_end);
+        vm.extend(lease.unwrap_or_default(), self.world.clock.now());
         vm.ends.borrow_mut().retain(|end| end.number > acked);
         sleep(wait.duration().min(Duration::from_millis(200))).await;
         if vm.down.get() {
