--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -168,3 +168,45 @@
         assert_eq!(cut_off_after_a_restart(true).await, Vec::<String>::new());
     });
 }
+
+/// A start gets no reply, its VM is cut off, and crashes. It is back as its next life, which the
+/// registry lists at once and the leader reaches 10 s after the start was sent; the start is carried out
+/// there 1.5 s later.
+async fn back_after_a_restart(restart_after: Duration) -> Vec<String> {
+    let world = World::new();
+    world.add_vm("near");
+    let view = world.view();
+    store_job(&world);
+    sleep(Duration::from_secs(60)).await;
+    let delay = Duration::from_millis(11_500);
+    view.late_start.set(Some(delay));
+    let _leader = lead(&view, "entry-1", 1).await;
+    while view.late_start.get().is_some() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    view.unreachable.borrow_mut().push("near".into());
+    world.crash_vm("near");
+    world.add_vm("far");
+    sleep(restart_after).await;
+    world.restart_vm("near");
+    sleep(Duration::from_secs(10) - restart_after).await;
+    view.unreachable.borrow_mut().clear();
+    sleep(Duration::from_secs(5)).await;
+    world.overlaps.take()
+}
+
+#[test]
+fn a_vm_that_restarts_within_its_lease_is_back_before_a_late_start() {
+    run_paused(async {
+        let overlaps = back_after_a_restart(Duration::from_secs(1)).await;
+        assert_eq!(overlaps, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_vm_that_restarts_after_its_lease_is_back_before_a_late_start() {
+    run_paused(async {
+        let overlaps = back_after_a_restart(Duration::from_secs(8)).await;
+        assert_eq!(overlaps, Vec::<String>::new());
+    });
+}
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -50,6 +50,8 @@
     runs: RefCell<Vec<(TaskName, u32)>>,
     ends: RefCell<Vec<ReportedEnd>>,
     last_end: Cell<u64>,
+    /// Runs that were stopped before they were there.
+    barred: RefCell<Vec<(TaskName, u32)>>,
 }
 
 impl FakeVm {
@@ -110,6 +112,7 @@
             runs: RefCell::default(),
             ends: RefCell::default(),
             last_end: Cell::new(0),
+            barred: RefCell::default(),
         }));
     }
 
@@ -121,6 +124,7 @@
             vm.runs.borrow_mut().clear();
             vm.ends.borrow_mut().clear();
             vm.last_end.set(0);
+            vm.barred.borrow_mut().clear();
             vm.fence.set(0);
             vm.lease_end.set(Millis::ZERO);
         }
@@ -142,6 +146,7 @@
             world: Rc::clone(self),
             store_silent: Cell::new(false),
             late_hold: Cell::new(false),
+            late_start: Cell::new(None),
             advice_until: Cell::new(Millis::ZERO),
             unreachable: RefCell::default(),
         })
@@ -225,6 +230,9 @@
             return StartAnswer::Late;
         }
         vm.extend(order.lease, now);
+        if vm.barred.borrow().contains(&(order.task, order.run)) {
+            return StartAnswer::Old;
+        }
         let elsewhere = self.vms_running(order.task);
         if !elsewhere.is_empty() {
             let overlap = format!("{} started on {}, runs on {elsewhere:?}", order.task, vm.id);
@@ -244,6 +252,8 @@
     pub(crate) store_silent: Cell<bool>,
     /// The next poll with a lease is carried out late.
     pub(crate) late_hold: Cell<bool>,
+    /// The next start is carried out as much later.
+    pub(crate) late_start: Cell<Option<Duration>>,
     /// When the advice service has handled all calls of the node so far.
     advice_until: Cell<Millis>,
     /// VMs that the node can't reach.
@@ -370,6 +380,17 @@
     }
 
     async fn start(&self, target: &VmTarget, order: &StartOrder) -> StartAnswer {
+        if let Some(delay) = self.late_start.take() {
+            let (world, target, order) = (Rc::clone(&self.world), target.clone(), order.clone());
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                let vms = world.vms.borrow().clone();
+                let vm = vms.iter().find(|vm| vm.id == target.id && !vm.down.get());
+                vm.map(|vm| world.start(vm, target.fence, &order));
+            });
+            sleep(Duration::from_millis(500)).await;
+            return StartAnswer::Unknown;
+        }
         match self.reach(target, Duration::ZERO).await {
             Ok(vm) => self.world.start(&vm, target.fence, order),
             Err(_) => StartAnswer::Unknown,
@@ -381,6 +402,7 @@
         if target.fence < vm.fence.get() {
             return Err(VmError::Fenced);
         }
+        vm.barred.borrow_mut().push((task, run));
         let mut runs = vm.runs.borrow_mut();
         if let Some(at) = runs.iter().position(|other| *other == (task, run)) {
             runs.remove(at);
