--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -210,3 +210,23 @@
         assert_eq!(overlaps, Vec::<String>::new());
     });
 }
+
+/// Transactions take half a second, reads don't, as in a busy partition: nothing is lost. Half of the
+/// transactions sent should take effect, at least.
+#[test]
+fn transactions_that_take_longer_than_reads_are_not_sent_over_and_over() {
+    run_paused(async {
+        let world = World::new();
+        world.add_vm("near");
+        let view = world.view();
+        let _leader = lead(&view, "entry-1", 1).await;
+        sleep(Duration::from_secs(3)).await;
+        world.commit_delay.set(Duration::from_millis(500));
+        sleep(Duration::from_secs(3)).await;
+        let (sent, version) = (world.commits.get(), world.version());
+        sleep(Duration::from_secs(20)).await;
+        let sent = world.commits.get() - sent;
+        let committed = world.version() - version;
+        assert!(u64::from(sent) <= 2 * committed, "{sent} sent, {committed} committed");
+    });
+}
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -34,6 +34,10 @@
     pub(crate) odd_entry: RefCell<Option<VmInfo>>,
     /// Runs that have started: time, VM and task.
     pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
+    /// How much longer than a read a transaction takes.
+    pub(crate) commit_delay: Cell<Duration>,
+    /// Transactions sent.
+    pub(crate) commits: Cell<u32>,
     /// Tasks that ran twice at the same time.
     pub(crate) overlaps: RefCell<Vec<String>>,
 }
@@ -97,6 +101,8 @@
             vms: RefCell::default(),
             odd_entry: RefCell::default(),
             starts: RefCell::default(),
+            commit_delay: Cell::default(),
+            commits: Cell::default(),
             overlaps: RefCell::default(),
         })
     }
@@ -171,6 +177,11 @@
         running.map(|vm| vm.id.clone()).collect()
     }
 
+    /// Returns the version of the newest row.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
     fn commit(&self, tx: &Tx) -> Commit {
         let key = |table: Table, key: &CompactString| (tx.part.clone(), table, key.clone());
         let mut rows = self.rows.borrow_mut();
@@ -286,8 +297,17 @@
             sleep(timeout.duration()).await;
             return Commit::Unknown;
         }
-        sleep(ROUND_TRIP).await;
-        self.world.commit(tx)
+        self.world.commits.set(self.world.commits.get() + 1);
+        let (world, tx) = (Rc::clone(&self.world), tx.clone());
+        // It is carried out whether or not the caller waits for it.
+        let call = tokio::task::spawn_local(async move {
+            sleep(ROUND_TRIP + world.commit_delay.get()).await;
+            world.commit(&tx)
+        });
+        match tokio::time::timeout(timeout.duration(), call).await {
+            Ok(Ok(commit)) => commit,
+            _ => Commit::Unknown,
+        }
     }
 
     async fn scan(&self, table: Table, part: &str, from: &str, _: u32) -> Result<Page, StoreError> {
