--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -129,3 +129,104 @@
         assert_eq!(world.vms_running(TASK), ["far"], "it is served again");
     });
 }
+
+/// A poll that hung is carried out late, by the VM's next life: its expiry, on the clock of the former
+/// life, gets the longest lease there is. Then the VM is cut off.
+async fn cut_off_after_a_restart(late: bool) -> Vec<String> {
+    let world = World::new();
+    store_job(&world);
+    world.add_vm("near");
+    let view = world.view();
+    let _leader = lead(&view, "entry-1", 1).await;
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(world.vms_running(TASK), ["near"]);
+    view.late_hold.set(late);
+    sleep(Duration::from_millis(1300)).await;
+    world.crash_vm("near");
+    sleep(Duration::from_millis(200)).await;
+    world.restart_vm("near");
+    sleep(Duration::from_millis(1500)).await;
+    assert_eq!(world.vms_running(TASK), ["near"], "it has started again");
+    world.add_vm("far");
+    sleep(Duration::from_millis(500)).await;
+    view.unreachable.borrow_mut().push("near".into());
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(world.vms_running(TASK), ["far"]);
+    world.overlaps.take()
+}
+
+#[test]
+fn a_restarted_vm_is_cut_off() {
+    run_paused(async {
+        assert_eq!(cut_off_after_a_restart(false).await, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_restarted_vm_is_cut_off_after_a_late_poll_of_its_former_life() {
+    run_paused(async {
+        assert_eq!(cut_off_after_a_restart(true).await, Vec::<String>::new());
+    });
+}
+
+/// A start gets no reply, its VM is cut off, and crashes. It is back as its next life, which the
+/// registry lists at once and the leader reaches 10 s after the start was sent; the start is carried out
+/// there 1.5 s later.
+async fn back_after_a_restart(restart_after: Duration) -> Vec<String> {
+    let world = World::new();
+    world.add_vm("near");
+    let view = world.view();
+    store_job(&world);
+    sleep(Duration::from_secs(60)).await;
+    let delay = Duration::from_millis(11_500);
+    view.late_start.set(Some(delay));
+    let _leader = lead(&view, "entry-1", 1).await;
+    while view.late_start.get().is_some() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    view.unreachable.borrow_mut().push("near".into());
+    world.crash_vm("near");
+    world.add_vm("far");
+    sleep(restart_after).await;
+    world.restart_vm("near");
+    sleep(Duration::from_secs(10) - restart_after).await;
+    view.unreachable.borrow_mut().clear();
+    sleep(Duration::from_secs(5)).await;
+    world.overlaps.take()
+}
+
+#[test]
+fn a_vm_that_restarts_within_its_lease_is_back_before_a_late_start() {
+    run_paused(async {
+        let overlaps = back_after_a_restart(Duration::from_secs(1)).await;
+        assert_eq!(overlaps, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_vm_that_restarts_after_its_lease_is_back_before_a_late_start() {
+    run_paused(async {
+        let overlaps = back_after_a_restart(Duration::from_secs(8)).await;
+        assert_eq!(overlaps, Vec::<String>::new());
+    });
+}
+
+/// Transactions take half a second, reads don't, as in a busy partition: nothing is lost. Half of the
+/// transactions sent should take effect, at least.
+#[test]
+fn transactions_that_take_longer_than_reads_are_not_sent_over_and_over() {
+    run_paused(async {
+        let world = World::new();
+        world.add_vm("near");
+        let view = world.view();
+        let _leader = lead(&view, "entry-1", 1).await;
+        sleep(Duration::from_secs(3)).await;
+        world.commit_delay.set(Duration::from_millis(500));
+        sleep(Duration::from_secs(3)).await;
+        let (sent, version) = (world.commits.get(), world.version());
+        sleep(Duration::from_secs(20)).await;
+        let sent = world.commits.get() - sent;
+        let committed = world.version() - version;
+        assert!(u64::from(sent) <= 2 * committed, "{sent} sent, {committed} committed");
+    });
+}
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -34,13 +34,17 @@
     pub(crate) odd_entry: RefCell<Option<VmInfo>>,
     /// Runs that have started: time, VM and task.
     pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
+    /// How much longer than a read a transaction takes.
+    pub(crate) commit_delay: Cell<Duration>,
+    /// Transactions sent.
+    pub(crate) commits: Cell<u32>,
     /// Tasks that ran twice at the same time.
     pub(crate) overlaps: RefCell<Vec<String>>,
 }
 
 struct FakeVm {
     id: CompactString,
-    started_at: Millis,
+    started_at: Cell<Millis>,
     incarnation: Cell<u64>,
     /// It has lost power.
     down: Cell<bool>,
@@ -50,12 +54,14 @@
     runs: RefCell<Vec<(TaskName, u32)>>,
     ends: RefCell<Vec<ReportedEnd>>,
     last_end: Cell<u64>,
+    /// Runs that were stopped before they were there.
+    barred: RefCell<Vec<(TaskName, u32)>>,
 }
 
 impl FakeVm {
     /// The VM's clock runs slow, by as much as the platform allows.
     fn clock(&self, now: Millis) -> Millis {
-        Millis(1000 + now.since(self.started_at).0 * 98 / 100)
+        Millis(1000 + now.since(self.started_at.get()).0 * 98 / 100)
     }
 
     fn end(&self, task: TaskName, run: u32, outcome: RunOutcome) {
@@ -69,6 +75,13 @@
         });
     }
 
+    /// Extends the lease, by as much as the platform allows.
+    fn extend(&self, lease: Millis, now: Millis) {
+        let longest = self.clock(now) + Millis::secs(10);
+        let lease = lease.min(longest);
+        self.lease_end.set(self.lease_end.get().max(lease));
+    }
+
     /// Ends the runs whose lease has expired.
     fn expire(&self, now: Millis) {
         if self.clock(now) > self.lease_end.get() {
@@ -88,6 +101,8 @@
             vms: RefCell::default(),
             odd_entry: RefCell::default(),
             starts: RefCell::default(),
+            commit_delay: Cell::default(),
+            commits: Cell::default(),
             overlaps: RefCell::default(),
         })
     }
@@ -95,7 +110,7 @@
     pub(crate) fn add_vm(&self, id: &str) {
         self.vms.borrow_mut().push(Rc::new(FakeVm {
             id: id.into(),
-            started_at: self.clock.now(),
+            started_at: Cell::new(self.clock.now()),
             incarnation: Cell::new(7),
             down: Cell::new(false),
             fence: Cell::new(0),
@@ -103,6 +118,7 @@
             runs: RefCell::default(),
             ends: RefCell::default(),
             last_end: Cell::new(0),
+            barred: RefCell::default(),
         }));
     }
 
@@ -114,6 +130,7 @@
             vm.runs.borrow_mut().clear();
             vm.ends.borrow_mut().clear();
             vm.last_end.set(0);
+            vm.barred.borrow_mut().clear();
             vm.fence.set(0);
             vm.lease_end.set(Millis::ZERO);
         }
@@ -124,6 +141,7 @@
         let vms = self.vms.borrow();
         for vm in vms.iter().filter(|vm| vm.id == id) {
             vm.down.set(false);
+            vm.started_at.set(self.clock.now());
             vm.incarnation.set(vm.incarnation.get() + 1);
         }
     }
@@ -133,6 +151,8 @@
         Rc::new(View {
             world: Rc::clone(self),
             store_silent: Cell::new(false),
+            late_hold: Cell::new(false),
+            late_start: Cell::new(None),
             advice_until: Cell::new(Millis::ZERO),
             unreachable: RefCell::default(),
         })
@@ -157,6 +177,11 @@
         running.map(|vm| vm.id.clone()).collect()
     }
 
+    /// Returns the version of the newest row.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
     fn commit(&self, tx: &Tx) -> Commit {
         let key = |table: Table, key: &CompactString| (tx.part.clone(), table, key.clone());
         let mut rows = self.rows.borrow_mut();
@@ -215,7 +240,10 @@
         if order.lease < vm.clock(now) {
             return StartAnswer::Late;
         }
-        vm.lease_end.set(vm.lease_end.get().max(order.lease));
+        vm.extend(order.lease, now);
+        if vm.barred.borrow().contains(&(order.task, order.run)) {
+            return StartAnswer::Old;
+        }
         let elsewhere = self.vms_running(order.task);
         if !elsewhere.is_empty() {
             let overlap = format!("{} started on {}, runs on {elsewhere:?}", order.task, vm.id);
@@ -233,6 +261,10 @@
     pub(crate) world: Rc<World>,
     /// Calls to the store get no reply.
     pub(crate) store_silent: Cell<bool>,
+    /// The next poll with a lease is carried out late.
+    pub(crate) late_hold: Cell<bool>,
+    /// The next start is carried out as much later.
+    pub(crate) late_start: Cell<Option<Duration>>,
     /// When the advice service has handled all calls of the node so far.
     advice_until: Cell<Millis>,
     /// VMs that the node can't reach.
@@ -265,8 +297,17 @@
             sleep(timeout.duration()).await;
             return Commit::Unknown;
         }
-        sleep(ROUND_TRIP).await;
-        self.world.commit(tx)
+        self.world.commits.set(self.world.commits.get() + 1);
+        let (world, tx) = (Rc::clone(&self.world), tx.clone());
+        // It is carried out whether or not the caller waits for it.
+        let call = tokio::task::spawn_local(async move {
+            sleep(ROUND_TRIP + world.commit_delay.get()).await;
+            world.commit(&tx)
+        });
+        match tokio::time::timeout(timeout.duration(), call).await {
+            Ok(Ok(commit)) => commit,
+            _ => Commit::Unknown,
+        }
     }
 
     async fn scan(&self, table: Table, part: &str, from: &str, _: u32) -> Result<Page, StoreError> {
@@ -318,13 +359,25 @@
         wait: Millis,
     ) -> Result<Report, VmError> {
         let vm = self.reach(target, wait.duration()).await?;
+        if lease.is_some() && self.late_hold.take() {
+            // Carried out without an answer, after 2 s.
+            let (clock, fence) = (self.world.clock, target.fence);
+            let lease = lease.unwrap_or_default();
+            tokio::task::spawn_local(async move {
+                sleep(Duration::from_secs(2)).await;
+                if fence >= vm.fence.get() && !vm.down.get() {
+                    vm.extend(lease, clock.now());
+                }
+            });
+            sleep(wait.duration() + Duration::from_millis(500)).await;
+            return Err(VmError::Away);
+        }
         vm.expire(self.world.clock.now());
         if target.fence < vm.fence.get() {
             return Err(VmError::Fenced);
         }
         vm.fence.set(target.fence);
-        let lease_end = vm.lease_end.get().max(lease.unwrap_or_default());
-        vm.lease_end.set(lease_end);
+        vm.extend(lease.unwrap_or_default(), self.world.clock.now());
         vm.ends.borrow_mut().retain(|end| end.number > acked);
         sleep(wait.duration().min(Duration::from_millis(200))).await;
         if vm.down.get() {
@@ -347,6 +400,17 @@
     }
 
     async fn start(&self, target: &VmTarget, order: &StartOrder) -> StartAnswer {
+        if let Some(delay) = self.late_start.take() {
+            let (world, target, order) = (Rc::clone(&self.world), target.clone(), order.clone());
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                let vms = world.vms.borrow().clone();
+                let vm = vms.iter().find(|vm| vm.id == target.id && !vm.down.get());
+                vm.map(|vm| world.start(vm, target.fence, &order));
+            });
+            sleep(Duration::from_millis(500)).await;
+            return StartAnswer::Unknown;
+        }
         match self.reach(target, Duration::ZERO).await {
             Ok(vm) => self.world.start(&vm, target.fence, order),
             Err(_) => StartAnswer::Unknown,
@@ -358,6 +422,7 @@
         if target.fence < vm.fence.get() {
             return Err(VmError::Fenced);
         }
+        vm.barred.borrow_mut().push((task, run));
         let mut runs = vm.runs.borrow_mut();
         if let Some(at) = runs.iter().position(|other| *other == (task, run)) {
             runs.remove(at);
