cell: keep late starts and the longest lease in mind across lives of a VM

Found by a review of the fixes, with tests that failed: a start without a reply that may still be carried out was forgotten when its VM restarted after its lease, when an entry for another address was settled, and when the VM had been out of the registry for 10 s; and a VM's next life could hold a longer lease than assumed, from a call meant for the former one.

Seven tests in next_life.rs and one in two_leaders.rs failed before and hold now.

--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -39,10 +39,16 @@
 
     /// Replaces a VM without runs by another life of it, or one at another address.
     fn replace_vm(&mut self, key: VmKey, info: VmInfo) -> VmKey {
-        let may_be_stopping = self.vms[key].may_be_stopping;
+        let former = &mut self.vms[key];
+        let may_be_stopping = former.may_be_stopping;
+        let late_starts = std::mem::take(&mut former.late_starts);
+        let had_former_life = former.had_former_life || former.info.incarnation < info.incarnation;
         self.remove_vm(key);
         let key = self.add_vm(info);
-        self.vms[key].may_be_stopping = may_be_stopping;
+        let vm = &mut self.vms[key];
+        vm.may_be_stopping = may_be_stopping;
+        vm.late_starts = late_starts;
+        vm.had_former_life = had_former_life;
         key
     }
 
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -35,13 +35,13 @@
         if !vm.fenced {
             vm.fenced = true;
             self.plan_needed = true;
-            // The previous leader may have requested a lease up to this time. Runs known before the
-            // first report were ordered with a lease on the clock of the previous incarnation, of
-            // which the new one grants as much as it can.
-            let lease = if vm.runs.is_empty() {
-                self.limits.lease_ttl
-            } else {
+            // The previous leader may have requested a lease up to this time. A call meant for a former
+            // life may have requested one on that life's clock, of which this life grants as much as
+            // it can.
+            let lease = if vm.had_former_life {
                 self.limits.lease_max
+            } else {
+                self.limits.lease_ttl
             };
             vm.lease_end = vm.lease_end.max(report.clock + lease);
             if std::mem::take(&mut vm.may_be_stopping) {
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -349,6 +349,8 @@
     pub runs: Vec<VmRun>,
     /// Runs that were released although their starts may still be carried out.
     pub late_starts: Vec<LateStart>,
+    /// Set if the scheduler knew a former life of the VM.
+    pub had_former_life: bool,
     /// Number of the last end applied.
     pub last_end: u64,
     /// Ends up to this number are durable or need no row, and may be acknowledged.
@@ -391,6 +393,7 @@
             used: Size::ZERO,
             runs: Vec::new(),
             late_starts: Vec::new(),
+            had_former_life: false,
             last_end: 0,
             durable_end: 0,
             pending_ends: VecDeque::new(),
--- a/crates/dotterel-cell/tests/cell/review.rs
+++ b/crates/dotterel-cell/tests/cell/next_life.rs
@@ -4,8 +4,7 @@
 use dotterel_kernel::Millis;
 
 use crate::support::{
-    Bench, Start, Store, independent_tasks, restarted_info, running, task, vm_info,
-    vm_record,
+    Bench, Start, Store, independent_tasks, restarted_info, running, task, vm_info, vm_record,
 };
 
 /// Longest lease that a VM grants by default, on a clock that is 2 % slow.
@@ -91,7 +90,9 @@
     let (mut bench, late, sent_at) = with_late_start();
     let index = bench.index_of(late.vm);
     // It had left the registry just after the start was sent.
-    bench.cell.vm_unlisted(&vm_info(index).id, sent_at + Millis(100));
+    bench
+        .cell
+        .vm_unlisted(&vm_info(index).id, sent_at + Millis(100));
     bench.now = sent_at + Millis(11_500);
     bench.cell.tick(bench.now);
     bench.vms[index] = bench.cell.vm_listed(vm_info(index), bench.now);
@@ -248,7 +249,11 @@
         ..vm_info(index)
     };
     bench.cell.vm_listed(odd, bench.now);
-    while bench.cell.vm(start.vm).is_some_and(|vm| !vm.runs.is_empty()) {
+    while bench
+        .cell
+        .vm(start.vm)
+        .is_some_and(|vm| !vm.runs.is_empty())
+    {
         bench.advance(100);
         bench.cell.tick(bench.now);
     }
