node: tell slow from lost transactions, and takeovers of one node apart

A store whose writes take long and whose reads don't was sent each transaction four times (99 sent, 24 committed in the test): a transaction that was taken for lost and found to be committed later now makes the next probes wait longer, until the store replies quickly again. A transaction found by a read no longer counts as slow itself.

A node's second attempt for a term wrote the same leader row as its first, whose late execution then passed for the second one with a later start of the leader's lease; the row now says when its takeover was sent. Only a later process on the predecessor's node shows that it is gone, not any other. A leader that hands over while the store is away goes on extending leases within its bound.

--- a/crates/dotterel-node/src/commit_probe.rs
+++ b/crates/dotterel-node/src/commit_probe.rs
@@ -11,7 +11,11 @@
 use crate::platform::{Platform, Row, Table};
 
 /// Reads begin this long after the transaction was sent: several times its usual duration.
-const PROBE_DELAY: Millis = Millis(120);
+pub(crate) const PROBE_DELAY: Millis = Millis(120);
+/// After this many attempts that were taken for lost, further ones double the delay as well.
+const QUICK_ATTEMPTS: u32 = 2;
+/// How often that delay doubles at most.
+const MAX_DOUBLINGS: u32 = 4;
 /// Pause after a read that shows nothing.
 const PROBE_INTERVAL: Millis = Millis(50);
 /// A transaction without a reply counts as lost if it was sent this many times as long ago as a read
@@ -40,7 +44,12 @@
     /// Timeout of each read.
     pub(crate) timeout: Millis,
     /// Set while the last read has failed; outlasts an attempt.
-    pub(crate) failed: &'a Cell<bool>,
+    pub(crate) failed: Cell<bool>,
+    /// How many attempts have been taken for lost.
+    pub(crate) losses: Cell<u32>,
+    /// The same of an earlier transaction that turned out to have been slow: each one doubles the delay
+    /// of the probes.
+    pub(crate) slowness: u32,
 }
 
 impl<P: Platform> CommitProbe<'_, P> {
@@ -49,7 +58,8 @@
     pub(crate) async fn wait(&self, is_own: impl Fn(&Row) -> bool) -> Probe {
         let sent_at = self.clock.now();
         if !self.failed.get() {
-            sleep(PROBE_DELAY.duration()).await;
+            let slowness = self.slowness + self.losses.get().saturating_sub(QUICK_ATTEMPTS);
+            sleep(PROBE_DELAY.duration() * 2u32.pow(slowness.min(MAX_DOUBLINGS))).await;
         }
         loop {
             let probed_at = self.clock.now();
@@ -68,6 +78,7 @@
             }
             let now = self.clock.now();
             if now.since(probed_at).0 * LOST_REPLY_FACTOR <= now.since(sent_at).0 {
+                self.losses.set(self.losses.get() + 1);
                 return Probe::Lost;
             }
             sleep(PROBE_INTERVAL.duration()).await;
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -245,11 +245,13 @@
             return;
         }
         let term = rows.leader.as_ref().map_or(0, |(leader, _)| leader.term) + 1;
+        let sent_at = self.clock.now_with_suspension();
         let leader = LeaderRow {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
             address: compact_str::format_compact!("{}", self.settings.peer),
             term,
+            acquired_at: sent_at,
             released: false,
             largest_node: if rows.leader.is_some() {
                 largest.max(own_size)
@@ -275,7 +277,6 @@
             ],
             removes: Vec::new(),
         };
-        let sent_at = self.clock.now_with_suspension();
         match self.commit_takeover(&tx, &leader).await {
             Commit::Done(version) => {
                 log::info!(
@@ -299,14 +300,15 @@
         let is_own = |row: &Row| {
             dotterel_cell::record::decode::<LeaderRow>(&row.value).as_ref() == Some(leader)
         };
-        let probe_failed = Cell::new(false);
         let probe = CommitProbe {
             platform: &*self.platform,
             clock: self.clock,
             part: &tx.part,
             key: LEADER_KEY,
             timeout: WATCH_READ_TIMEOUT,
-            failed: &probe_failed,
+            failed: Cell::new(false),
+            losses: Cell::new(0),
+            slowness: 0,
         };
         for _ in 0..MAX_TAKEOVER_ATTEMPTS {
             let commit = tokio::select! {
--- a/crates/dotterel-node/src/election/rows.rs
+++ b/crates/dotterel-node/src/election/rows.rs
@@ -1,6 +1,7 @@
 //! The store rows that record the leader of a cell.
 
 use compact_str::CompactString;
+use dotterel_kernel::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::platform::Row;
@@ -24,6 +25,9 @@
     pub address: CompactString,
     /// Incremented by each takeover.
     pub term: u32,
+    /// When its takeover was first sent. It tells the takeovers of a node apart that try for the same
+    /// term.
+    pub acquired_at: Millis,
     /// Set when the leader has released its leadership.
     pub released: bool,
     /// Size of the largest node that has led the cell, or to which a smaller leader has yielded, in
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -129,6 +129,9 @@
     busy_since: RefCell<[Option<Millis>; LANES as usize]>,
     /// Duration of the last transaction, without attempts that got no reply.
     commit_time: StdCell<Millis>,
+    /// How many attempts of a transaction were taken for lost that was only slow; zero once the store
+    /// has replied quickly.
+    store_slowness: StdCell<u32>,
     /// When the term began.
     started_at: Millis,
     /// Size of the largest known node, in thousandths of a core.
@@ -356,18 +359,15 @@
         }
     }
 
-    /// Returns for how long leases on VMs may last. A leader that hands over extends none.
+    /// Returns for how long leases on VMs may last.
     fn leadership_remaining(&self) -> Millis {
-        if self.releasing.get() {
-            return Millis::ZERO;
-        }
         let now = self.clock.now_with_suspension();
         self.leadership.get().remaining(&self.settings.limits, now)
     }
 
     /// Returns true if starting runs is pointless or not allowed for now.
     fn may_not_start(&self) -> bool {
-        self.is_unconfirmed() || self.leadership_remaining() == Millis::ZERO
+        self.releasing.get() || self.is_unconfirmed() || self.leadership_remaining() == Millis::ZERO
     }
 
     fn is_unconfirmed(&self) -> bool {
--- a/crates/dotterel-node/src/scheduler/host.rs
+++ b/crates/dotterel-node/src/scheduler/host.rs
@@ -95,6 +95,7 @@
             vm_wakeup: Notify::new(),
             busy_since: RefCell::default(),
             commit_time: StdCell::new(Millis::ZERO),
+            store_slowness: StdCell::new(0),
             started_at: now,
             largest_node: StdCell::new(self.settings.milli_cores),
             renewed_at: StdCell::new(now),
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -61,13 +61,13 @@
         self.fail_advice_calls(id);
     }
 
-    /// Notes which process runs on a node: another one than the predecessor on its node shows that the
+    /// Notes which process runs on a node: a later one than the predecessor on its node shows that the
     /// predecessor is gone.
     pub(super) fn note_process(&self, node: &str, incarnation: u64) {
         let is_successor = self
             .predecessor
             .as_ref()
-            .is_some_and(|gone| gone.node == node && gone.incarnation != incarnation);
+            .is_some_and(|gone| gone.node == node && gone.incarnation < incarnation);
         if is_successor {
             let now = self.clock.now();
             self.cell.borrow_mut().predecessor_gone(now);
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -115,14 +115,15 @@
         };
         let mut expected = 0;
         let part = self.cell_no.part(lane);
-        let probe_failed = StdCell::new(false);
         let probe = CommitProbe {
             platform: &*self.platform,
             clock: self.clock,
             part: &part,
             key: LEADER_KEY,
             timeout: FENCE_TIMEOUT,
-            failed: &probe_failed,
+            failed: StdCell::new(false),
+            losses: StdCell::new(0),
+            slowness: 0,
         };
         let is_own = |row: &Row| decode::<LeaderRow>(&row.value).as_ref() == Some(&self.leader);
         loop {
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use super::Scheduler;
-use crate::commit_probe::{CommitProbe, Probe};
+use crate::commit_probe::{CommitProbe, PROBE_DELAY, Probe};
 use crate::election::{LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
 use crate::link::Reply;
 use crate::platform::{Commit, Platform, Row, Table, Tx};
@@ -204,22 +204,27 @@
         let mut commit_timeout = COMMIT_TIMEOUT.max(slow_timeout);
         let mut is_rejected = true;
         let mut lost_replies = 0;
-        let probe_failed = StdCell::new(false);
         let probe = CommitProbe {
             platform: &*self.platform,
             clock: self.clock,
             part: &tx.part,
             key: RENEWAL_KEY,
             timeout: PROBE_TIMEOUT.max(self.commit_time.get()),
-            failed: &probe_failed,
+            failed: StdCell::new(false),
+            losses: StdCell::new(0),
+            slowness: self.store_slowness.get(),
         };
         let is_own = |row: &Row| self.is_own_renewal(row, count);
         loop {
             let sent_at = self.clock.now();
+            let mut duration_known = true;
             let commit = tokio::select! {
                 commit = self.platform.commit(tx, commit_timeout) => commit,
                 shown = probe.wait(is_own) => match shown {
-                    Probe::Committed(version) => Commit::Done(version),
+                    Probe::Committed(version) => {
+                        duration_known = false;
+                        Commit::Done(version)
+                    }
                     Probe::Revived => Commit::Unknown,
                     Probe::Lost => {
                         is_rejected = false;
@@ -243,7 +248,16 @@
                 }
             };
             if let Some(outcome) = result {
-                self.commit_time.set(now.since(sent_at));
+                let duration = now.since(sent_at);
+                if duration_known {
+                    self.commit_time.set(duration);
+                    if duration < PROBE_DELAY {
+                        self.store_slowness.set(0);
+                    }
+                } else if probe.losses.get() > 0 {
+                    // Taken for lost, and found to be committed later on.
+                    self.store_slowness.set(probe.losses.get());
+                }
                 if let Some(since) = self.unavailable_since.take() {
                     let away_ms = now.since(since).0;
                     log::info!(cell = self.cell_no.0, away_ms; "store available again");
--- a/crates/dotterel-node/tests/scheduler/outages.rs
+++ b/crates/dotterel-node/tests/scheduler/outages.rs
@@ -199,6 +199,7 @@
             incarnation: 1,
             address: format_compact!("{address}"),
             term: 2,
+            acquired_at: Millis::ZERO,
             released: false,
             largest_node: 1000,
         };
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -356,6 +356,7 @@
         incarnation: 1,
         address: address.into(),
         term: 1,
+        acquired_at: Millis::ZERO,
         released: false,
         largest_node: 1000,
     };
@@ -394,6 +395,7 @@
             incarnation: 1,
             address: CompactString::default(),
             term: 1,
+            acquired_at: Millis::ZERO,
             released: false,
             largest_node: 1000,
         },
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -64,6 +64,7 @@
         incarnation: 1,
         address: "127.0.0.1:1".into(),
         term,
+        acquired_at: Millis::ZERO,
         released: false,
         largest_node: 1000,
     };
@@ -227,6 +228,9 @@
         sleep(Duration::from_secs(20)).await;
         let sent = world.commits.get() - sent;
         let committed = world.version() - version;
-        assert!(u64::from(sent) <= 2 * committed, "{sent} sent, {committed} committed");
+        assert!(
+            u64::from(sent) <= 2 * committed,
+            "{sent} sent, {committed} committed"
+        );
     });
 }
