--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -97,8 +97,9 @@
     /// Returns the lease to request from a VM: its expiry on the VM's clock. It lasts for at most
     /// `leadership`, the remaining time of the leader's own lease.
     ///
-    /// Returns `None` before the VM's first reply, until late starts are barred there, and while it is unresponsive: it may process
-    /// requests without replying, and renewals would keep its lease from ever expiring.
+    /// Returns `None` before the VM's first reply, until late starts are barred there, and while it is
+    /// unresponsive: it may process requests without replying, and renewals would keep its lease from
+    /// ever expiring.
     pub fn extend_lease(&mut self, key: VmKey, leadership: Millis, now: Millis) -> Option<Millis> {
         let lease = self.limits.lease_ttl.min(leadership);
         let vm = self.vms.get_mut(key)?;
