cell: look at the runs of a VM less often in a plan

Plans went through all runs of all VMs to find those that are behind with their orders, and for each step to judge probes of VMs that aren't probed. The first is done in the tick now, the second only for VMs under probation; reports look each run up once. Decisions are the same, but for the age of the first.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -224,7 +224,7 @@
     pub(crate) advisers: Vec<Adviser>,
     /// Capacity held in this planning pass for steps that come earlier in the queue.
     pub(crate) held: SecondaryMap<VmKey, Size>,
-    /// VMs that were behind with their orders at the start of this planning pass.
+    /// VMs that were behind with their orders at the last tick.
     pub(crate) late_vms: SecondaryMap<VmKey, ()>,
     /// Capacity reserved by gangs in recent planning passes.
     pub(crate) reserved: SecondaryMap<VmKey, Size>,
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -114,13 +114,14 @@
 
     fn apply_running(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
         let vm = &self.vms[key];
-        let known = vm.find(reported.task, reported.run);
+        let mut known = vm.find(reported.task, reported.run);
         if known.is_some_and(|at| vm.runs[at].phase == RunPhase::Ended) {
             // It has started late, and no longer counts towards the VM's capacity.
             self.release(key, reported.task, reported.run);
+            known = None;
         }
         let vm = &mut self.vms[key];
-        if let Some(at) = vm.find(reported.task, reported.run) {
+        if let Some(at) = known {
             let vm_run = &mut vm.runs[at];
             vm_run.reported = true;
             if vm_run.phase == RunPhase::Starting {
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -26,6 +26,7 @@
         self.settle_losses(now);
         self.cancel_unusable_held_starts(now);
         self.withdraw_unwanted_starts(now);
+        self.collect_late_vms(now);
         self.guarded_rate.update(now);
         self.update_vm_list();
         self.retry_stops(now);
--- a/crates/dotterel-cell/src/health.rs
+++ b/crates/dotterel-cell/src/health.rs
@@ -23,7 +23,7 @@
 
 /// What the runs on a VM show about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeState {
+enum ProbeState {
     /// Nothing has been started since the last ejection ended.
     None,
     /// A probe has not shown anything yet.
@@ -65,9 +65,7 @@
         *self = Self::default();
     }
 
-    /// Returns what the runs on the VM show.
-    #[must_use]
-    pub fn probe_state(&self, runs: &[VmRun], now: Millis) -> ProbeState {
+    fn probe_state(&self, runs: &[VmRun], now: Millis) -> ProbeState {
         let mut state = ProbeState::None;
         for vm_run in runs
             .iter()
@@ -82,13 +80,13 @@
         state
     }
 
-    /// Returns true if the VM may be given another task.
+    /// Returns true if the VM may be given another task beside these runs.
     #[must_use]
-    pub fn accepts_task(&self, probe: ProbeState, now: Millis) -> bool {
+    pub fn accepts_task(&self, runs: &[VmRun], now: Millis) -> bool {
         if now < self.ejected_until {
             return false;
         }
-        !self.probing || probe != ProbeState::Pending
+        !self.probing || self.probe_state(runs, now) != ProbeState::Pending
     }
 
     fn eject(&mut self, now: Millis) {
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -71,7 +71,6 @@
         self.plan_needed = false;
         self.prune_open_steps();
         self.held.clear();
-        self.collect_late_vms(now);
         self.collect_reserved(now);
         self.update_risk_budget(now);
         let mut queue = self.ranked_queue(now);
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -458,8 +458,7 @@
     /// Returns false while the VM is ejected, or is being probed.
     #[must_use]
     pub fn accepts_task(&self, now: Millis) -> bool {
-        let probe = self.health.probe_state(&self.runs, now);
-        self.health.accepts_task(probe, now)
+        self.health.accepts_task(&self.runs, now)
     }
 
     /// Returns the free capacity.
