Read-through: log what a probe of the store finds, and say what a wait doesn't cover

Transactions that were sent again after a lost reply left no line in the log. The module on leadership said that every lease is waited for, which doesn't hold for a call that reaches a VM's next life. A constant without a comment of its own, a doubled condition, and a platform's header name in a test. No decision changes.

--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -10,9 +10,9 @@
 /// Interval between retries of an unacknowledged stop: slightly more than a round trip between
 /// regions plus the call's timeout.
 pub(super) const STOP_RETRY_INTERVAL: Millis = Millis(700);
-/// Time after which an idle VM that left the registry is removed, and the same while starts without a
-/// reply may still be carried out there, which can take seconds.
+/// Time after which an idle VM that left the registry is removed.
 const UNLISTED_VM_RETENTION: Millis = Millis::secs(10);
+/// The same while starts without a reply may still be carried out there, which can take seconds.
 const LATE_START_RETENTION: Millis = Millis::secs(30);
 /// Time after a takeover for VMs to report the members of a gang.
 const GANG_RECOVERY_TIMEOUT: Millis = Millis(1500);
--- a/crates/dotterel-cell/src/leadership.rs
+++ b/crates/dotterel-cell/src/leadership.rs
@@ -3,8 +3,9 @@
 //!
 //! A takeover makes every later renewal of the predecessor fail, so the last renewal that succeeded was
 //! sent before the takeover. The predecessor requests no lease beyond `leadership_ttl` after it sent
-//! that renewal. A successor that counts the same time from its own takeover therefore waits for
-//! every lease, whatever happened to the messages of either.
+//! that renewal. A successor that counts the same time from its own takeover, or from when it first saw
+//! the renewal row that its takeover expects unchanged, therefore waits for every lease. Messages may
+//! be lost or late; a call that reaches the next life of a restarted VM isn't covered.
 
 use dotterel_kernel::Millis;
 
--- a/crates/dotterel-node/src/commit_probe.rs
+++ b/crates/dotterel-node/src/commit_probe.rs
@@ -71,14 +71,19 @@
             };
             let row = page.rows.iter().find(|row| row.key == self.key);
             if let Some(row) = row.filter(|row| is_own(row)) {
+                log::info!(part = self.part; "reply lost, transaction is committed");
                 return Probe::Committed(row.version);
             }
             if self.failed.replace(false) {
+                log::info!(part = self.part; "store replies again, sending the transaction again");
                 return Probe::Revived;
             }
             let now = self.clock.now();
             if now.since(probed_at).0 * LOST_REPLY_FACTOR <= now.since(sent_at).0 {
                 self.losses.set(self.losses.get() + 1);
+                log::info!(
+                    part = self.part, losses = self.losses.get();
+                    "transaction lost, sending it again");
                 return Probe::Lost;
             }
             sleep(PROBE_INTERVAL.duration()).await;
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -67,6 +67,7 @@
 const SMALL_NODE_DELAY: Millis = Millis(300);
 /// Size assumed for the largest node, in thousandths of a core, until a leader has been recorded.
 const DEFAULT_MILLI_CORES: u32 = 500;
+
 /// Why a link to the leader ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkLoss {
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -219,8 +219,6 @@
         }
         if lease.is_some() {
             self.note_extended_lease();
-        }
-        if lease.is_some() {
             wait = HOLD_WAIT;
         }
         if session.has_more_ends {
--- a/crates/dotterel-node/tests/client.rs
+++ b/crates/dotterel-node/tests/client.rs
@@ -97,7 +97,7 @@
             }
         });
         let call = || Call {
-            header: Some(("Expect-Instance", "i\n1")),
+            header: Some(("X-Target", "i\n1")),
             ..get(&address)
         };
         let mut connection = Connection::open(&address)
