cell: give up a silent VM only once the leadership is renewed

What callers saw: a task ran twice, or started again after it was done and the end had been acknowledged.

Cause: a leader that is cut off from the store may have been replaced without noticing. It counted the lease on a VM that it couldn't reach as expired, 4.4 s after its last reply or when its wait after the takeover was over, and started the tasks elsewhere as long as its own lease of 6.5 s lasted. Its successor reached that VM, had extended the lease there, and had counted ends of the same runs. The class: an expiry that holds only as long as nobody else extends the lease.

A lease now counts as expired, and a takeover's wait as over, only once a renewal of the leadership that was sent after the expiry has succeeded. Nobody else had taken over until then, so nobody had extended the lease. The renewal is sent at once when a tick finds that one is needed, so that it costs a transaction's time, and nothing is released while the store is away.

Evidence, each seen failing with the condition taken out: two_leaders::a_leader_without_the_store_gives_up_no_vm_that_its_successor_may_reach and confirmation::a_leader_that_is_not_renewed_releases_no_runs_of_silent_vms, a_renewal_sent_before_the_lease_expired_shows_nothing, a_successor_that_is_not_renewed_stops_waiting_for_no_vm. Bench::advance of the tests of the cell now renews the leadership, as a healthy leader does; the property of ends doesn't while the store is away.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -15,6 +15,7 @@
 
 mod admission;
 mod batch;
+mod confirmation;
 mod crashes;
 mod ends;
 mod events;
@@ -31,6 +32,8 @@
 mod tick;
 mod vm_list;
 
+use confirmation::Confirmation;
+
 pub use batch::{Batch, RowWrite, VM_LIST_LANE};
 pub use crashes::CrashVerdict;
 pub use events::CellEvent;
@@ -178,6 +181,7 @@
     took_over_at: Millis,
     recovery_deadline: Millis,
     recovered: bool,
+    confirmation: Confirmation,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     job_index: Vec<(JobId, JobKey)>,
     pub(crate) vms: SlotMap<VmKey, Vm>,
@@ -243,6 +247,7 @@
             took_over_at: now,
             recovery_deadline,
             recovered: false,
+            confirmation: Confirmation::default(),
             jobs: SlotMap::with_key(),
             job_index: Vec::new(),
             vms: SlotMap::with_key(),
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -54,7 +54,7 @@
         if self.recovered {
             return;
         }
-        let is_overdue = now >= self.recovery_deadline;
+        let is_overdue = self.confirmation.covers(self.recovery_deadline, now);
         // The lease of a VM that replies doesn't expire: its ends are awaited however long it takes.
         let is_missing = |vm: &Vm| vm.awaited && (vm.fenced || !is_overdue);
         let all_known = !self.vms.values().any(is_missing);
@@ -82,13 +82,14 @@
         let mut expired = Vec::new();
         let mut removable = Vec::new();
         let lease_max = self.limits.lease_max;
+        let confirmation = &mut self.confirmation;
         for (key, vm) in &mut self.vms {
             let expires_at = if vm.fenced {
                 Some(vm.lease_expiry())
             } else {
                 vm.unreported_expiry(lease_max)
             };
-            if expires_at.is_some_and(|expires_at| now >= expires_at) {
+            if expires_at.is_some_and(|expires_at| confirmation.covers(expires_at, now)) {
                 vm.fenced = false;
                 expired.push(key);
             }
--- /dev/null
+++ b/crates/dotterel-cell/tests/cell/confirmation.rs
@@ -0,0 +1,109 @@
+//! Leaders that are cut off from the store, and may have been replaced without noticing.
+
+use dotterel_cell::cell::CellEvent;
+use dotterel_kernel::Millis;
+
+use crate::support::{Bench, independent_tasks, running, task};
+
+/// Time after which the lease of a VM that doesn't reply has expired.
+const LEASE_EXPIRED_MS: u64 = 5000;
+/// Time after a takeover at which a successor no longer waits for VMs.
+const RECOVERY_OVERDUE_MS: u64 = 5000;
+
+/// Returns a cell of two VMs, the second of which has been silent for longer than its lease, and runs a
+/// task. The leadership has not been renewed since.
+fn with_silent_vm() -> Bench {
+    let mut bench = Bench::new(2);
+    bench.submit(1, independent_tasks(1, 1000));
+    bench.commit_all();
+    bench.plan();
+    assert_eq!(bench.confirm_starts().len(), 1);
+    let at = usize::from(bench.vm(0).runs.is_empty());
+    bench.vms.swap(1, at);
+    for _ in 0..LEASE_EXPIRED_MS / 500 {
+        bench.advance_unrenewed(500);
+        bench.report(0, &[], &[]);
+        bench.cell.tick(bench.now);
+    }
+    bench
+}
+
+/// Guards against a task that runs twice: a leader that had been replaced without noticing gave up a VM
+/// that it couldn't reach, while its successor extended the lease there.
+#[test]
+fn a_leader_that_is_not_renewed_releases_no_runs_of_silent_vms() {
+    let mut bench = with_silent_vm();
+
+    bench.plan();
+
+    assert!(bench.take_starts().is_empty(), "the task may still run");
+    assert_eq!(bench.vm(1).runs.len(), 1);
+    assert!(bench.cell.needs_confirmation());
+}
+
+#[test]
+fn runs_of_a_silent_vm_are_released_once_the_leadership_is_renewed() {
+    let mut bench = with_silent_vm();
+
+    bench.cell.leadership_confirmed(bench.now);
+    bench.cell.tick(bench.now);
+    bench.report(0, &[], &[]);
+    bench.plan();
+    bench.advance(300);
+    bench.commit_all();
+
+    let starts = bench.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].vm, bench.vms[0]);
+    assert!(!bench.cell.needs_confirmation());
+}
+
+/// Guards against trusting a renewal that a slow store commits long after it was sent: a successor may
+/// have extended the lease before it expired.
+#[test]
+fn a_renewal_sent_before_the_lease_expired_shows_nothing() {
+    let mut bench = with_silent_vm();
+    let earlier = bench.now - Millis(2000);
+
+    bench.cell.leadership_confirmed(earlier);
+    bench.cell.tick(bench.now);
+    bench.plan();
+
+    assert!(bench.take_starts().is_empty());
+    assert_eq!(bench.vm(1).runs.len(), 1);
+    assert!(bench.cell.needs_confirmation());
+}
+
+#[test]
+fn a_vm_that_replies_again_keeps_its_run() {
+    let mut bench = with_silent_vm();
+
+    bench.report(1, &[running(task(1, 0), 1, 50)], &[]);
+    bench.advance(100);
+    bench.cell.tick(bench.now);
+    bench.plan();
+
+    assert!(bench.take_starts().is_empty());
+    assert_eq!(bench.vm(1).runs.len(), 1);
+    assert!(!bench.cell.needs_confirmation());
+}
+
+/// Guards against a task that runs twice: a leader that had been replaced before it had heard of all VMs
+/// started the tasks of earlier terms, which its successor had found on the other VMs.
+#[test]
+fn a_successor_that_is_not_renewed_stops_waiting_for_no_vm() {
+    let mut bench = Bench::successor(2);
+    bench.report(0, &[], &[]);
+
+    bench.advance_unrenewed(RECOVERY_OVERDUE_MS);
+    bench.cell.tick(bench.now);
+    let recovered_before = bench.cell.is_recovered();
+    bench.cell.leadership_confirmed(bench.now);
+    bench.cell.tick(bench.now);
+
+    assert!(!recovered_before);
+    assert!(bench.cell.is_recovered());
+    let events = bench.cell.take_events();
+    let is_timeout = |event: &CellEvent| matches!(event, CellEvent::RecoveryTimedOut { .. });
+    assert_eq!(events.iter().filter(|event| is_timeout(event)).count(), 1);
+}
--- a/crates/dotterel-cell/tests/cell/ends_property.rs
+++ b/crates/dotterel-cell/tests/cell/ends_property.rs
@@ -84,7 +84,11 @@
     }
 
     fn step(&mut self) {
-        self.bench.advance(100);
+        if self.store_away {
+            self.bench.advance_unrenewed(100);
+        } else {
+            self.bench.advance(100);
+        }
         for vm in 0..VMS {
             self.run_vm(vm);
             self.poll(vm);
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -71,7 +71,14 @@
         bench
     }
 
+    /// Advances the clock; the leader renews its leadership all the while.
     pub(crate) fn advance(&mut self, ms: u64) {
+        self.advance_unrenewed(ms);
+        self.cell.leadership_confirmed(self.now);
+    }
+
+    /// Advances the clock of a leader that can't renew its leadership.
+    pub(crate) fn advance_unrenewed(&mut self, ms: u64) {
         self.now += Millis(ms);
     }
 
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -109,6 +109,7 @@
                 let mut leadership = self.leadership.get();
                 leadership.renew(sent_at);
                 self.leadership.set(leadership);
+                self.cell.borrow_mut().leadership_confirmed(now);
                 self.unrenewed_leases.set(0);
                 if self.unconfirmed_until.take().is_some() {
                     log::info!(cell = self.cell_no.0; "leadership confirmed");
@@ -129,13 +130,16 @@
     async fn wait_for_rows(&self, lane: u8) {
         loop {
             let now = self.clock.now();
-            let (has_rows, has_new_rows) = {
+            let (has_rows, has_new_rows, needs_confirmation) = {
                 let cell = self.cell.borrow();
-                (cell.has_rows(lane, now), cell.has_new_rows())
+                let has_rows = cell.has_rows(lane, now);
+                (has_rows, cell.has_new_rows(), cell.needs_confirmation())
             };
             if lane == 0 {
                 let is_due = now.since(self.renewed_at.get()) >= RENEW_INTERVAL;
-                let is_requested = self.unconfirmed_until.get().is_some() || self.releasing.get();
+                let is_requested = needs_confirmation
+                    || self.unconfirmed_until.get().is_some()
+                    || self.releasing.get();
                 if has_rows || has_new_rows || is_due || is_requested {
                     return;
                 }
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -131,6 +131,34 @@
     });
 }
 
+/// Guards against a task that runs twice: a leader without the store gave up a VM that it couldn't reach
+/// and started its task elsewhere, while its successor extended the lease there.
+#[test]
+fn a_leader_without_the_store_gives_up_no_vm_that_its_successor_may_reach() {
+    run_paused(async {
+        let world = World::new();
+        store_job(&world);
+        world.add_vm("far");
+        let (old, new) = (world.view(), world.view());
+        let _first = lead(&old, "entry-1", 1).await;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(world.vms_running(TASK), ["far"]);
+        world.add_vm("near");
+        sleep(Duration::from_secs(1)).await;
+
+        // A partition, with the first leader and the idle VM on one side.
+        old.store_silent.set(true);
+        old.unreachable.borrow_mut().push("far".into());
+        new.unreachable.borrow_mut().push("near".into());
+        sleep(Duration::from_millis(700)).await;
+        let _second = lead(&new, "entry-2", 2).await;
+        sleep(Duration::from_secs(12)).await;
+
+        assert_eq!(*world.overlaps.borrow(), Vec::<String>::new());
+        assert_eq!(world.vms_running(TASK), ["far"], "it has never stopped");
+    });
+}
+
 /// A poll that hung is carried out late, by the VM's next life: its expiry, on the clock of the former
 /// life, gets the longest lease there is. Then the VM is cut off.
 async fn cut_off_after_a_restart(late: bool) -> Vec<String> {
