--- a/crates/dotterel-cell/tests/cell/replace.rs
+++ b/crates/dotterel-cell/tests/cell/replace.rs
@@ -2,7 +2,7 @@
 
 use dotterel_cell::{JobId, JobRecord, JobState, Order, RunOutcome, VmKey};
 
-use crate::support::{Bench, Start, ended, independent_tasks, running, task};
+use crate::support::{Bench, Start, ended, gang, independent_tasks, running, task};
 
 fn one_task() -> JobRecord {
     independent_tasks(1, 1000)
@@ -186,6 +186,20 @@
     assert!(beside.is_empty(), "the probe has not shown anything yet");
 }
 
+/// Guards against gangs that wait for good for the only VM that may run them: a probe of one task would
+/// never let all members start.
+#[test]
+fn a_gang_may_be_the_probe_of_an_ejected_vm() {
+    let mut bench = ejected_under_a_lasting_task();
+    bench.cell.cancel(JobId(2), bench.now);
+    bench.submit(3, gang(4, 1000));
+    bench.commit_all();
+
+    bench.plan();
+
+    assert_eq!(bench.confirm_starts().len(), 4);
+}
+
 #[test]
 fn a_probe_that_lasts_shows_that_its_vm_is_sound() {
     let mut bench = ejected_under_a_lasting_task();
