scheduler: release at once what waited for a renewal

The runs of a lost VM were released at the tick after the renewal that they need, up to 150 ms later than before, and the wait after a takeover ended as much later. The writer now does the work of a tick as soon as such a renewal is committed.

--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -109,7 +109,7 @@
                 let mut leadership = self.leadership.get();
                 leadership.renew(sent_at);
                 self.leadership.set(leadership);
-                self.cell.borrow_mut().leadership_confirmed(now);
+                self.confirm_leadership(now);
                 self.unrenewed_leases.set(0);
                 if self.unconfirmed_until.take().is_some() {
                     log::info!(cell = self.cell_no.0; "leadership confirmed");
@@ -126,6 +126,16 @@
         }
     }
 
+    /// Records a renewal that was sent at `sent_at`, and releases at once what has waited for it.
+    fn confirm_leadership(&self, sent_at: Millis) {
+        let mut cell = self.cell.borrow_mut();
+        let is_awaited = cell.needs_confirmation();
+        cell.leadership_confirmed(sent_at);
+        if is_awaited {
+            cell.tick(self.clock.now());
+        }
+    }
+
     /// Waits until a lane has something to write.
     async fn wait_for_rows(&self, lane: u8) {
         loop {
