--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use dotterel_cell::record::{self, JobRow};
 use dotterel_cell::{JobId, JobRecord, JobSpec, Policy, Step, TaskName};
 use dotterel_kernel::Millis;
@@ -103,31 +104,38 @@
     host
 }
 
+/// Plays a partition: the first leader, without the store, reaches only `near`, and its successor only
+/// `far`. The task runs on `busy`, one of the two, when it begins. Returns which tasks ran twice, and the VMs that
+/// run the task in the end.
+async fn play_partition(busy: &str) -> (Vec<String>, Vec<CompactString>) {
+    let world = World::new();
+    store_job(&world);
+    world.add_vm(busy);
+    let (old, new) = (world.view(), world.view());
+    let _first = lead(&old, "entry-1", 1).await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(world.vms_running(TASK), [busy]);
+    world.add_vm(if busy == "near" { "far" } else { "near" });
+    sleep(Duration::from_secs(1)).await;
+
+    old.store_silent.set(true);
+    old.unreachable.borrow_mut().push("far".into());
+    new.unreachable.borrow_mut().push("near".into());
+    sleep(Duration::from_millis(700)).await;
+    let _second = lead(&new, "entry-2", 2).await;
+    sleep(Duration::from_secs(12)).await;
+    (world.overlaps.take(), world.vms_running(TASK))
+}
+
 /// Guards against a task that runs twice: a leader without the store went on extending leases, and
 /// its successor counted on none that was extended after the takeover.
 #[test]
 fn a_successor_starts_nothing_while_its_predecessor_may_still_hold_a_lease() {
     run_paused(async {
-        let world = World::new();
-        store_job(&world);
-        world.add_vm("near");
-        let (old, new) = (world.view(), world.view());
-        let _first = lead(&old, "entry-1", 1).await;
-        sleep(Duration::from_secs(3)).await;
-        assert_eq!(world.vms_running(TASK), ["near"]);
-        world.add_vm("far");
-        sleep(Duration::from_secs(1)).await;
+        let (overlaps, running) = play_partition("near").await;
 
-        // A partition, with the first leader and the VM that runs the task on one side.
-        old.store_silent.set(true);
-        old.unreachable.borrow_mut().push("far".into());
-        new.unreachable.borrow_mut().push("near".into());
-        sleep(Duration::from_millis(700)).await;
-        let _second = lead(&new, "entry-2", 2).await;
-        sleep(Duration::from_secs(12)).await;
-
-        assert_eq!(*world.overlaps.borrow(), Vec::<String>::new());
-        assert_eq!(world.vms_running(TASK), ["far"], "it is served again");
+        assert_eq!(overlaps, Vec::<String>::new());
+        assert_eq!(running, ["far"], "it is served again");
     });
 }
 
@@ -136,26 +144,10 @@
 #[test]
 fn a_leader_without_the_store_gives_up_no_vm_that_its_successor_may_reach() {
     run_paused(async {
-        let world = World::new();
-        store_job(&world);
-        world.add_vm("far");
-        let (old, new) = (world.view(), world.view());
-        let _first = lead(&old, "entry-1", 1).await;
-        sleep(Duration::from_secs(3)).await;
-        assert_eq!(world.vms_running(TASK), ["far"]);
-        world.add_vm("near");
-        sleep(Duration::from_secs(1)).await;
-
-        // A partition, with the first leader and the idle VM on one side.
-        old.store_silent.set(true);
-        old.unreachable.borrow_mut().push("far".into());
-        new.unreachable.borrow_mut().push("near".into());
-        sleep(Duration::from_millis(700)).await;
-        let _second = lead(&new, "entry-2", 2).await;
-        sleep(Duration::from_secs(12)).await;
+        let (overlaps, running) = play_partition("far").await;
 
-        assert_eq!(*world.overlaps.borrow(), Vec::<String>::new());
-        assert_eq!(world.vms_running(TASK), ["far"], "it has never stopped");
+        assert_eq!(overlaps, Vec::<String>::new());
+        assert_eq!(running, ["far"], "it has never stopped");
     });
 }
 
