--- a/crates/dotterel-cell/src/cell/confirmation.rs
+++ b/crates/dotterel-cell/src/cell/confirmation.rs
@@ -19,7 +19,8 @@
 }
 
 impl Confirmation {
-    /// Returns true if `expiry` has passed and no other leader can have extended the lease before.
+    /// Returns true if `expiry` has passed and no other leader can have extended the lease before. Notes
+    /// that a confirmation is awaited if only that is missing.
     pub(super) fn covers(&mut self, expiry: Millis, now: Millis) -> bool {
         self.is_awaited |= now >= expiry && self.sent_at < expiry;
         self.sent_at >= expiry
--- a/crates/dotterel-node/tests/scheduler/two_leaders.rs
+++ b/crates/dotterel-node/tests/scheduler/two_leaders.rs
@@ -105,8 +105,8 @@
 }
 
 /// Plays a partition: the first leader, without the store, reaches only `near`, and its successor only
-/// `far`. The task runs on `busy`, one of the two, when it begins. Returns which tasks ran twice, and the VMs that
-/// run the task in the end.
+/// `far`. The task runs on `busy`, one of the two, when it begins. Returns which tasks ran twice, and
+/// the VMs that run the task in the end.
 async fn play_partition(busy: &str) -> (Vec<String>, Vec<CompactString>) {
     let world = World::new();
     store_job(&world);
