Show that a task avoids the only worker that fits it

Cause: a task is kept away from workers on which it has failed, as long as any other worker is usable, whether or not that one could hold the task.

The stand-ins learn workers of several kinds, failures and gangs.

--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -215,3 +215,66 @@
     }
     Some(broken)
 }
+
+/// Waits until a job is shown as completed, for as long as the rule allows: `finish_s`.
+fn completes(cluster: &Cluster, id: &str, record: &Record) -> bool {
+    let until = record.now() + 20_000;
+    while record.now() < until {
+        if cluster.state(1, id, record) == "completed" {
+            return true;
+        }
+        wait_ms(500);
+    }
+    false
+}
+
+/// Workers of two kinds. The only one of the large kind fails what it starts, for 5 s. After that a job whose
+/// task fits on no other worker is owed.
+pub fn kinds(trouble: bool, record: &Record) -> Option<bool> {
+    const JOB: &str = "5c0e7a21d94b36f8";
+    let mut capacities = vec![(16_000, 32_000); 12];
+    capacities[0] = (64_000, 128_000);
+    let cluster = Cluster::start_mixed(3, &capacities, record)?;
+    if trouble {
+        cluster.workers[0].set_failing(true);
+    }
+    let body = r#"{"spec":"work=2000","steps":[{"count":1,"cpu":20000,"mem_mb":40000,"est_ms":2000}]}"#;
+    if !cluster.submit(JOB, body, record) {
+        return None;
+    }
+    wait_ms(5000);
+    if trouble {
+        cluster.workers[0].set_failing(false);
+    }
+    // Calm, by `contact_ms`.
+    wait_ms(4000);
+    let broken = !completes(&cluster, JOB, record);
+    if broken {
+        let seen = cluster.seen.lock().unwrap();
+        let starts = seen.iter().filter(|seen| seen.what == "start").count();
+        record.say(&format!("the job has had {starts} of its 4 attempts, and isn't started any more on an idle worker that fits it three times"));
+    }
+    Some(broken)
+}
+
+/// A gang that is faster in one rack, where each rack has lost a worker for good.
+pub fn racks(trouble: bool, record: &Record) -> Option<bool> {
+    const JOB: &str = "5c0e7a21d94b36f8";
+    let cluster = Cluster::start(3, 24, (32_000, 64_000), record)?;
+    if trouble {
+        for rack in 0..3 {
+            cluster.workers[rack * 8].go_dark();
+        }
+        wait_ms(12_000);
+    }
+    let body = r#"{"spec":"work=2000 gang=16","steps":[{"count":16,"cpu":15000,"mem_mb":16000,"est_ms":2000,"gang":true,"same_rack":true}]}"#;
+    if !cluster.submit(JOB, body, record) {
+        return None;
+    }
+    let broken = !completes(&cluster, JOB, record);
+    if broken {
+        let runs = cluster.workers.iter().map(|worker| worker.counts().0).sum::<usize>();
+        record.say(&format!("a gang of 16 isn't started, with room for 42 of its tasks; {runs} runs on all workers"));
+    }
+    Some(broken)
+}
--- a/review/stand-2/cluster.rs
+++ b/review/stand-2/cluster.rs
@@ -11,7 +11,7 @@
 use crate::http;
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{Sightings, Worker};
+use crate::worker::{Gangs, Sightings, Worker};
 
 pub const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
@@ -41,9 +41,16 @@
 impl Cluster {
     /// Starts everything, and waits until all nodes are ready.
     pub fn start(nodes: usize, workers: usize, capacity: (u64, u64), record: &Record) -> Option<Self> {
+        Self::start_mixed(nodes, &vec![capacity; workers], record)
+    }
+
+    /// Does the same with workers of the given capacities, in thousandths of a core and MB.
+    pub fn start_mixed(nodes: usize, capacities: &[(u64, u64)], record: &Record) -> Option<Self> {
         let (store, store_address) = Store::start(record);
         let seen = Sightings::default();
-        let workers = (0..workers).map(|index| Worker::start(index, capacity, &store, &seen, record));
+        let gangs = Gangs::default();
+        let workers = capacities.iter().enumerate();
+        let workers = workers.map(|(index, capacity)| Worker::start(index, *capacity, &store, &seen, &gangs, record));
         let workers = workers.collect();
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -27,6 +27,8 @@
         "large" => cases::large(trouble, &record),
         "verdict" => cases::verdict(trouble, &record),
         "schedule" => cases::schedule(trouble, &record),
+        "kinds" => cases::kinds(trouble, &record),
+        "racks" => cases::racks(trouble, &record),
         "letters" => cases::letters(trouble, &record),
         _ => None,
     };
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -1,5 +1,6 @@
 //! A stand-in of a worker. What a task does is read from its `spec`: `work=MS` is how long it works, and
-//! with `save` it has a new checkpoint token after each 2 s.
+//! with `save` it has a new checkpoint token after each 2 s. With `gang=N` it works once N tasks of its step and
+//! run are there, and ends with them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +22,8 @@
 const STOP_MS: u64 = 150;
 /// `bounds.save_s`.
 const SAVE_MS: u64 = 2000;
+/// `bounds.gang_ms`.
+const GANG_MS: u64 = 3000;
 const MAX_LISTED_ENDS: usize = 500;
 
 /// A start or an end of a run that a worker has seen.
@@ -35,17 +38,39 @@
 
 pub type Sightings = Arc<Mutex<Vec<Seen>>>;
 
+/// A gang's run.
+#[derive(Default)]
+struct Gang {
+    present: u64,
+    complete_since: Option<Instant>,
+    /// How its first member has ended.
+    end: Option<&'static str>,
+}
+
+/// The gangs by step and run, on all workers.
+#[derive(Clone, Default)]
+pub struct Gangs(Arc<Mutex<BTreeMap<(String, u64), Gang>>>);
+
+fn gang_key(task: &str, run: u64) -> (String, u64) {
+    (task.rsplit_once('.').map_or("", |(step, _)| step).to_owned(), run)
+}
+
 struct Run {
     number: u64,
     spec: String,
     started_at: Instant,
     work_ms: u64,
+    /// Size of its gang; 0 if it is in none.
+    gang: u64,
+    fails: bool,
     saves: bool,
     stopping_since: Option<Instant>,
 }
 
 struct State {
     up: bool,
+    /// Set while all that it starts fails.
+    failing: bool,
     draining: bool,
     born: u64,
     clock_start: Instant,
@@ -69,6 +94,7 @@
     /// Thousandths of a core, and MB.
     capacity: (u64, u64),
     seen: Sightings,
+    gangs: Gangs,
     record: Record,
 }
 
@@ -103,10 +129,12 @@
         capacity: (u64, u64),
         store: &Arc<Store>,
         seen: &Sightings,
+        gangs: &Gangs,
         record: &Record,
     ) -> Arc<Self> {
         let state = State {
             up: true,
+            failing: false,
             draining: false,
             born: unix_ms(),
             clock_start: Instant::now(),
@@ -127,6 +155,7 @@
             changed: Condvar::new(),
             capacity,
             seen: Arc::clone(seen),
+            gangs: gangs.clone(),
             record: record.clone(),
         });
         let served = Arc::clone(&worker);
@@ -154,6 +183,12 @@
         self.changed.notify_all();
     }
 
+    /// Lets all that it starts from now on fail, or not.
+    pub fn set_failing(&self, failing: bool) {
+        self.state.lock().unwrap().failing = failing;
+        self.record.line(&self.id, if failing { "fails all that it starts" } else { "is sound again" });
+    }
+
     /// Starts again under its id, as a new life that knows nothing of before.
     pub fn restart(&self) {
         let mut state = self.state.lock().unwrap();
@@ -228,12 +263,16 @@
             }
             let lapsed = state.clock() > state.lease_until;
             let ended = state.runs.iter().filter_map(|(task, run)| {
-                let age = u64::try_from(run.started_at.elapsed().as_millis()).unwrap_or_default();
+                let (age, broken) = self.age(task, run);
                 let stopped = run.stopping_since.is_some_and(|since| since.elapsed().as_millis() >= u128::from(STOP_MS));
                 let how = if lapsed {
                     "lapsed"
                 } else if stopped {
                     "stopped"
+                } else if let Some(end) = broken {
+                    end
+                } else if run.fails && run.started_at.elapsed().as_millis() >= 100 {
+                    "failed"
                 } else if run.stopping_since.is_none() && age >= run.work_ms {
                     "done"
                 } else {
@@ -244,6 +283,10 @@
             let ended: Vec<(String, &'static str)> = ended.collect();
             for (task, how) in &ended {
                 let Some(run) = state.runs.remove(task) else { continue };
+                if run.gang > 0 {
+                    let mut gangs = self.gangs.0.lock().unwrap();
+                    gangs.entry(gang_key(task, run.number)).or_default().end.get_or_insert(how);
+                }
                 let saved = run.token(task);
                 let number = state.next_end;
                 state.next_end += 1;
@@ -257,6 +300,23 @@
         }
     }
 
+    /// Returns for how long a run has been at work in ms, and how it ends with its gang.
+    fn age(&self, task: &str, run: &Run) -> (u64, Option<&'static str>) {
+        let ms = |since: Instant| u64::try_from(since.elapsed().as_millis()).unwrap_or_default();
+        if run.gang == 0 {
+            return (ms(run.started_at), None);
+        }
+        let mut gangs = self.gangs.0.lock().unwrap();
+        let gang = gangs.entry(gang_key(task, run.number)).or_default();
+        let end = match gang.end {
+            Some("done") => Some("done"),
+            Some(_) => Some("broken"),
+            None if gang.complete_since.is_none() && ms(run.started_at) >= GANG_MS => Some("alone"),
+            None => None,
+        };
+        (gang.complete_since.map_or(0, ms), end)
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         let Some(body) = json::parse(&request.body) else { return Answer::Reply(400, String::from("{}")) };
         if !self.state.lock().unwrap().up {
@@ -319,10 +379,20 @@
             number,
             started_at: Instant::now(),
             work_ms: work_ms(&spec, &task),
+            gang: option(&spec, "gang=").unwrap_or(0),
+            fails: state.failing,
             saves: spec.contains("save"),
             stopping_since: None,
             spec,
         };
+        if run.gang > 0 {
+            let mut gangs = self.gangs.0.lock().unwrap();
+            let gang = gangs.entry(gang_key(&task, number)).or_default();
+            gang.present += 1;
+            if gang.present == run.gang {
+                gang.complete_since = Some(Instant::now());
+            }
+        }
         state.runs.insert(task, run);
         Self::accept(&state)
     }
@@ -367,7 +437,7 @@
             return Answer::Silence;
         }
         let running = state.runs.iter().map(|(task, run)| {
-            let age = u64::try_from(run.started_at.elapsed().as_millis()).unwrap_or_default();
+            let (age, _) = self.age(task, run);
             let percent = (age * 100 / run.work_ms.max(1)).min(99);
             format!("[{},{},{},{percent},0]", quote(task), run.number, quote(&run.token(task)))
         });
