Show that services lost three times take all workers

Cause: after three losses a task keeps its worker to itself as long as it lasts, and a service lasts until its job is cancelled.

--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -278,3 +278,47 @@
     }
     Some(broken)
 }
+
+/// Eight services run on one worker of eight, which loses power three times. Other clients then hand in small
+/// jobs.
+pub fn alone(trouble: bool, record: &Record) -> Option<bool> {
+    const SERVICES: usize = 8;
+    const SMALL: u64 = 10;
+    let cluster = Cluster::start(3, 8, (32_000, 64_000), record)?;
+    let service = |number: usize| format!("5c0e7a21d94b36f{number}");
+    let body = r#"{"spec":"work=600000","steps":[{"count":1,"cpu":2000,"mem_mb":1024,"est_ms":60000,"long_running":true}]}"#;
+    for number in 0..SERVICES {
+        if !cluster.submit(&service(number), body, record) {
+            return None;
+        }
+    }
+    for crash in 0..3 {
+        let index = starter(&cluster, &service(0), crash, 40)?;
+        wait_ms(2500);
+        if !trouble {
+            break;
+        }
+        cluster.workers[index].go_dark();
+        wait_ms(4500);
+        cluster.workers[index].restart();
+    }
+    // The services are back; then a calm while, by `contact_ms` and the lease.
+    wait_ms(12_000);
+    let small = |number: u64| format!("00000000000000{number:02x}");
+    let body = r#"{"spec":"work=300","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":300}]}"#;
+    let mut accepted = Vec::new();
+    for number in 0..SMALL {
+        if cluster.submit(&small(number), body, record) {
+            accepted.push(small(number));
+        }
+    }
+    // `finish_s`
+    wait_ms(14_000);
+    let mut lost = 0;
+    for id in &accepted {
+        lost += usize::from(cluster.state(1, id, record) != "completed");
+    }
+    let runs: Vec<usize> = cluster.workers.iter().map(|worker| worker.counts().0).collect();
+    record.say(&format!("{lost} of {} small jobs aren't done; runs on the workers: {runs:?}", accepted.len()));
+    Some(lost > 0)
+}
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -29,6 +29,7 @@
         "schedule" => cases::schedule(trouble, &record),
         "kinds" => cases::kinds(trouble, &record),
         "racks" => cases::racks(trouble, &record),
+        "alone" => cases::alone(trouble, &record),
         "letters" => cases::letters(trouble, &record),
         _ => None,
     };
