--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -322,3 +322,37 @@
     record.say(&format!("{lost} of {} small jobs aren't done; runs on the workers: {runs:?}", accepted.len()));
     Some(lost > 0)
 }
+
+/// The only worker that six jobs fit on is lost for good before their starts arrive, and then the leader is
+/// killed.
+pub fn pending(trouble: bool, record: &Record) -> Option<bool> {
+    const JOBS: u64 = 6;
+    let mut capacities = vec![(16_000, 32_000); 8];
+    capacities[0] = (128_000, 256_000);
+    let mut cluster = Cluster::start_mixed(3, &capacities, record)?;
+    cluster.workers[0].go_dark();
+    let body = r#"{"spec":"work=2000","steps":[{"count":1,"cpu":17000,"mem_mb":20000,"est_ms":2000}]}"#;
+    for number in 0..JOBS {
+        if !cluster.submit(&format!("00000000000{number:05x}"), body, record) {
+            return None;
+        }
+    }
+    wait_ms(3000);
+    if trouble {
+        record.line("script", "kills the leader");
+        cluster.kill_leader();
+    }
+    // `visible_ms` and 2 s, and `contact_ms`.
+    wait_ms(8000);
+    let mut least = None;
+    for attempt in 0..9 {
+        let (status, body) = cluster.call(attempt, "GET", "", "");
+        record.line("client", &format!("GET the queue: {status} {body}"));
+        let count = crate::json::parse(body.as_bytes()).map(|body| body.number("pending"));
+        least = count.filter(|_| status == 200).into_iter().chain(least).min();
+        wait_ms(300);
+    }
+    let started = cluster.seen.lock().unwrap().len();
+    record.say(&format!("{JOBS} accepted jobs wait, {started} starts were seen, and {least:?} are said to wait"));
+    Some(least? * 2 < JOBS)
+}
--- a/review/stand-2/cluster.rs
+++ b/review/stand-2/cluster.rs
@@ -108,6 +108,19 @@
         Some(Node { front: front.parse().ok()?, ready: ready.parse().ok()?, child })
     }
 
+    /// Kills the node that has led the cell last, by its log.
+    pub fn kill_leader(&mut self) {
+        let is_leader = |index: &usize| {
+            let log = self.folder.join(format!("edge-sabana-a-{}.log", index + 1));
+            fs::read_to_string(log).is_ok_and(|log| log.contains("leadership acquired"))
+        };
+        let leader = (0..self.nodes.len()).rfind(is_leader);
+        if let Some(node) = leader.map(|index| &mut self.nodes[index]) {
+            let _ = node.child.kill();
+            let _ = node.child.wait();
+        }
+    }
+
     /// Sends a request about a job to a node.
     pub fn call(&self, node: usize, method: &str, id: &str, body: &str) -> (u16, String) {
         let node = &self.nodes[node % self.nodes.len()];
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -30,6 +30,7 @@
         "kinds" => cases::kinds(trouble, &record),
         "racks" => cases::racks(trouble, &record),
         "alone" => cases::alone(trouble, &record),
+        "pending" => cases::pending(trouble, &record),
         "letters" => cases::letters(trouble, &record),
         _ => None,
     };
