--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -106,7 +106,7 @@
     let now = u64::try_from(now.as_millis()).ok()?;
     let first = if trouble { now - PERIOD_MS * dues } else { now };
     let body = format!(
-        "{{\"spec\":\"work=200 quiet\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":500,\"est_ms\":200}}],\"repeats\":100000,\"first_ms\":{first},\"period_ms\":{PERIOD_MS}}}"
+        "{{\"spec\":\"work=200\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":500,\"est_ms\":200}}],\"repeats\":100000,\"first_ms\":{first},\"period_ms\":{PERIOD_MS}}}"
     );
     let mut accepted = Vec::new();
     let two_steps = r#"{"spec":"work=4000","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":4000},{"count":1,"cpu":500,"mem_mb":256,"est_ms":4000,"after":[0]}]}"#;
