--- a/crates/dotterel-cell/src/cell/load.rs
+++ b/crates/dotterel-cell/src/cell/load.rs
@@ -29,6 +29,12 @@
 }
 
 impl Cell {
+    /// Returns the number of steps that may have waiting tasks.
+    #[must_use]
+    pub const fn waiting_steps(&self) -> usize {
+        self.open_steps.len()
+    }
+
     /// Returns the current load.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/dotterel-node/src/metrics.rs
+++ b/crates/dotterel-node/src/metrics.rs
@@ -28,6 +28,7 @@
     orders: IntCounterVec,
     call_time: HistogramVec,
     plan_time: Histogram,
+    pass_time: HistogramVec,
     lost_runs: IntCounterVec,
     release_wait: Histogram,
     crashing_tasks: IntCounter,
@@ -145,6 +146,11 @@
                 "Duration of calls to the platform, by kind.",
                 &["kind"],
             ),
+            pass_time: histogram(
+                "dotterel_pass_seconds",
+                "Time for which a pass through the state of a cell occupies the node, by kind.",
+                &["pass"],
+            ),
             gauges,
             tenants: TenantMetrics::new(&registry),
             registry,
@@ -193,6 +199,13 @@
         self.refused_clients.with_label_values(&[port, kind]).inc();
     }
 
+    /// Records the duration of a pass through the state of a cell.
+    pub fn record_pass(&self, pass: &str, duration: Duration) {
+        self.pass_time
+            .with_label_values(&[pass])
+            .observe(duration.as_secs_f64());
+    }
+
     /// Records the duration of a plan.
     pub fn record_plan(&self, duration: Duration) {
         self.plan_time.observe(duration.as_secs_f64());
--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, mpsc, watch as channel};
 use tokio::task::{JoinError, JoinSet};
 
+use self::passes::Pass;
 use crate::config::ActiveConfig;
 use crate::election::{LANES, LeaderRow, Predecessor};
 use crate::link::{CellNo, SchedulerMessage};
@@ -37,6 +38,7 @@
 mod order_queue;
 mod orders;
 pub mod pace;
+mod passes;
 mod peers;
 mod recovery;
 mod watch;
@@ -229,7 +231,7 @@
                 }
                 cell.take_orders()
             };
-            plan_time = started_at.elapsed();
+            plan_time = self.note_pass(Pass::Plan, started_at);
             self.metrics.record_plan(plan_time);
             self.dispatch(orders, now);
         }
@@ -248,7 +250,9 @@
                 self.write_wakeup.notify_one();
             }
             last_tick = now;
+            let started_at = Instant::now();
             self.cell.borrow_mut().tick(now);
+            self.note_pass(Pass::Tick, started_at);
             self.log_own_lease();
             self.log_lost_vms();
             self.log_crash_verdicts();
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell as StdCell;
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::time::Instant;
 
 use compact_str::CompactString;
 use dotterel_cell::cell::{Cancelled, RefusalGround, RefusalKind};
@@ -14,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::passes::Pass;
 use super::writer::STORE_RETRY_AFTER;
 use super::{Peer, Scheduler, Waiter};
 use crate::http::limits::{ByteBudget, Refusal};
@@ -125,7 +127,9 @@
                 }
                 let queue = record.policy.queue.clone();
                 let tenant = record.tenant.clone();
+                let started_at = Instant::now();
                 let outcome = self.cell.borrow_mut().submit(id, *record, now);
+                self.note_pass(Pass::Submit, started_at);
                 log::info!(
                     job:% = id, queue = queue.as_str(), outcome:? = outcome, cell = self.cell_no.0;
                     "job submitted");
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -1,6 +1,7 @@
 //! Restores the state that earlier terms have written to the store.
 
 use std::cell::Cell as StdCell;
+use std::time::Instant;
 
 use compact_str::CompactString;
 use dotterel_cell::JobId;
@@ -10,6 +11,7 @@
 use futures_util::future::{join, join_all, join3};
 
 use super::Scheduler;
+use super::passes::Pass;
 use super::writer::STOP_LIST_KEY;
 use crate::commit_probe::{CommitProbe, Probe};
 use crate::election::{LANES, LEADER_KEY, LeaderRow, RENEWAL_KEY, RenewalRow};
@@ -36,6 +38,7 @@
         let lanes = join_all((0..LANES).map(|lane| self.load_lane(lane)));
         let ((), vm_rows, lanes) = join3(self.load_vms(), self.load_vm_list(), lanes).await;
         let now = self.clock.now();
+        let restoring_since = Instant::now();
         self.restore_vm_list(&vm_rows, now);
         let (mut jobs, mut ended) = (0, 0);
         for (lane, rows) in (0..LANES).zip(lanes) {
@@ -46,6 +49,7 @@
             jobs += rows.jobs.len();
             ended += self.restore_jobs(lane, &rows, now);
         }
+        self.note_pass(Pass::Restore, restoring_since);
         log::info!(
             cell = self.cell_no.0, term = self.term, jobs, ended, took_ms = now.since(started_at).0;
             "cell restored");
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::hash_map::Entry;
 use std::rc::Rc;
+use std::time::Instant;
 
 use compact_str::CompactString;
 use dotterel_cell::{Cell, Report, VmKey};
@@ -10,6 +11,7 @@
 
 use super::Scheduler;
 use super::orders::CALL_BYTES;
+use super::passes::Pass;
 use crate::link::CellNo;
 use crate::platform::{Platform, StoreError, VmChanges, VmError, VmTarget};
 
@@ -271,6 +273,7 @@
                     }
                     unavailable = false;
                     backoff = MIN_BACKOFF;
+                    let started_at = Instant::now();
                     let (has_new_ends, replaced) = {
                         let mut cell = self.cell.borrow_mut();
                         let last_end = cell.vm(key).map_or(0, |vm| vm.last_end);
@@ -284,6 +287,7 @@
                         let after = cell.vm(key).map(|vm| vm.last_end);
                         (after.is_some_and(|after| after > last_end), after.is_none())
                     };
+                    self.note_pass(Pass::Report, started_at);
                     self.log_lost_vms();
                     if replaced {
                         // Another incarnation of the VM has replied and needs a watcher of its own.
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -24,7 +24,7 @@
 /// Key of the list of VMs on which runs may be stopping; the other rows of the table have numbers.
 pub(super) const STOP_LIST_KEY: &str = "stops";
 /// Maximum interval between renewals of the leadership.
-const RENEW_INTERVAL: Millis = Millis(250);
+pub(super) const RENEW_INTERVAL: Millis = Millis(250);
 /// Pause between transactions of a lane, in which further writes join the next one.
 const BATCH_INTERVAL: Millis = Millis(12);
 /// A lane takes new rows once all lanes before it have been busy for this long: several times the
