--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -35,6 +35,7 @@
 pub(crate) mod replace;
 mod reports;
 mod restore;
+mod rounds;
 mod speeds;
 mod stop_list;
 mod suspect_queues;
@@ -387,68 +388,6 @@
         Some(job)
     }
 
-    /// Starts the rounds that are due.
-    fn start_due_rounds(&mut self, key: JobKey, now: Millis) {
-        let job = &mut self.jobs[key];
-        if job.end.is_some() {
-            return;
-        }
-        loop {
-            let number = job.next_round;
-            let due = if job.spec.repeats == 0 {
-                if number > 0 {
-                    break;
-                }
-                now
-            } else {
-                if number >= job.spec.repeats {
-                    break;
-                }
-                job.spec.first_due + Millis(job.spec.period.0 * u64::from(number))
-            };
-            if due > now {
-                break;
-            }
-            job.start_round(number, now);
-        }
-        self.enqueue_open_steps(key, now);
-    }
-
-    /// Starts the rounds up to that of a task which a VM knows: an earlier leader, whose clock was ahead,
-    /// has started them.
-    fn start_known_rounds(&mut self, name: TaskName, now: Millis) {
-        let Some(key) = self.job_key(name.job) else {
-            return;
-        };
-        let job = &mut self.jobs[key];
-        let is_known = job.end.is_some() || name.round < job.next_round;
-        if is_known || name.round >= job.spec.repeats.max(1) {
-            return;
-        }
-        while job.next_round <= name.round {
-            job.start_round(job.next_round, now);
-        }
-        self.note_earlier_term(key, now);
-        self.mark_changed(key, now);
-        self.enqueue_open_steps(key, now);
-    }
-
-    /// Adds the job's newly ready steps to the queue.
-    fn enqueue_open_steps(&mut self, key: JobKey, now: Millis) {
-        let job = &mut self.jobs[key];
-        let numbers: Vec<u32> = job.rounds.iter().map(|round| round.number).collect();
-        for round in numbers {
-            for step in job.open_steps(round, now) {
-                self.open_steps.push(StepRef {
-                    job: key,
-                    round,
-                    step,
-                });
-            }
-        }
-        self.plan_needed = true;
-    }
-
     fn mark_changed(&mut self, key: JobKey, now: Millis) {
         self.seq += 1;
         self.jobs[key].changed_seq = self.seq;
--- a/crates/dotterel-cell/src/cell/ends.rs
+++ b/crates/dotterel-cell/src/cell/ends.rs
@@ -75,7 +75,7 @@
         }
         self.plan_needed = true;
         self.forget_loss(end.task, end.run, now);
-        self.start_known_rounds(end.task, now);
+        self.start_known_round(end.task, now);
         match self.judge_end(vm, end, had_run) {
             Ok(counted) => self.count_end(vm, end, &counted, now),
             Err(why) if why.is_notable(end.outcome) => self.note_uncounted_end(vm, end, why),
@@ -97,10 +97,13 @@
         if job.end.is_some() {
             return Err(NoEffect::JobEnded);
         }
-        if name.round >= job.next_round {
-            return Err(NoEffect::UnknownTask);
-        }
-        let round = job.round(name.round).ok_or(NoEffect::RoundDone)?;
+        let round = job
+            .round(name.round)
+            .ok_or(if name.round < job.next_round {
+                NoEffect::RoundDone
+            } else {
+                NoEffect::UnknownTask
+            })?;
         let at = usize::from(name.step);
         let found = job.spec.steps.get(at).zip(round.steps.get(at));
         let (step, state) = found.ok_or(NoEffect::UnknownTask)?;
@@ -213,15 +216,14 @@
         let round_done = round.is_done();
         self.mark_changed(key, now);
         if round_done {
-            self.jobs[key]
-                .rounds
-                .retain(|round| round.number != name.round);
+            self.jobs[key].finish_round(name.round);
+            self.start_due_rounds(key, now);
             let job = &self.jobs[key];
             if job.rounds.is_empty() && job.next_round >= job.spec.repeats.max(1) {
                 self.end_job(key, JobState::Completed, now);
             }
         } else if step_done {
-            self.enqueue_open_steps(key, now);
+            self.enqueue_open_steps(key, name.round, now);
         }
     }
 
--- a/crates/dotterel-cell/src/cell/former_runs.rs
+++ b/crates/dotterel-cell/src/cell/former_runs.rs
@@ -30,10 +30,10 @@
         }
     }
 
-    /// Notes that earlier terms may have started the waiting tasks of a job.
-    pub(super) fn note_earlier_term(&mut self, key: JobKey, now: Millis) {
-        let rounds = self.jobs[key].rounds.iter_mut();
-        let steps = rounds.flat_map(|round| &mut round.steps);
+    /// Notes that earlier terms may have started the waiting tasks of a round.
+    pub(super) fn note_earlier_term(&mut self, key: JobKey, round: u32, now: Millis) {
+        let round = self.jobs[key].round_mut(round);
+        let steps = round.into_iter().flat_map(|round| &mut round.steps);
         for task in steps.flat_map(|step| &mut step.tasks) {
             if task.phase == Phase::Waiting && task.former.is_none() {
                 task.former = Some(FormerRun {
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -152,7 +152,7 @@
         let mut run = self.new_vm_run(reported.task, reported.run, capacity, now);
         run.percent = reported.percent;
         run.reported = true;
-        self.start_known_rounds(reported.task, now);
+        self.start_known_round(reported.task, now);
         let is_expected = self
             .job_key(reported.task.job)
             .is_some_and(|job| self.jobs[job].end.is_none());
--- a/crates/dotterel-cell/src/cell/restore.rs
+++ b/crates/dotterel-cell/src/cell/restore.rs
@@ -32,9 +32,13 @@
             job.has_progress_row = true;
             job.restore(progress, now);
         }
+        let rounds: Vec<u32> = job.rounds.iter().map(|round| round.number).collect();
         let key = self.insert_job(job);
+        for round in rounds {
+            self.note_earlier_term(key, round, now);
+            self.enqueue_open_steps(key, round, now);
+        }
         self.start_due_rounds(key, now);
-        self.note_earlier_term(key, now);
         self.restore_losses(key, now);
     }
 
--- a/crates/dotterel-cell/src/cell/tenants.rs
+++ b/crates/dotterel-cell/src/cell/tenants.rs
@@ -122,7 +122,7 @@
         }
         self.accounts = self.count_occupied(now);
         if !self.is_recovered() {
-            self.count_unlisted();
+            self.count_unlisted(now);
         }
     }
 
@@ -150,14 +150,14 @@
 
     /// Counts the tasks of restored jobs that may have runs which no VM has listed yet, in all steps: the
     /// predecessor may have opened a step before the end of the one before it was durable.
-    fn count_unlisted(&mut self) {
+    fn count_unlisted(&mut self, now: Millis) {
         let restored = self
             .jobs
             .values()
             .filter(|job| job.restored && job.end.is_none());
         for job in restored {
             let unlisted = &mut self.accounts[account_index(job.tenant)].unlisted;
-            *unlisted = unlisted.plus(&unlisted_size(job));
+            *unlisted = unlisted.plus(&unlisted_size(job, now));
         }
         let Some(limit) = self.awaited_capacity() else {
             return;
@@ -206,9 +206,16 @@
     }
 }
 
-/// Returns what the unlisted runs of a restored job may occupy.
-fn unlisted_size(job: &Job) -> Size {
+/// Returns what the unlisted runs of a restored job may occupy, including those of rounds that only the
+/// predecessor has started.
+fn unlisted_size(job: &Job, now: Millis) -> Size {
     let mut sum = Size::ZERO;
+    let unstarted = job.unstarted_rounds(now);
+    for step in job.spec.steps.iter().filter(|_| unstarted > 0) {
+        let runs = step.count * (1 + u32::from(copies_allowed(step)));
+        let size = occupied_size(step);
+        sum = sum.plus(&times(&size, runs.saturating_mul(unstarted)));
+    }
     for round in &job.rounds {
         for (step, state) in job.spec.steps.iter().zip(&round.steps) {
             let size = occupied_size(step);
--- a/crates/dotterel-cell/src/cell/tick.rs
+++ b/crates/dotterel-cell/src/cell/tick.rs
@@ -206,18 +206,6 @@
         }
     }
 
-    fn start_scheduled_rounds(&mut self, now: Millis) {
-        let scheduled: Vec<JobKey> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.end.is_none() && job.next_round < job.spec.repeats)
-            .map(|(key, _)| key)
-            .collect();
-        for key in scheduled {
-            self.start_due_rounds(key, now);
-        }
-    }
-
     fn expire_ended_jobs(&mut self, now: Millis) {
         let retention = self.limits.retention;
         let expired: Vec<(JobKey, crate::spec::JobId, u8)> = self
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -11,9 +11,11 @@
 use crate::tenant::TenantNo;
 
 mod former_run;
+mod schedule;
 mod step;
 
 pub use former_run::{FormerRun, Release};
+pub use schedule::MAX_IDLE_ROUNDS;
 pub use step::{Advice, Allowed, Phase, Reservation, StepState, Task};
 
 new_key_type! {
@@ -61,7 +63,7 @@
 pub struct Round {
     /// Number of the round.
     pub number: u32,
-    /// Time at which the round became due, on the scheduler's clock.
+    /// When the round was due, on the scheduler's clock, or when it started if that was earlier.
     pub due_at: Millis,
     /// States of its steps.
     pub steps: Vec<StepState>,
@@ -108,9 +110,10 @@
     pub has_progress_row: bool,
     /// Time at which the job ended.
     pub ended_at: Millis,
-    /// Rounds in progress.
+    /// Rounds in progress, sorted. Those from `next_round` on were started by an earlier leader, and are
+    /// kept once they are done.
     pub rounds: Vec<Round>,
-    /// Number of the next round.
+    /// All rounds below this number have been started.
     pub next_round: u32,
     /// New runs get higher numbers than this; lower ones may have been used in an earlier term.
     pub run_floor: u32,
@@ -189,24 +192,14 @@
     /// Returns a round in progress.
     #[must_use]
     pub fn round(&self, number: u32) -> Option<&Round> {
-        self.rounds.iter().find(|round| round.number == number)
+        let at = self.round_index(number).ok()?;
+        self.rounds.get(at)
     }
 
     /// Returns a round in progress.
     pub fn round_mut(&mut self, number: u32) -> Option<&mut Round> {
-        self.rounds.iter_mut().find(|round| round.number == number)
-    }
-
-    /// Starts a round.
-    pub fn start_round(&mut self, number: u32, now: Millis) {
-        let steps = self.spec.steps.iter().map(|step| StepState::new(step, now));
-        let round = Round {
-            number,
-            due_at: now,
-            steps: steps.collect(),
-        };
-        self.rounds.push(round);
-        self.next_round = self.next_round.max(number + 1);
+        let at = self.round_index(number).ok()?;
+        self.rounds.get_mut(at)
     }
 
     /// Opens the steps whose predecessors are all done and returns their indices.
@@ -243,12 +236,12 @@
     /// Restores the progress stored in an earlier term.
     pub fn restore(&mut self, progress: &Progress, now: Millis) {
         self.rounds.clear();
-        for round in &progress.rounds {
-            self.start_round(round.round, now);
-            let Some(last) = self.rounds.last_mut() else {
+        for saved in &progress.rounds {
+            self.start_round(saved.round, now);
+            let Some(round) = self.round_mut(saved.round) else {
                 continue;
             };
-            for (step, saved) in last.steps.iter_mut().zip(&round.steps) {
+            for (step, saved) in round.steps.iter_mut().zip(&saved.steps) {
                 step.restore(saved);
             }
             self.started = true;
@@ -258,12 +251,6 @@
 }
 
 impl Round {
-    /// Returns true if all steps are done.
-    #[must_use]
-    pub fn is_done(&self) -> bool {
-        self.steps.iter().all(|step| step.unfinished == 0)
-    }
-
     fn progress(&self) -> RoundProgress {
         RoundProgress {
             round: self.number,
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use compact_str::format_compact;
+use dotterel_cell::record::Progress;
 use dotterel_cell::{
     JobId, JobRecord, Order, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, Submitted,
     TaskName, VmKey,
@@ -74,6 +75,13 @@
         self.bench.submit(id, record)
     }
 
+    /// Restores a job of an earlier term.
+    pub(crate) fn restore(&mut self, id: u64, record: JobRecord, progress: Option<&Progress>) {
+        let (id, now) = (JobId(id), self.bench.now);
+        self.durations.insert(id, record.spec.steps[0].estimate);
+        self.bench.cell.restore_job(id, record, progress, 0, now);
+    }
+
     /// Submits a job whose first task crashes each VM that starts it.
     pub(crate) fn submit_crashing(&mut self, id: u64, record: JobRecord) -> Submitted {
         self.submit_crashing_at(id, 0, record)
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod queued_starts;
 mod replace;
 mod restarts;
+mod schedules;
 mod shares;
 mod sim;
 mod speeds;
