--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -51,6 +51,7 @@
 
 pub use batch::{Batch, RowWrite, VM_LIST_LANE};
 pub use caps::OverCap;
+pub(crate) use crashes::CLEARING_TIME;
 pub use crashes::CrashVerdict;
 pub use events::CellEvent;
 pub(crate) use held_starts::HeldStart;
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -22,7 +22,7 @@
 /// Time after which a VM that has not returned counts as crashed if the registry has dropped it.
 const VERDICT_TIMEOUT: Millis = Millis::secs(20);
 /// Time for which a run has to go on to clear its task of earlier crashes.
-const CLEARING_TIME: Millis = Millis::secs(60);
+pub(crate) const CLEARING_TIME: Millis = Millis::secs(60);
 /// A lost run for which it isn't known yet whether its VM has crashed.
 #[derive(Clone, Debug)]
 pub(super) struct OpenLoss {
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -13,7 +13,7 @@
 const MAX_SOLE_CRASHES: usize = 2;
 /// Crashes under a task after which its job fails, whatever else was running.
 const MAX_CRASHES: usize = 5;
-/// After this many losses a task runs alone, even if none of them had just started it.
+/// After this many losses a task is kept apart from other such tasks, even if none of them had just started it.
 const MAX_LOSSES_AS_BYSTANDER: usize = 3;
 /// After this many losses the next start waits until all of them are known to be crashes or not.
 const MAX_UNCONFIRMED_LOSSES: usize = 3;
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -14,7 +14,7 @@
 use compact_str::CompactString;
 use dotterel_kernel::{Millis, Size};
 
-use crate::cell::{Cell, HeldStart, Order};
+use crate::cell::{CLEARING_TIME, Cell, HeldStart, Order};
 use crate::job::{Phase, StepRef};
 use crate::spec::{Step, TaskName};
 use crate::vm::{Caution, VmKey};
@@ -281,7 +281,12 @@
         let vm_run = vm_run.clone();
         // Ends when the run is confirmed or gone.
         self.vms[vm].exclusive_until = Millis(u64::MAX);
-        self.vms[vm].risked_until = now + RISKED_TIME;
+        let risked = if caution == Caution::Separate {
+            CLEARING_TIME
+        } else {
+            RISKED_TIME
+        };
+        self.vms[vm].risked_until = now + risked;
         if caution >= Caution::Isolated
             && let Some(order) = self.orders.pop()
         {
--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -1,7 +1,10 @@
 //! Placement of tasks that may crash their VMs.
 //!
-//! A suspect runs alone, so that a crash costs no other work and leaves no doubt about its cause.
-//! After a suspected crash, the tasks of its queue are spread over VMs where another one would cost
+//! A suspect starts alone, so that a crash costs no other work and leaves no doubt about its cause. A task
+//! that was lost with its VM several times, long after its starts, may have crashed them as well. It is kept
+//! apart from other such tasks, which a crash would count against, and other work prefers other VMs until it
+//! has been going on for long. But nothing waits for that: VMs also crash by themselves, and such a task
+//! may last for hours. After a suspected crash, the tasks of its queue are spread over VMs where another one would cost
 //! the least. Once many VMs are down, jobs of a queue that has crashed VMs again and again also start
 //! one at a time on a VM. All this stops while too many VMs are down after such starts. Other work
 //! prefers VMs that aren't risked.
@@ -52,6 +55,8 @@
 const EMPTY_VM_PATIENCE: Millis = Millis::secs(8);
 /// Exposure of a run whose job would miss its objective: a fifth of a VM.
 const URGENT_EXPOSURE: u64 = 200;
+/// Exposure of a VM to a task that was lost several times, if it runs another one: two full VMs.
+const SEPARATION_EXPOSURE: u64 = 2000;
 /// Weight of a thousandth of a VM that is occupied by runs which a crash would lose: more than any
 /// leftover capacity.
 pub(crate) const EXPOSURE_WEIGHT: u64 = 10_000;
@@ -181,7 +186,7 @@
         match caution {
             Caution::None => true,
             Caution::Guarded => !vm.has_young_runs(now),
-            Caution::Isolated | Caution::Solitary => {
+            Caution::Isolated | Caution::Separate => {
                 vm.runs.is_empty() || (!patient && !vm.has_young_runs(now))
             }
         }
@@ -248,8 +253,12 @@
             if !has_slot || !Self::may_risk(vm, caution, patient, now) {
                 continue;
             }
-            let weight = self.exposure(vm, now) * EXPOSURE_WEIGHT
-                + leftover(&available.minus(&size), &vm.info.capacity);
+            let mut exposure = self.exposure(vm, now);
+            if caution == Caution::Separate && vm.has_separate_run() {
+                exposure += SEPARATION_EXPOSURE;
+            }
+            let weight =
+                exposure * EXPOSURE_WEIGHT + leftover(&available.minus(&size), &vm.info.capacity);
             if best.as_ref().is_none_or(|(least, ..)| weight < *least) {
                 best = Some((weight, key, ticket));
             }
@@ -306,7 +315,7 @@
     } else if task.is_suspected_of(Suspicion::Shared) {
         Some(Caution::Isolated)
     } else {
-        Some(Caution::Solitary)
+        Some(Caution::Separate)
     }
 }
 
@@ -316,7 +325,7 @@
         match caution {
             Caution::None => true,
             Caution::Guarded => self.guarded && self.attempts > 0,
-            Caution::Isolated | Caution::Solitary => self.isolated > 0 && self.attempts > 0,
+            Caution::Isolated | Caution::Separate => self.isolated > 0 && self.attempts > 0,
         }
     }
 
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -256,7 +256,7 @@
     pub percent: u8,
     /// Time of the last progress, or of the last repeated stop order.
     pub progressed_at: Millis,
-    /// Nothing else is started on the VM at first, or as long as the run lasts.
+    /// What may be started beside the run, and when.
     pub caution: Caution,
     /// The duration of the run shows how fast the VM is: this scheduler has started it from the
     /// beginning, and no stop was ordered beside it.
@@ -292,8 +292,9 @@
     Guarded,
     /// The same, and the VM should have no other runs.
     Isolated,
-    /// Nothing as long as the run lasts.
-    Solitary,
+    /// The same, and until the run has been going on for long, no other such run if there is another VM,
+    /// while other work prefers other VMs.
+    Separate,
 }
 
 impl VmRun {
@@ -536,6 +537,9 @@
         if removed.caution > Caution::None {
             self.exclusive_until = Millis::ZERO;
         }
+        if removed.caution == Caution::Separate && !self.has_separate_run() {
+            self.risked_until = Millis::ZERO;
+        }
         Some(removed)
     }
 
@@ -553,9 +557,8 @@
 
     /// Limits the time for which a confirmed run that may crash the VM keeps others away.
     pub fn start_probation(&mut self, at: usize, now: Millis) {
-        match self.runs[at].caution {
-            Caution::Guarded | Caution::Isolated => self.exclusive_until = now + PROBATION,
-            Caution::None | Caution::Solitary => {}
+        if self.runs[at].caution > Caution::None {
+            self.exclusive_until = now + PROBATION;
         }
     }
 
@@ -575,6 +578,14 @@
         self.runs.iter().any(|vm_run| vm_run.is_young(now))
     }
 
+    /// Returns true if a run on the VM is kept apart from others of its kind.
+    #[must_use]
+    pub fn has_separate_run(&self) -> bool {
+        self.runs
+            .iter()
+            .any(|vm_run| vm_run.caution == Caution::Separate)
+    }
+
     /// Returns the index of a run in `runs`.
     #[must_use]
     pub fn find(&self, task: TaskName, run: u32) -> Option<usize> {
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -20,6 +20,7 @@
 mod replace;
 mod restarts;
 mod schedules;
+mod separate_runs;
 mod shares;
 mod sim;
 mod speeds;
