--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -81,6 +81,8 @@
     pub stop_timeout: Millis,
     /// How long the state of an ended job can be queried.
     pub retention: Millis,
+    /// Time that the tasks of a gang with `one_rack` take on several racks, in percent of that on one.
+    pub cross_rack_pct: u32,
     /// Tasks that slow each other down on one VM are kept apart where there is capacity.
     pub keep_apart: bool,
 }
@@ -93,6 +95,7 @@
             leadership_ttl: Millis(6500),
             stop_timeout: Millis(400),
             retention: Millis::secs(120),
+            cross_rack_pct: 200,
             keep_apart: false,
         }
     }
--- a/crates/dotterel-cell/src/cell/events.rs
+++ b/crates/dotterel-cell/src/cell/events.rs
@@ -37,6 +37,15 @@
         /// Number of ends in the report.
         ends_listed: usize,
     },
+    /// A gang that works faster within one rack was started on several.
+    GangAcrossRacks {
+        /// One of its tasks.
+        task: TaskName,
+        /// Number of racks.
+        racks: usize,
+        /// Time since its step became ready.
+        waited: Millis,
+    },
     /// The lease of a VM has expired, and the release of its runs has waited for a renewal of the
     /// leadership for some time.
     ReleaseWaits {
@@ -109,6 +118,10 @@
 }
 
 impl Cell {
+    pub(crate) fn note_event(&mut self, event: CellEvent) {
+        self.events.push(event);
+    }
+
     /// Returns the observations since the last call.
     pub fn take_events(&mut self) -> Vec<CellEvent> {
         std::mem::take(&mut self.events)
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -4,6 +4,7 @@
 //! - [`share`]: the order of tenants within a priority.
 //! - [`fit`]: selection of a VM for a task.
 //! - [`gang`]: tasks that have to run together.
+//! - [`rack`]: gangs that work faster within one rack.
 //! - [`reserve`]: reservation of capacity for gangs.
 //! - [`pace`]: which work gets the faster VMs.
 //! - [`preempt`]: preemption of less urgent runs that can resume.
@@ -26,6 +27,7 @@
 pub mod order;
 pub mod pace;
 pub mod preempt;
+pub mod rack;
 pub mod reserve;
 pub mod share;
 pub mod straggler;
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -242,10 +242,12 @@
         let mut slots = self.gang_slots(step_ref, step, caution, now);
         let count = step.count;
         let rooms: Vec<_> = slots.iter().map(|(key, room, _)| (*key, *room)).collect();
-        let slowest = self.slowest_class_needed(&rooms, step);
+        let one_rack = self.keeps_to_rack(step_ref, step, &rooms, now);
+        let slowest = self.slowest_class_needed(&rooms, count, one_rack);
         slots.retain(|(key, ..)| !self.is_slower(*key, slowest));
-        if step.one_rack {
-            let rack = self.densest_rack(slots.iter().map(|(key, members, _)| (*key, *members)));
+        if one_rack {
+            let densest = self.densest_rack(slots.iter().map(|(key, members, _)| (*key, *members)));
+            let rack = densest.map(|(rack, _)| rack);
             slots.retain(|(key, ..)| rack.as_ref() == Some(&self.vms[*key].info.rack));
         }
         if slots.iter().map(|(_, members, _)| *members).sum::<u32>() < count {
@@ -258,6 +260,9 @@
                 std::cmp::Reverse(*members),
             )
         });
+        if step.one_rack && !one_rack {
+            self.note_racks(step_ref, step, &slots, now);
+        }
         let highest_run = self.step_state(step_ref).map_or(1, |state| {
             state
                 .tasks
@@ -338,27 +343,10 @@
         }
         slots
     }
-
-    /// Returns the rack with capacity for the most members.
-    pub(crate) fn densest_rack(
-        &self,
-        slots: impl Iterator<Item = (VmKey, u32)>,
-    ) -> Option<CompactString> {
-        let mut racks: Vec<(&CompactString, u32)> = Vec::new();
-        for (key, members) in slots {
-            let rack = &self.vms[key].info.rack;
-            match racks.iter_mut().find(|(known, _)| *known == rack) {
-                Some((_, sum)) => *sum += members,
-                None => racks.push((rack, members)),
-            }
-        }
-        let densest = racks.into_iter().max_by_key(|(_, sum)| *sum);
-        densest.map(|(rack, _)| rack.clone())
-    }
 }
 
 /// Returns the number of members that an empty VM holds.
-fn members_per_vm(vm: &Vm, size: &Size, step: &Step) -> u32 {
+pub(crate) fn members_per_vm(vm: &Vm, size: &Size, step: &Step) -> u32 {
     vm.info
         .capacity
         .count_fitting(size)
--- a/crates/dotterel-cell/src/plan/pace.rs
+++ b/crates/dotterel-cell/src/plan/pace.rs
@@ -92,9 +92,15 @@
         })
     }
 
-    /// Returns the class of the slowest VMs that a gang needs, if it takes the fastest ones that have
-    /// room for all its members. All are needed if that is still too few.
-    pub(crate) fn slowest_class_needed(&self, slots: &[(VmKey, u32)], step: &Step) -> i8 {
+    /// Returns the class of the slowest VMs that a gang of `count` members needs, if it takes the fastest ones
+    /// that have room for all of them, within a rack if `one_rack` is set. All are needed if that is still
+    /// too few.
+    pub(crate) fn slowest_class_needed(
+        &self,
+        slots: &[(VmKey, u32)],
+        count: u32,
+        one_rack: bool,
+    ) -> i8 {
         if !self.speeds.is_uneven() {
             return i8::MIN;
         }
@@ -106,7 +112,7 @@
         let mut racks: Vec<(&CompactString, u32)> = Vec::new();
         let mut sum = 0;
         for (class, key, members) in by_class {
-            let room = if step.one_rack {
+            let room = if one_rack {
                 let rack = &self.vms[key].info.rack;
                 match racks.iter_mut().find(|(known, _)| *known == rack) {
                     Some((_, room)) => {
@@ -122,7 +128,7 @@
                 sum += members;
                 sum
             };
-            if room >= step.count {
+            if room >= count {
                 return class;
             }
         }
--- a/crates/dotterel-cell/src/plan/reserve.rs
+++ b/crates/dotterel-cell/src/plan/reserve.rs
@@ -145,16 +145,21 @@
             .filter(|candidate| candidate.offer.victims.is_empty())
             .map(|candidate| (candidate.offer.vm, candidate.offer.slots))
             .collect();
-        let slowest = self.slowest_class_needed(&rooms, step);
+        let slots = candidates.iter();
+        let slots: Vec<_> = slots
+            .map(|candidate| (candidate.offer.vm, candidate.offer.slots))
+            .collect();
+        let one_rack = self.keeps_to_rack(step_ref, step, &slots, now);
+        let slowest = self.slowest_class_needed(&rooms, step.count, one_rack);
         for candidate in &mut candidates {
             candidate.is_slow = self.is_slower(candidate.offer.vm, slowest);
         }
-        if step.one_rack {
+        if one_rack {
             let slots = candidates
                 .iter()
                 .filter(|candidate| !candidate.is_slow)
                 .map(|candidate| (candidate.offer.vm, candidate.offer.slots));
-            let rack = self.densest_rack(slots);
+            let rack = self.densest_rack(slots).map(|(rack, _)| rack);
             candidates
                 .retain(|candidate| rack.as_ref() == Some(&self.vms[candidate.offer.vm].info.rack));
         }
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -127,7 +127,7 @@
     pub after: Vec<u16>,
     /// The tasks form a gang: they only work together.
     pub gang: bool,
-    /// The tasks of a gang are placed in one rack.
+    /// The tasks of a gang work faster within one rack.
     pub one_rack: bool,
     /// The tasks save their progress and can resume elsewhere.
     pub checkpoint: bool,
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -440,9 +440,15 @@
         self.fenced
             && self.recorded
             && self.late_starts.is_empty()
-            && self.listed
-            && !self.info.draining
             && self.silent_since.is_none()
+            && self.is_eligible(service, step)
+    }
+
+    /// Returns true if the VM may be given tasks of a step of `service` once it responds.
+    #[must_use]
+    pub fn is_eligible(&self, service: &str, step: &Step) -> bool {
+        self.listed
+            && !self.info.draining
             && self.info.service == service
             && (step.label.is_empty() || self.info.labels.contains(&step.label))
     }
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod preemption;
 mod queued_starts;
+mod racks;
 mod replace;
 mod restarts;
 mod schedules;
--- a/crates/dotterel-node/src/scheduler/decision_log.rs
+++ b/crates/dotterel-node/src/scheduler/decision_log.rs
@@ -148,6 +148,12 @@
             } => log::info!(
                 task:% = task, run, vm = vm.as_str(), ends_listed;
                 "run absent from report, released"),
+            CellEvent::GangAcrossRacks {
+                task,
+                racks,
+                waited,
+            } => log::info!(
+                task:% = task, racks, waited_ms = waited.0; "gang started on several racks"),
             CellEvent::ReleaseWaits {
                 vm,
                 silent,
--- a/crates/dotterel-node/src/settings.rs
+++ b/crates/dotterel-node/src/settings.rs
@@ -128,6 +128,9 @@
     pub status_s: Option<u64>,
     /// Time from SIGTERM to SIGKILL, in s.
     pub grace_s: Option<f64>,
+    /// How many times as long the tasks of a gang take on several racks that should run in one; 2 if
+    /// omitted.
+    pub cross_rack_factor: Option<f64>,
 }
 
 /// Validated settings.
@@ -252,6 +255,10 @@
             leadership_ttl: defaults.leadership_ttl,
             stop_timeout: bounds.stop_ms.map_or(defaults.stop_timeout, Millis),
             retention: bounds.status_s.map_or(defaults.retention, Millis::secs),
+            cross_rack_pct: match bounds.cross_rack_factor {
+                Some(factor) => to_percent("bounds.cross_rack_factor", factor)?,
+                None => defaults.cross_rack_pct,
+            },
             keep_apart: raw.keep_apart,
         };
         Ok(Self {
@@ -301,6 +308,20 @@
     })
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the range is checked first"
+)]
+fn to_percent(field: &str, factor: f64) -> Result<u32, SettingsError> {
+    if !(1.0..=1000.0).contains(&factor) {
+        return Err(SettingsError(format_compact!(
+            "{field}: {factor} is out of range"
+        )));
+    }
+    Ok((factor * 100.0).round() as u32)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/dotterel-node/tests/settings.rs
+++ b/crates/dotterel-node/tests/settings.rs
@@ -50,8 +50,21 @@
     assert_eq!(settings.limits.lease_ttl, Millis(2000));
 }
 
+/// Guards against gangs that wait for a rack longer, or less long, than it is worth.
+#[test]
+fn the_factor_of_several_racks_is_the_platform_s() {
+    let known = VALID.replace("grace_s", "cross_rack_factor = 1.5\n    grace_s");
+    let known = Settings::parse(&known).expect("the settings are valid");
+    let unknown = Settings::parse(VALID).expect("the settings are valid");
+
+    assert_eq!(known.limits.cross_rack_pct, 150);
+    assert_eq!(unknown.limits.cross_rack_pct, 200);
+}
+
 #[test]
 fn errors_name_the_invalid_field() {
+    let factor = VALID.replace("grace_s", "cross_rack_factor = 0.5\n    grace_s");
+    assert!(parse_error(&factor).contains("cross_rack_factor"));
     assert!(parse_error(&VALID.replace("\"127.0.0.1:8161\"", "\"here\"")).contains("front"));
     assert!(parse_error(&VALID.replace("\"entry-1\"", "\"\"")).contains("node"));
     assert!(parse_error(&VALID.replace("6000", "100")).contains("lease_max_ms"));
