--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -9,6 +9,7 @@
 //! - [`pace`]: which work gets the faster VMs.
 //! - [`preempt`]: preemption of less urgent runs that can resume.
 //! - [`straggler`]: runs that take much longer than their peers.
+//! - [`avoid`]: VMs on which a task has failed.
 //! - [`advice`]: requests to the advice service.
 //! - [`caution`]: tasks that may crash their VMs.
 
@@ -21,6 +22,7 @@
 use crate::vm::{Caution, VmKey};
 
 pub mod advice;
+pub mod avoid;
 pub mod caution;
 pub mod fit;
 pub mod gang;
@@ -349,6 +351,17 @@
         });
     }
 
+    /// Returns the name of a step's task.
+    pub(crate) fn task_name(&self, step_ref: StepRef, index: u32) -> Option<TaskName> {
+        let job = self.jobs.get(step_ref.job)?;
+        Some(TaskName {
+            job: job.id,
+            round: step_ref.round,
+            step: step_ref.step,
+            index,
+        })
+    }
+
     pub(crate) fn step_state(&self, step_ref: StepRef) -> Option<&crate::job::StepState> {
         let round = self.jobs.get(step_ref.job)?.round(step_ref.round)?;
         round.steps.get(usize::from(step_ref.step))
--- a/crates/dotterel-cell/src/plan/advice.rs
+++ b/crates/dotterel-cell/src/plan/advice.rs
@@ -242,7 +242,7 @@
         };
         let (mut expired, mut unknown) = (Vec::new(), Vec::new());
         let mut valid = 0;
-        let avoid = self.avoided_by_all(step_ref);
+        let avoid = self.avoided_by_all(step_ref, step, now);
         for (key, vm) in &self.vms {
             if !self.is_usable(vm, &job.policy.service, step, now) || avoid.contains(&key) {
                 continue;
@@ -303,23 +303,24 @@
     }
 
     /// Returns the VMs that all waiting tasks avoid.
-    fn avoided_by_all(&self, step_ref: StepRef) -> Vec<VmKey> {
+    fn avoided_by_all(&self, step_ref: StepRef, step: &Step, now: Millis) -> Vec<VmKey> {
         let Some(state) = self.step_state(step_ref) else {
             return Vec::new();
         };
-        let waiting = || {
-            state
-                .tasks
-                .iter()
-                .filter(|task| task.phase == Phase::Waiting)
-        };
-        let Some(first) = waiting().next() else {
+        let waiting = state.tasks.iter();
+        let mut waiting = waiting.filter(|task| task.phase == Phase::Waiting);
+        let Some(first) = waiting.next() else {
             return Vec::new();
         };
-        let avoided = first.avoided_vms.iter().copied();
-        avoided
-            .filter(|key| waiting().all(|task| task.avoided_vms.contains(key)))
-            .collect()
+        let mut common = self.avoided_by_task(step_ref, step, first, now);
+        for task in waiting {
+            if common.is_empty() {
+                break;
+            }
+            let avoided = self.avoided_by_task(step_ref, step, task, now);
+            common.retain(|key| avoided.contains(key));
+        }
+        common
     }
 
     /// Applies a reply of the advice service.
--- a/crates/dotterel-cell/src/plan/fit.rs
+++ b/crates/dotterel-cell/src/plan/fit.rs
@@ -25,6 +25,8 @@
 const LATE_VM_WEIGHT: u64 = 10_000;
 /// Penalty for a VM outside the rack that holds the data: more than any leftover capacity.
 const OTHER_RACK_WEIGHT: u64 = 1_000_000;
+/// Penalty for a VM on which the task has failed: more than for another rack.
+const FAILED_VM_WEIGHT: u64 = 2_000_000;
 /// Penalty for a VM whose runs slow the task, or are slowed by it: more than any leftover capacity.
 const APART_WEIGHT: u64 = 3000;
 
@@ -142,33 +144,6 @@
         found
     }
 
-    /// Returns true if `avoid` contains every VM that may run a step, including those not asked
-    /// about yet.
-    pub(crate) fn all_avoided(
-        &self,
-        step_ref: StepRef,
-        step: &Step,
-        avoid: &[VmKey],
-        now: Millis,
-    ) -> bool {
-        let Some(job) = self.jobs.get(step_ref.job) else {
-            return false;
-        };
-        let advice = self.step_state(step_ref).map(|state| &state.advice);
-        self.vms.iter().all(|(key, vm)| {
-            let is_candidate = match advice.filter(|_| job.policy.advice.is_some()) {
-                Some(advice) => {
-                    advice.requested.binary_search(&key).is_err()
-                        || advice.allowed.iter().any(|entry| entry.vm == key)
-                }
-                None => true,
-            };
-            !is_candidate
-                || avoid.contains(&key)
-                || !self.is_usable(vm, &job.policy.service, step, now)
-        })
-    }
-
     /// Returns the VM with the least capacity left after placing a task, and its ticket.
     pub(crate) fn best_vm(
         &self,
@@ -179,9 +154,8 @@
     ) -> Option<(VmKey, CompactString)> {
         let task = &self.step_state(step_ref)?.tasks[index as usize];
         let size = occupied_size(step);
-        // A VM on which the task has failed is better than none.
-        let no_other = !task.avoided_vms.is_empty()
-            && self.all_avoided(step_ref, step, &task.avoided_vms, now);
+        let avoided = self.avoided_by_task(step_ref, step, task, now);
+        let name = self.task_name(step_ref, index)?;
         let spread = self.is_spread(step_ref, now);
         let pace = self.pace(step_ref, step, now);
         let to_avoid = self.kinds_to_avoid(step_ref, step, now);
@@ -190,7 +164,9 @@
             let vm = &self.vms[key];
             let available = self.free_capacity(key, vm);
             let has_slot = self.count_slots(step_ref, step, vm, &available) > 0;
-            if !has_slot || (task.avoided_vms.contains(&key) && !no_other) {
+            // A copy is of no use beside the run that it replaces.
+            let has_run = !task.avoided_vms.is_empty() && vm.has_run_of(name);
+            if !has_slot || avoided.contains(&key) || has_run {
                 continue;
             }
             let mut weight = leftover(&available.minus(&size), &vm.info.capacity);
@@ -205,6 +181,9 @@
             if !step.rack.is_empty() && step.rack != vm.info.rack {
                 weight += OTHER_RACK_WEIGHT;
             }
+            if task.avoided_vms.contains(&key) {
+                weight += FAILED_VM_WEIGHT;
+            }
             if !size.fits(&self.unreserved_capacity(key, vm)) {
                 weight += RESERVED_WEIGHT;
             }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -293,27 +293,6 @@
         0
     }
 
-    /// Returns the VMs on which a member has failed, or none if there are no other VMs.
-    pub(crate) fn avoided_by_gang(
-        &self,
-        step_ref: StepRef,
-        step: &Step,
-        now: Millis,
-    ) -> Vec<VmKey> {
-        let Some(state) = self.step_state(step_ref) else {
-            return Vec::new();
-        };
-        let all = state
-            .tasks
-            .iter()
-            .flat_map(|task| task.avoided_vms.iter().copied());
-        let mut avoid: Vec<VmKey> = all.collect();
-        if !avoid.is_empty() && self.all_avoided(step_ref, step, &avoid, now) {
-            avoid.clear();
-        }
-        avoid
-    }
-
     /// Returns the VMs with capacity, the number of members that fit on each, and their tickets.
     fn gang_slots(
         &self,
--- a/crates/dotterel-cell/src/plan/rack.rs
+++ b/crates/dotterel-cell/src/plan/rack.rs
@@ -9,9 +9,7 @@
 
 use crate::cell::{Cell, CellEvent};
 use crate::job::StepRef;
-use crate::plan::gang::members_per_vm;
-use crate::plan::occupied_size;
-use crate::spec::{Step, TaskName};
+use crate::spec::Step;
 use crate::vm::VmKey;
 
 /// Longest wait for a rack while less than half of the service's processors are in use. Work that could run
@@ -61,7 +59,7 @@
         slots: &[(VmKey, u32, CompactString)],
         now: Millis,
     ) {
-        let (Some(job), Some(state)) = (self.jobs.get(step_ref.job), self.step_state(step_ref))
+        let (Some(task), Some(state)) = (self.task_name(step_ref, 0), self.step_state(step_ref))
         else {
             return;
         };
@@ -77,12 +75,7 @@
         racks.sort_unstable();
         racks.dedup();
         let event = CellEvent::GangAcrossRacks {
-            task: TaskName {
-                job: job.id,
-                round: step_ref.round,
-                step: step_ref.step,
-                index: 0,
-            },
+            task,
             racks: racks.len(),
             waited: now.since(state.opened_at),
         };
@@ -105,36 +98,11 @@
             && self.has_large_rack(step_ref, step, now)
     }
 
-    /// Returns true if half of the processors of a service's VMs are in use.
-    fn is_half_used(&self, service: &str) -> bool {
-        let (mut used, mut total) = (0, 0);
-        for vm in self.vms.values() {
-            if vm.listed && vm.info.service == service {
-                used += u64::from(vm.used.milli_cores);
-                total += u64::from(vm.info.capacity.milli_cores);
-            }
-        }
-        used * 2 >= total
-    }
-
     /// Returns true if the VMs of a rack that may run a gang could hold all members if they were empty. VMs
     /// that don't respond for now count.
     fn has_large_rack(&self, step_ref: StepRef, step: &Step, now: Millis) -> bool {
-        let (Some(job), Some(state)) = (self.jobs.get(step_ref.job), self.step_state(step_ref))
-        else {
-            return false;
-        };
-        let size = occupied_size(step);
         let avoid = self.avoided_by_gang(step_ref, step, now);
-        let is_refused = |key: VmKey| {
-            job.policy.advice.is_some()
-                && state.advice.requested.binary_search(&key).is_ok()
-                && !state.advice.allowed.iter().any(|entry| entry.vm == key)
-        };
-        let candidates = self.vms.iter().filter(|(key, vm)| {
-            vm.is_eligible(&job.policy.service, step) && !avoid.contains(key) && !is_refused(*key)
-        });
-        let slots = candidates.map(|(key, vm)| (key, members_per_vm(vm, &size, step)));
+        let slots = self.eligible_slots(step_ref, step, &avoid).into_iter();
         self.densest_rack(slots)
             .is_some_and(|(_, members)| members >= step.count)
     }
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -600,6 +600,12 @@
             .position(|vm_run| vm_run.task == task && vm_run.run == run)
     }
 
+    /// Returns true if a run of a task occupies capacity on the VM.
+    #[must_use]
+    pub fn has_run_of(&self, task: TaskName) -> bool {
+        self.runs.iter().any(|vm_run| vm_run.task == task)
+    }
+
     /// Returns the number of runs that belong to the same step as `task`, in the phases for which
     /// `is_counted` returns true.
     #[must_use]
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell's decisions, without network access.
 
 mod advice;
+mod avoided_vms;
 mod capacity;
 mod caps;
 mod caps_property;
