--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -212,13 +212,13 @@
 
     /// Restores the open losses of a job from its progress.
     pub(super) fn restore_losses(&mut self, key: JobKey, now: Millis) {
-        let job = &self.jobs[key];
+        let job = &mut self.jobs[key];
         let mut open = Vec::new();
         let mut crashing = None;
         let mut has_losses = false;
-        for round in &job.rounds {
-            for (step, state) in (0u16..).zip(&round.steps) {
-                for (index, task) in (0u32..).zip(&state.tasks) {
+        for round in &mut job.rounds {
+            for (step, state) in (0u16..).zip(&mut round.steps) {
+                for (index, task) in (0u32..).zip(&mut state.tasks) {
                     let name = TaskName {
                         job: job.id,
                         round: round.number,
@@ -228,7 +228,10 @@
                     if task.crashes_vms() {
                         crashing = Some(name);
                     }
-                    has_losses |= !task.lost_runs.is_empty();
+                    if !task.lost_runs.is_empty() {
+                        has_losses = true;
+                        task.lost_at = now;
+                    }
                     let unconfirmed = task.lost_runs.iter().filter(|lost| !lost.confirmed);
                     open.extend(unconfirmed.map(|lost| OpenLoss {
                         task: name,
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -17,6 +17,9 @@
 const MAX_LOSSES_AS_BYSTANDER: usize = 3;
 /// After this many losses the next start waits until all of them are known to be crashes or not.
 const MAX_UNCONFIRMED_LOSSES: usize = 3;
+/// But no longer than this after the last one: most VMs that crash are back by then, and one that is lost for
+/// good never tells.
+const MAX_VERDICT_WAIT: Millis = Millis::secs(3);
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,9 +84,11 @@
     /// Returns true if the next start has to wait until it is known whether earlier runs have
     /// crashed their VMs.
     #[must_use]
-    pub fn awaits_verdict(&self) -> bool {
+    pub fn awaits_verdict(&self, now: Millis) -> bool {
         let is_open = |lost: &LostRun| !lost.confirmed;
-        self.lost_runs.len() >= MAX_UNCONFIRMED_LOSSES && self.lost_runs.iter().any(is_open)
+        self.lost_runs.len() >= MAX_UNCONFIRMED_LOSSES
+            && now.since(self.lost_at) < MAX_VERDICT_WAIT
+            && self.lost_runs.iter().any(is_open)
     }
 
     /// Returns true if the task has certainly crashed several VMs.
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -187,7 +187,7 @@
                 .step_state(step_ref)
                 .map(|state| &state.tasks[index as usize]);
             let caution = match task.filter(|task| task.is_suspect()) {
-                Some(suspect) => caution::suspect_caution(suspect),
+                Some(suspect) => caution::suspect_caution(suspect, now),
                 None => step_caution,
             };
             match caution {
--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -177,7 +177,7 @@
             return self.step_caution(step_ref, now);
         }
         suspects.try_fold(Caution::None, |strictest, task| {
-            Some(strictest.max(suspect_caution(task)?))
+            Some(strictest.max(suspect_caution(task, now)?))
         })
     }
 
@@ -309,8 +309,8 @@
 }
 
 /// Returns how a suspect has to be started; `None` if it has to wait.
-pub(crate) fn suspect_caution(task: &Task) -> Option<Caution> {
-    if task.awaits_verdict() {
+pub(crate) fn suspect_caution(task: &Task, now: Millis) -> Option<Caution> {
+    if task.awaits_verdict(now) {
         None
     } else if task.is_suspected_of(Suspicion::Shared) {
         Some(Caution::Isolated)
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -16,6 +16,7 @@
 
 const STEP_MS: u64 = 50;
 const RETURN_DELAY: Millis = Millis(4000);
+const UNLIST_DELAY: Millis = Millis(4500);
 const FIRST_INCARNATION: u64 = 7;
 
 /// A VM process between two restarts.
@@ -24,6 +25,8 @@
     incarnation: u64,
     /// Set while it is down: when it returns.
     returns_at: Option<Millis>,
+    /// Set if it is lost for good: when the registry drops it.
+    unlisted_at: Option<Millis>,
     runs: Vec<(TaskName, u32, Millis)>,
     ends: Vec<ReportedEnd>,
     last_end: u64,
@@ -54,6 +57,7 @@
             key: *key,
             incarnation: FIRST_INCARNATION,
             returns_at: None,
+            unlisted_at: None,
             runs: Vec::new(),
             ends: Vec::new(),
             last_end: 0,
@@ -98,6 +102,32 @@
         self.submit(id, record)
     }
 
+    /// Loses the VMs of a job's runs for good; the registry drops them `UNLIST_DELAY` later.
+    pub(crate) fn lose_vms_of(&mut self, id: u64) {
+        let now = self.bench.now;
+        for process in &mut self.processes {
+            if process.runs.iter().any(|(task, ..)| task.job == JobId(id)) {
+                process.returns_at = Some(Millis::MAX);
+                process.unlisted_at = Some(now + UNLIST_DELAY);
+                process.runs.clear();
+                self.bench.cell.vm_unresponsive(process.key, Some(now), now);
+            }
+        }
+    }
+
+    fn unlist_lost_vms(&mut self) {
+        let now = self.bench.now;
+        for process in &mut self.processes {
+            if process.unlisted_at.is_some_and(|at| now >= at) {
+                process.unlisted_at = None;
+                let vm = self.bench.cell.vm(process.key);
+                if let Some(id) = vm.map(|vm| vm.info.id.clone()) {
+                    self.bench.cell.vm_unlisted(&id, now);
+                }
+            }
+        }
+    }
+
     /// Crashes the VMs of the first `count` runs of a job, and fails its other runs.
     pub(crate) fn crash_vms_of(&mut self, id: u64, count: usize) {
         let now = self.bench.now;
@@ -140,6 +170,7 @@
     fn step(&mut self) {
         self.bench.advance(STEP_MS);
         self.restart_vms();
+        self.unlist_lost_vms();
         self.end_runs();
         self.report();
         self.bench.cell.tick(self.bench.now);
--- a/crates/dotterel-cell/tests/cell/separate_runs.rs
+++ b/crates/dotterel-cell/tests/cell/separate_runs.rs
@@ -129,3 +129,40 @@
     }
     assert!((1..20).all(|id| started(&world, id)));
 }
+
+/// Time from the loss of a service's run until it has to run again, if it can.
+const MAX_SERVICE_WAIT: u64 = 9000;
+
+// Guards against a service that stands still since nobody can tell whether a VM that is lost for good has
+// crashed.
+#[test]
+fn a_service_starts_again_after_a_vm_was_lost_for_good() {
+    let mut world = World::new(8);
+    world.submit(100, service(2));
+    for _ in 0..2 {
+        world.run_for(15_000);
+        world.crash_vms_of(100, 8);
+    }
+    world.run_for(15_000);
+
+    world.lose_vms_of(100);
+    world.run_for(MAX_SERVICE_WAIT);
+
+    assert_eq!(hosts(&world, 1).len(), 1);
+}
+
+// Guards against more starts of a task that crashes its VMs for good than of one whose VMs return.
+#[test]
+fn a_task_that_destroys_its_vms_is_given_up() {
+    let mut world = World::new(12);
+    world.submit(100, independent_tasks(1, 600_000));
+
+    for _ in 0..600 {
+        world.run_for(100);
+        world.lose_vms_of(100);
+    }
+
+    assert_eq!(world.bench.cell.state(JobId(100)), Some(JobState::Failed));
+    let starts = world.starts[&task(100, 0)];
+    assert!(starts <= 5, "{starts} VMs lost");
+}
