--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -78,11 +78,13 @@
         free * CROWDED_DIVISOR < total
     }
 
-    /// Starts a gang, reserves capacity for it, or requests advice.
+    /// Starts a gang, reserves capacity for it, or requests advice. A gang that `yields` neither preempts runs
+    /// nor holds partial capacity.
     pub(crate) fn plan_gang(
         &mut self,
         step_ref: StepRef,
         step: &Step,
+        yields: bool,
         gangs: &mut GangQueue,
         now: Millis,
     ) {
@@ -96,13 +98,12 @@
         if !self.risk.allows(caution) {
             return;
         }
-        // Gangs beyond the rate of their tenant neither preempt runs nor hold partial capacity.
-        let position = if job.excess {
+        let position = if yields {
             u32::MAX
         } else {
             gangs.next_position(job.policy.priority)
         };
-        if state.reservation.shortage > 0 && !job.excess {
+        if state.reservation.shortage > 0 && !yields {
             gangs.lacking += 1;
             gangs.lacking_priority = job.policy.priority;
         }
