--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -14,7 +14,8 @@
 /// Maximum number of tasks of a step, far above what callers send.
 pub const MAX_TASKS: u32 = 20_000;
 
-/// Job id chosen by the caller.
+/// Job id chosen by the caller: 16 hexadecimal digits, the letters in lower case. Ids that differ in the case
+/// of a letter would name one job.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -30,7 +31,8 @@
     type Err = SpecError;
 
     fn from_str(text: &str) -> Result<Self, SpecError> {
-        let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        let digits = text.len() == 16 && text.bytes().all(is_digit);
         if !digits {
             return Err(SpecError::Id);
         }
@@ -205,7 +207,7 @@
 /// Reason for rejecting a malformed id or job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpecError {
-    /// The id is not 16 hexadecimal digits.
+    /// The id is not 16 hexadecimal digits in lower case.
     Id,
     /// The text is longer than [`MAX_SPEC_BYTES`].
     TextTooLong,
@@ -222,7 +224,7 @@
 impl fmt::Display for SpecError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Id => "the id must have 16 hexadecimal digits",
+            Self::Id => "the id must have 16 hexadecimal digits, with letters in lower case",
             Self::TextTooLong => "the task text must have at most 4000 bytes",
             Self::StepCount => "a job must have 1 to 256 steps",
             Self::TaskCount => "a step must have 1 to 20000 tasks",
--- /dev/null
+++ b/crates/dotterel-cell/tests/spec.rs
@@ -0,0 +1,27 @@
+//! Validation of what callers submit.
+
+use dotterel_cell::{JobId, SpecError, TaskName};
+
+// Guards against a job that runs under the name of another one, whose id differs in the case of a letter.
+#[test]
+fn ids_have_one_spelling() {
+    let lower = "5c0e7a21d94b36f8".parse::<JobId>();
+    let upper = "5C0E7A21D94B36F8".parse::<JobId>();
+    let mixed = "5c0e7a21d94b36F8".parse::<JobId>();
+
+    assert_eq!(lower, Ok(JobId(0x5c0e_7a21_d94b_36f8)));
+    assert_eq!((upper, mixed), (Err(SpecError::Id), Err(SpecError::Id)));
+    assert_eq!(
+        "5C0E7A21D94B36F8.0.0.0".parse::<TaskName>(),
+        Err(SpecError::Id)
+    );
+}
+
+#[test]
+fn an_id_is_written_as_it_was_read() {
+    for text in ["0000000000000000", "5c0e7a21d94b36f8", "ffffffffffffffff"] {
+        let id: JobId = text.parse().expect("the id is valid");
+
+        assert_eq!(id.to_string(), text);
+    }
+}
--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -222,8 +222,13 @@
         if name.is_empty() && request.method() == Method::GET {
             return self.pending(route, caller.deadline).await;
         }
-        let Ok(id) = name.parse::<JobId>() else {
-            return ApiResponse::new(StatusCode::BAD_REQUEST, "malformed job id");
+        let id = match name.parse::<JobId>() {
+            Ok(id) => id,
+            Err(err) => {
+                log::info!(fault = err.to_string().as_str(); "malformed job id rejected");
+                return ApiResponse::new(StatusCode::BAD_REQUEST, "malformed job id")
+                    .body(self.platform.encode_reason(&err.to_string()));
+            }
         };
         match *request.method() {
             Method::POST => {
