--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -7,7 +7,7 @@
 
 use dotterel_kernel::Millis;
 
-use super::Cell;
+use super::{Cell, CellEvent};
 use crate::job::{JobKey, JobState};
 use crate::record::{EndRecord, JobRecord, JobRow, encode};
 use crate::spec::JobId;
@@ -183,7 +183,13 @@
                 remaining.push(key);
                 continue;
             }
-            let write = RowWrite::Progress(job.id, encode(&job.progress()));
+            let (row, is_shortened) = job.progress_row();
+            if is_shortened && !job.has_long_progress {
+                job.has_long_progress = true;
+                self.events
+                    .push(CellEvent::ProgressShortened { job: job.id });
+            }
+            let write = RowWrite::Progress(job.id, row);
             if !budget.try_add(std::slice::from_ref(&write)) {
                 remaining.push(key);
                 continue;
--- a/crates/dotterel-cell/src/cell/events.rs
+++ b/crates/dotterel-cell/src/cell/events.rs
@@ -37,6 +37,12 @@
         /// Number of ends in the report.
         ends_listed: usize,
     },
+    /// The progress of a job is too large for a row of the store, so that states which its tasks have saved
+    /// are left out.
+    ProgressShortened {
+        /// Id of the job.
+        job: JobId,
+    },
     /// A gang that works faster within one rack was started on several.
     GangAcrossRacks {
         /// One of its tasks.
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::record::{JobRecord, Progress, RoundProgress};
+use crate::record::{JobRecord, Progress, RoundProgress, encode};
 use crate::spec::{JobId, JobSpec, Policy};
 use crate::tenant::TenantNo;
 
@@ -46,6 +46,17 @@
     }
 }
 
+/// Which states that tasks have saved are stored with the progress of their job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProgressDetail {
+    /// All of them.
+    Full,
+    /// Those of waiting tasks: VMs report those of running tasks again to a successor.
+    WithoutRunning,
+    /// None: tasks that wait start over after a takeover.
+    WithoutSaved,
+}
+
 /// Identifies a step in a round of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StepRef {
@@ -106,6 +117,8 @@
     pub changed_seq: u64,
     /// Sequence number of the last durable change.
     pub durable_seq: u64,
+    /// Set once the progress of the job was too large for a row.
+    pub has_long_progress: bool,
     /// Set once the job may have a progress row.
     pub has_progress_row: bool,
     /// Time at which the job ended.
@@ -146,6 +159,7 @@
             lane: None,
             changed_seq: 0,
             durable_seq: 0,
+            has_long_progress: false,
             has_progress_row: false,
             ended_at: Millis::ZERO,
             rounds: Vec::new(),
@@ -224,11 +238,27 @@
         opened
     }
 
-    /// Returns the progress to store for a successor.
+    /// Returns the progress to store for a successor, with as much detail as a row of the store holds, and
+    /// whether any was left out.
     #[must_use]
-    pub fn progress(&self) -> Progress {
+    pub fn progress_row(&self) -> (Vec<u8>, bool) {
+        /// The store accepts 65,536 bytes.
+        const MAX_ROW_BYTES: usize = 64_000;
+        let full = encode(&self.progress(ProgressDetail::Full));
+        if full.len() <= MAX_ROW_BYTES {
+            return (full, false);
+        }
+        let without_running = encode(&self.progress(ProgressDetail::WithoutRunning));
+        if without_running.len() <= MAX_ROW_BYTES {
+            return (without_running, true);
+        }
+        (encode(&self.progress(ProgressDetail::WithoutSaved)), true)
+    }
+
+    fn progress(&self, detail: ProgressDetail) -> Progress {
+        let rounds = self.rounds.iter().map(|round| round.progress(detail));
         Progress {
-            rounds: self.rounds.iter().map(Round::progress).collect(),
+            rounds: rounds.collect(),
             next_round: self.next_round,
         }
     }
@@ -251,10 +281,11 @@
 }
 
 impl Round {
-    fn progress(&self) -> RoundProgress {
+    fn progress(&self, detail: ProgressDetail) -> RoundProgress {
+        let steps = self.steps.iter().map(|step| step.progress(detail));
         RoundProgress {
             round: self.number,
-            steps: self.steps.iter().map(StepState::progress).collect(),
+            steps: steps.collect(),
         }
     }
 }
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
 
-use super::FormerRun;
+use super::{FormerRun, ProgressDetail};
 use crate::record::{LostRun, StepProgress, Suspicion, TaskMark};
 use crate::spec::Step;
 use crate::vm::VmKey;
@@ -58,8 +58,27 @@
 }
 
 impl Task {
-    fn has_history(&self) -> bool {
-        !self.failed_runs.is_empty() || !self.saved.is_empty() || !self.lost_runs.is_empty()
+    /// Returns what to store of the task for a successor, if there is anything.
+    fn mark(&self, index: u32, detail: ProgressDetail) -> Option<TaskMark> {
+        let keeps_saved = match detail {
+            ProgressDetail::Full => true,
+            ProgressDetail::WithoutRunning => self.phase == Phase::Waiting,
+            ProgressDetail::WithoutSaved => false,
+        };
+        let saved = if keeps_saved {
+            self.saved.clone()
+        } else {
+            CompactString::default()
+        };
+        let has_history =
+            !self.failed_runs.is_empty() || !saved.is_empty() || !self.lost_runs.is_empty();
+        has_history.then(|| TaskMark {
+            index,
+            failed_runs: self.failed_runs.clone(),
+            last_run: self.highest_run,
+            saved,
+            lost_runs: self.lost_runs.clone(),
+        })
     }
 
     /// Returns true if the task waits, and nobody else can have counted the end of a run that vanished, as
@@ -202,20 +221,15 @@
             })
     }
 
-    pub(super) fn progress(&self) -> StepProgress {
+    pub(super) fn progress(&self, detail: ProgressDetail) -> StepProgress {
         let mut done = vec![0u8; self.tasks.len().div_ceil(8)];
         let mut marks = Vec::new();
         for (index, task) in self.tasks.iter().enumerate() {
             if task.phase == Phase::Done {
                 done[index / 8] |= 1 << (index % 8);
-            } else if task.has_history() {
-                marks.push(TaskMark {
-                    index: u32::try_from(index).unwrap_or(u32::MAX),
-                    failed_runs: task.failed_runs.clone(),
-                    last_run: task.highest_run,
-                    saved: task.saved.clone(),
-                    lost_runs: task.lost_runs.clone(),
-                });
+            } else {
+                let index = u32::try_from(index).unwrap_or(u32::MAX);
+                marks.extend(task.mark(index, detail));
             }
         }
         StepProgress {
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -13,6 +13,8 @@
 pub const MAX_STEPS: usize = 256;
 /// Maximum number of tasks of a step, far above what callers send.
 pub const MAX_TASKS: u32 = 20_000;
+/// Maximum number of tasks of a job: which of them are done is kept in one row of the store.
+pub const MAX_JOB_TASKS: u32 = 200_000;
 
 /// Job id chosen by the caller: 16 hexadecimal digits, the letters in lower case. Ids that differ in the case
 /// of a letter would name one job.
@@ -215,6 +217,8 @@
     StepCount,
     /// A step has no tasks, or more than [`MAX_TASKS`].
     TaskCount,
+    /// The steps have more than [`MAX_JOB_TASKS`] tasks together.
+    JobTaskCount,
     /// A step depends on itself or on a later step.
     After,
     /// The schedule has no period or too many rounds.
@@ -228,6 +232,7 @@
             Self::TextTooLong => "the task text must have at most 4000 bytes",
             Self::StepCount => "a job must have 1 to 256 steps",
             Self::TaskCount => "a step must have 1 to 20000 tasks",
+            Self::JobTaskCount => "a job must have at most 200000 tasks",
             Self::After => "a step may only come after earlier steps",
             Self::Schedule => "a schedule needs a period and at most 4294967295 occurrences",
         })
@@ -264,6 +269,9 @@
             }
             steps.push(step);
         }
+        if steps.iter().map(|step| step.count).sum::<u32>() > MAX_JOB_TASKS {
+            return Err(SpecError::JobTaskCount);
+        }
         Ok(Self {
             text: raw.text,
             steps,
--- a/crates/dotterel-cell/tests/cell/durable.rs
+++ b/crates/dotterel-cell/tests/cell/durable.rs
@@ -1,7 +1,15 @@
 //! Ends are acknowledged to VMs only once they are durable.
 
+use compact_str::format_compact;
+use dotterel_cell::cell::CellEvent;
+use dotterel_cell::record::{Progress, decode};
+use dotterel_cell::vm::VmRun;
+use dotterel_cell::{JobId, ReportedRun, RowWrite, RunOutcome, Submitted};
+
 use crate::support::{self, Bench, ended, task};
-use dotterel_cell::{JobId, RowWrite, RunOutcome, Submitted};
+
+/// What a row of the store holds.
+const MAX_ROW_BYTES: usize = 65_536;
 
 #[test]
 fn an_end_is_not_acknowledged_while_its_row_is_in_flight() {
@@ -179,3 +187,65 @@
     bench.cell.batch_committed(&again);
     assert_eq!(bench.vm(0).durable_end, 1);
 }
+
+/// Returns the progress rows of a job of `count` tasks that all run and have saved their state, of which one
+/// has ended, and the number of warnings about them.
+fn rows_of_large_job(count: u32) -> (Vec<Vec<u8>>, usize) {
+    let mut bench = Bench::new(count.div_ceil(320) as usize);
+    let mut record = support::independent_tasks(count, 600_000);
+    record.spec.steps[0].size = support::size(100, 100);
+    record.spec.steps[0].checkpoint = true;
+    bench.submit(1, record);
+    bench.commit_all();
+    bench.plan();
+    assert_eq!(bench.confirm_starts().len(), count as usize);
+    let mut rows = Vec::new();
+    for beat in 0..3u64 {
+        bench.advance(300);
+        for index in 0..bench.vms.len() {
+            let runs = bench.vm(index).runs.iter();
+            let report = |run: &VmRun| ReportedRun {
+                saved: format_compact!("{beat:016x}"),
+                ..support::running(run.task, run.run, 10)
+            };
+            let runs: Vec<ReportedRun> = runs.map(report).collect();
+            let first = &runs[0];
+            let done = ended(beat + 1, first.task, first.run, RunOutcome::Done);
+            let ends = if index == 0 { vec![done] } else { Vec::new() };
+            bench.report(index, &runs[ends.len()..], &ends);
+        }
+        bench.advance(300);
+        let batch = bench.cell.take_batch(0, bench.now);
+        rows.extend(batch.writes.iter().filter_map(|write| match write {
+            RowWrite::Progress(_, row) => Some(row.clone()),
+            _ => None,
+        }));
+        bench.cell.batch_committed(&batch);
+    }
+    let events = bench.cell.take_events();
+    let is_warning = |event: &&CellEvent| matches!(event, CellEvent::ProgressShortened { .. });
+    (rows, events.iter().filter(is_warning).count())
+}
+
+// Guards against a row that the store refuses without end, so that no end of the job is acknowledged.
+#[test]
+fn the_progress_of_a_large_job_fits_a_row() {
+    let (rows, warnings) = rows_of_large_job(4000);
+
+    assert_eq!(rows.len(), 3);
+    let progress: Progress = decode(&rows[2]).expect("the row is valid");
+    assert!(rows.iter().all(|row| row.len() <= MAX_ROW_BYTES));
+    let done = progress.rounds[0].steps[0].done.iter();
+    assert_eq!(done.map(|bits| bits.count_ones()).sum::<u32>(), 3);
+    assert_eq!(warnings, 1);
+}
+
+// Guards against states that are left out although they fit.
+#[test]
+fn the_progress_of_a_smaller_job_keeps_the_saved_states() {
+    let (rows, warnings) = rows_of_large_job(1000);
+
+    let progress: Progress = decode(&rows[2]).expect("the row is valid");
+    assert_eq!(progress.rounds[0].steps[0].marks.len(), 997);
+    assert_eq!(warnings, 0);
+}
--- a/crates/dotterel-cell/tests/spec.rs
+++ b/crates/dotterel-cell/tests/spec.rs
@@ -1,6 +1,6 @@
 //! Validation of what callers submit.
 
-use dotterel_cell::{JobId, SpecError, TaskName};
+use dotterel_cell::{JobId, JobSpec, RawJob, RawStep, SpecError, Step, TaskName};
 
 // Guards against a job that runs under the name of another one, whose id differs in the case of a letter.
 #[test]
@@ -25,3 +25,29 @@
         assert_eq!(id.to_string(), text);
     }
 }
+
+/// Returns a job with steps of 20,000 tasks each.
+fn job_of(steps: usize) -> RawJob {
+    let step = Step {
+        count: 20_000,
+        ..Step::default()
+    };
+    let raw = RawStep {
+        step,
+        after: Vec::new(),
+    };
+    RawJob {
+        steps: vec![raw; steps],
+        ..RawJob::default()
+    }
+}
+
+// Guards against a job whose progress can't be stored, so that its ends are never acknowledged.
+#[test]
+fn a_job_too_large_to_be_stored_is_rejected() {
+    let accepted = JobSpec::try_from(job_of(10));
+    let rejected = JobSpec::try_from(job_of(11));
+
+    assert!(accepted.is_ok());
+    assert_eq!(rejected, Err(SpecError::JobTaskCount));
+}
--- a/crates/dotterel-node/src/scheduler/decision_log.rs
+++ b/crates/dotterel-node/src/scheduler/decision_log.rs
@@ -148,6 +148,9 @@
             } => log::info!(
                 task:% = task, run, vm = vm.as_str(), ends_listed;
                 "run absent from report, released"),
+            CellEvent::ProgressShortened { job } => log::warn!(
+                job:% = job;
+                "progress too large for a row, stored without states of running tasks"),
             CellEvent::GangAcrossRacks {
                 task,
                 racks,
