--- a/crates/dotterel-node/src/scheduler.rs
+++ b/crates/dotterel-node/src/scheduler.rs
@@ -232,7 +232,6 @@
                 cell.take_orders()
             };
             plan_time = self.note_pass(Pass::Plan, started_at);
-            self.metrics.record_plan(plan_time);
             self.dispatch(orders, now);
         }
     }
--- a/crates/dotterel-node/src/scheduler/passes.rs
+++ b/crates/dotterel-node/src/scheduler/passes.rs
@@ -35,7 +35,10 @@
     /// Records the duration of a pass, and logs it if it delays a renewal of the leadership.
     pub(super) fn note_pass(&self, pass: Pass, started_at: Instant) -> Duration {
         let duration = started_at.elapsed();
-        self.metrics.record_pass(pass.name(), duration);
+        match pass {
+            Pass::Plan => self.metrics.record_plan(duration),
+            _ => self.metrics.record_pass(pass.name(), duration),
+        }
         if duration >= RENEW_INTERVAL.duration() {
             let took = Millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX));
             let waiting = self.cell.borrow().waiting_steps();
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -25,6 +25,8 @@
 const HOLD_WAIT: Millis = Millis(1000);
 /// The same while the VM has more ends than a reply lists: the rest follows once these are acknowledged.
 const BACKLOG_WAIT: Millis = Millis(200);
+/// Reports with fewer runs and ends are applied too fast to be worth measuring.
+const TIMED_REPORT_LEN: usize = 100;
 /// Backoff between polls of a VM that doesn't reply: doubles from the minimum up to the maximum.
 const MIN_BACKOFF: Millis = Millis(100);
 const MAX_BACKOFF: Millis = Millis(800);
@@ -273,7 +275,8 @@
                     }
                     unavailable = false;
                     backoff = MIN_BACKOFF;
-                    let started_at = Instant::now();
+                    let listed = report.running.len() + report.ended.len();
+                    let started_at = (listed >= TIMED_REPORT_LEN).then(Instant::now);
                     let (has_new_ends, replaced) = {
                         let mut cell = self.cell.borrow_mut();
                         let last_end = cell.vm(key).map_or(0, |vm| vm.last_end);
@@ -287,7 +290,9 @@
                         let after = cell.vm(key).map(|vm| vm.last_end);
                         (after.is_some_and(|after| after > last_end), after.is_none())
                     };
-                    self.note_pass(Pass::Report, started_at);
+                    if let Some(started_at) = started_at {
+                        self.note_pass(Pass::Report, started_at);
+                    }
                     self.log_lost_vms();
                     if replaced {
                         // Another incarnation of the VM has replied and needs a watcher of its own.
