--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -17,7 +17,7 @@
 use crate::election::Election;
 use crate::front::{Front, Relay};
 use crate::http::limits::{LimitSizes, Limits};
-use crate::http::{Body, Service, json_response, serve_limited, server};
+use crate::http::{Body, InFlight, Service, json_response, serve_limited, server};
 use crate::link::CellNo;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -33,6 +33,10 @@
 const DRAIN_TIME: Millis = Millis(2600);
 /// Time before the end of the grace period at which the process exits, so that it isn't killed.
 const SHUTDOWN_MARGIN: Millis = Millis(700);
+/// Time without requests after which a node that stops ends.
+const QUIET_TIME: Millis = Millis(200);
+/// Time for the log's writer to write what is left.
+const LOG_FLUSH_TIME: Millis = Millis(120);
 /// The leadership is released at least this long before the grace period ends: the release itself
 /// and the requests in flight take that long.
 const RELEASE_MARGIN: Millis = Millis(2500);
@@ -151,7 +155,7 @@
         };
         tokio::task::spawn_local(election.run());
     }
-    let in_flight = Rc::new(Cell::new(0));
+    let in_flight = Rc::new(InFlight::default());
     let front = Rc::new(CountingFront {
         front: Front {
             platform: Rc::clone(&platform),
@@ -176,39 +180,31 @@
         }
     }
     let stopping_since = clock.now();
-    log::info!(node = settings.node.as_str(), in_flight = in_flight.get(); "stopping");
+    log::info!(node = settings.node.as_str(), in_flight = in_flight.count(); "stopping");
     stopping.set(true);
     host.release_all(settings.grace - RELEASE_MARGIN).await;
     clock.sleep_until(stopping_since + DRAIN_TIME).await;
     stop_front.send_replace(true);
     let deadline = stopping_since + (settings.grace - SHUTDOWN_MARGIN);
-    while in_flight.get() > 0 && clock.now() < deadline {
-        tokio::time::sleep(Millis(20).duration()).await;
-    }
-    log::info!(node = settings.node.as_str(), in_flight = in_flight.get(); "stopped");
+    in_flight
+        .wait_until_quiet(clock, QUIET_TIME, deadline)
+        .await;
+    log::info!(node = settings.node.as_str(), in_flight = in_flight.count(); "stopped");
     // The log's writer thread batches lines, so give it time to flush.
-    tokio::time::sleep(Millis(120).duration()).await;
+    tokio::time::sleep(LOG_FLUSH_TIME.duration()).await;
     stop_admin.send_replace(true);
     Ok(())
 }
 
-/// Counts the requests in flight, which a graceful stop waits for.
+/// A front that counts its requests.
 struct CountingFront<P> {
     front: Front<P>,
-    in_flight: Rc<Cell<usize>>,
+    in_flight: Rc<InFlight>,
 }
 
 impl<P: Platform> Service for CountingFront<P> {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        /// A caller that disconnects ends the handling.
-        struct Counted<'a>(&'a Cell<usize>);
-        impl Drop for Counted<'_> {
-            fn drop(&mut self) {
-                self.0.set(self.0.get() - 1);
-            }
-        }
-        self.in_flight.set(self.in_flight.get() + 1);
-        let _counted = Counted(&self.in_flight);
+        let _counted = self.in_flight.begin();
         self.front.handle(request).await
     }
 
