--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -64,7 +64,7 @@
         self.clear_proven_runs(key, alive_until, now);
         let suspects = self.suspects(key, alive_until);
         self.vms[key].is_suspected = !suspects.is_empty();
-        self.note_suspects(key, &suspects, now);
+        self.note_suspects(key, &suspects, is_broken, now);
         // A VM that has only lost its connection is silent as well, and so is one without power.
         if is_broken && !suspects.is_empty() {
             self.suspect_queues_of(&suspects, now);
@@ -90,7 +90,7 @@
         }
         if vm.silent_since.is_none() {
             let suspects = self.suspects(key, vm.answered_at);
-            self.note_suspects(key, &suspects, now);
+            self.note_suspects(key, &suspects, false, now);
         }
         for vm_run in self.vms[key].runs.clone() {
             if vm_run.is_unsent() {
@@ -127,12 +127,14 @@
         young.cloned().collect()
     }
 
-    fn note_suspects(&mut self, key: VmKey, suspects: &[VmRun], now: Millis) {
+    /// Notes runs that may have crashed their VM. Unless the connection broke, only the last reply tells when
+    /// the VM was up, up to a second before: too long ago to blame a single run.
+    fn note_suspects(&mut self, key: VmKey, suspects: &[VmRun], is_broken: bool, now: Millis) {
         let Some(first) = suspects.first() else {
             return;
         };
         let one_job = suspects.iter().all(|run| run.task.job == first.task.job);
-        let suspicion = if one_job {
+        let suspicion = if one_job && is_broken {
             Suspicion::Sole
         } else {
             Suspicion::Shared
@@ -142,6 +144,7 @@
         }
         for vm_run in suspects {
             self.note_loss(key, vm_run, suspicion, false, now);
+            self.limit_suspicion(vm_run.task, vm_run.run, suspicion);
         }
     }
 
@@ -199,6 +202,15 @@
         }
     }
 
+    /// Lowers the suspicion of an isolated run, which was noted before its start.
+    fn limit_suspicion(&mut self, name: TaskName, run: u32, most: Suspicion) {
+        let task = self.task_mut(name);
+        let lost = task.and_then(|task| task.lost_runs.iter_mut().find(|lost| lost.run == run));
+        if let Some(lost) = lost {
+            lost.suspicion = lost.suspicion.min(most);
+        }
+    }
+
     /// Records that the VM of an isolated run doesn't respond.
     fn mark_precaution_lost(&mut self, name: TaskName, run: u32, now: Millis) {
         let is_same = |loss: &&mut OpenLoss| loss.task == name && loss.run == run;
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -11,7 +11,7 @@
 /// Crashes that only one task can have caused, after which its job fails. A VM that crashes by itself
 /// just after a start looks the same, but hardly twice for one task.
 const MAX_SOLE_CRASHES: usize = 2;
-/// Crashes under a task after which its job fails, whatever else was running.
+/// Crashes of VMs that had just started a task, after which its job fails, whatever else they had started.
 const MAX_CRASHES: usize = 5;
 /// After this many losses a task is kept apart from other such tasks, even if none of them had just started it.
 const MAX_LOSSES_AS_BYSTANDER: usize = 3;
@@ -110,10 +110,12 @@
             && self.lost_runs.iter().any(is_open)
     }
 
-    /// Returns true if the task has certainly crashed several VMs.
+    /// Returns true if the task has certainly crashed several VMs. VMs that were lost long after its start
+    /// don't count: they also crash by themselves, and a task that lasts sees many of them.
     #[must_use]
     pub fn crashes_vms(&self) -> bool {
-        let confirmed = || self.lost_runs.iter().filter(|lost| lost.confirmed);
+        let is_evidence = |lost: &&LostRun| lost.confirmed && lost.suspicion > Suspicion::Bystander;
+        let confirmed = || self.lost_runs.iter().filter(is_evidence);
         let sole = confirmed().filter(|lost| lost.suspicion == Suspicion::Sole);
         sole.count() >= MAX_SOLE_CRASHES || confirmed().count() >= MAX_CRASHES
     }
--- a/crates/dotterel-cell/tests/cell/crashing_vms.rs
+++ b/crates/dotterel-cell/tests/cell/crashing_vms.rs
@@ -8,7 +8,7 @@
 use dotterel_cell::record::Progress;
 use dotterel_cell::{
     JobId, JobRecord, Order, Report, ReportedEnd, ReportedRun, RunOutcome, StartAnswer, Submitted,
-    TaskName, VmKey,
+    TaskName, VmInfo, VmKey,
 };
 use dotterel_kernel::Millis;
 
@@ -22,7 +22,11 @@
 /// A VM process between two restarts.
 struct Process {
     key: VmKey,
+    /// Registry entry of its first life.
+    info: VmInfo,
     incarnation: u64,
+    /// Set while all that it starts fails.
+    is_failing: bool,
     /// Set while it is down: when it returns.
     returns_at: Option<Millis>,
     /// Set if it is lost for good: when the registry drops it.
@@ -32,12 +36,23 @@
     last_end: u64,
 }
 
+impl Process {
+    /// Goes down for good.
+    fn lose(&mut self, now: Millis) {
+        self.returns_at = Some(Millis::MAX);
+        self.unlisted_at = Some(now + UNLIST_DELAY);
+        self.runs.clear();
+    }
+}
+
 /// A cell, its VMs and the tasks that crash them.
 pub(crate) struct World {
     pub(crate) bench: Bench,
     processes: Vec<Process>,
     crashing: BTreeSet<TaskName>,
     durations: BTreeMap<JobId, Millis>,
+    /// Failed runs by task.
+    pub(crate) failures: BTreeMap<TaskName, usize>,
     /// Starts by task.
     pub(crate) starts: BTreeMap<TaskName, usize>,
     /// Runs that were lost with a VM although they didn't crash it.
@@ -53,8 +68,10 @@
 
     /// Returns a world on the VMs of a cell, which have no runs.
     pub(crate) fn on(bench: Bench) -> Self {
-        let processes = bench.vms.iter().map(|key| Process {
+        let processes = (0..).zip(&bench.vms).map(|(index, key)| Process {
             key: *key,
+            info: vm_info(index),
+            is_failing: false,
             incarnation: FIRST_INCARNATION,
             returns_at: None,
             unlisted_at: None,
@@ -67,12 +84,24 @@
             bench,
             crashing: BTreeSet::new(),
             durations: BTreeMap::new(),
+            failures: BTreeMap::new(),
             starts: BTreeMap::new(),
             victims: 0,
             store_away: false,
         }
     }
 
+    /// Changes the capacity and the labels of a VM.
+    pub(crate) fn set_vm(&mut self, index: usize, info: VmInfo) {
+        self.bench.cell.vm_listed(info.clone(), self.bench.now);
+        self.processes[index].info = info;
+    }
+
+    /// Makes a VM fail all that it starts, or not.
+    pub(crate) fn set_failing(&mut self, index: usize, is_failing: bool) {
+        self.processes[index].is_failing = is_failing;
+    }
+
     pub(crate) fn submit(&mut self, id: u64, record: JobRecord) -> Submitted {
         self.durations
             .insert(JobId(id), record.spec.steps[0].estimate);
@@ -107,14 +136,43 @@
         let now = self.bench.now;
         for process in &mut self.processes {
             if process.runs.iter().any(|(task, ..)| task.job == JobId(id)) {
-                process.returns_at = Some(Millis::MAX);
-                process.unlisted_at = Some(now + UNLIST_DELAY);
-                process.runs.clear();
+                process.lose(now);
                 self.bench.cell.vm_unresponsive(process.key, Some(now), now);
             }
         }
     }
 
+    /// Crashes all VMs of a job's runs; their connections break.
+    pub(crate) fn crash_vms(&mut self, id: u64) {
+        self.crash_vms_of(id, usize::MAX);
+    }
+
+    /// Loses one of the VMs of a job's runs for good; returns the number of VMs lost.
+    pub(crate) fn lose_one_vm_of(&mut self, id: u64) -> usize {
+        let now = self.bench.now;
+        let mut processes = self.processes.iter_mut();
+        let found =
+            processes.find(|process| process.runs.iter().any(|(task, ..)| task.job == JobId(id)));
+        let Some(process) = found else {
+            return 0;
+        };
+        process.lose(now);
+        self.bench.cell.vm_unresponsive(process.key, None, now);
+        1
+    }
+
+    /// Takes power from the VMs of a job's runs: their connections don't break.
+    pub(crate) fn darken_vms_of(&mut self, id: u64) {
+        let now = self.bench.now;
+        for process in &mut self.processes {
+            if process.runs.iter().any(|(task, ..)| task.job == JobId(id)) {
+                process.returns_at = Some(now + RETURN_DELAY);
+                process.runs.clear();
+                self.bench.cell.vm_unresponsive(process.key, None, now);
+            }
+        }
+    }
+
     fn unlist_lost_vms(&mut self) {
         let now = self.bench.now;
         for process in &mut self.processes {
@@ -195,7 +253,7 @@
             }
             process.incarnation += 1;
             process.returns_at = None;
-            let mut info = vm_info(index);
+            let mut info = process.info.clone();
             info.id = format_compact!("vm-{index:03}-{}", process.incarnation);
             info.incarnation = process.incarnation;
             process.key = self.bench.cell.vm_listed(info, now);
@@ -208,11 +266,23 @@
         let now = self.bench.now;
         for process in &mut self.processes {
             let durations = &self.durations;
-            let is_done = |run: &(TaskName, u32, Millis)| now.since(run.2) >= durations[&run.0.job];
-            for (task, run, _) in process.runs.extract_if(.., |run| is_done(run)) {
+            let outcome = if process.is_failing {
+                RunOutcome::Failed
+            } else {
+                RunOutcome::Done
+            };
+            let is_failing = process.is_failing;
+            let is_over = |run: &(TaskName, u32, Millis)| {
+                is_failing || now.since(run.2) >= durations[&run.0.job]
+            };
+            for (task, run, _) in process.runs.extract_if(.., |run| is_over(run)) {
                 process.last_end += 1;
-                let end = ended(process.last_end, task, run, RunOutcome::Done);
-                process.ends.push(end);
+                process
+                    .ends
+                    .push(ended(process.last_end, task, run, outcome));
+                if is_failing {
+                    *self.failures.entry(task).or_default() += 1;
+                }
             }
         }
     }
--- a/crates/dotterel-cell/tests/cell/separate_runs.rs
+++ b/crates/dotterel-cell/tests/cell/separate_runs.rs
@@ -166,3 +166,40 @@
     let starts = world.starts[&task(100, 0)];
     assert!(starts <= 5, "{starts} VMs lost");
 }
+
+// Guards against giving up a sound task whose VMs lose power one after the other while it goes on for seconds.
+#[test]
+fn a_service_is_not_given_up_for_losses_long_after_its_starts() {
+    let mut world = World::new(8);
+    world.submit(100, service(2));
+
+    for _ in 0..8 {
+        world.run_for(12_000);
+        world.crash_vms_of(100, 8);
+    }
+    world.run_for(12_000);
+
+    let state = world.bench.cell.state(JobId(100));
+    assert_eq!(state, Some(JobState::Running));
+    assert_eq!(hosts(&world, 1).len(), 1);
+}
+
+// Guards against blaming a task for VMs that fall silent within a second of its start: only their last replies
+// tell when they were up.
+#[test]
+fn a_task_is_not_given_up_for_two_vms_that_lose_power() {
+    let mut world = World::new(8);
+    world.submit(100, independent_tasks(1, 4000));
+
+    for losses in 1..=2 {
+        while world.starts.get(&task(100, 0)) != Some(&losses) {
+            world.run_for(50);
+        }
+        world.run_for(50);
+        world.darken_vms_of(100);
+    }
+    world.run_for(20_000);
+
+    let state = world.bench.cell.state(JobId(100));
+    assert_eq!(state, Some(JobState::Completed));
+}
