--- a/crates/dotterel-cell/src/plan/caution.rs
+++ b/crates/dotterel-cell/src/plan/caution.rs
@@ -53,6 +53,9 @@
 const FIRST_CRASH_PATIENCE: Millis = Millis::secs(1);
 /// Time for which other suspects wait for one.
 const EMPTY_VM_PATIENCE: Millis = Millis::secs(8);
+/// Time for which it then waits for a VM on which nothing has just started. Other work keeps starting, so that
+/// there may be none.
+const SETTLED_VM_PATIENCE: Millis = Millis(1000);
 /// Exposure of a run whose job would miss its objective: a fifth of a VM.
 const URGENT_EXPOSURE: u64 = 200;
 /// Exposure of a VM to a task that was lost several times, if it runs another one: two full VMs.
@@ -72,6 +75,17 @@
     attempts: u32,
 }
 
+/// Which VMs are good enough for a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WantedVm {
+    /// One without runs.
+    Empty,
+    /// One on which nothing has just started.
+    Settled,
+    /// Any with capacity.
+    Any,
+}
+
 impl Cell {
     /// Determines how many VMs may be risked in this planning pass.
     pub(crate) fn update_risk_budget(&mut self, now: Millis) {
@@ -182,18 +196,19 @@
     }
 
     /// Returns true if a run that needs caution may start on a VM.
-    pub(crate) fn may_risk(vm: &Vm, caution: Caution, patient: bool, now: Millis) -> bool {
-        match caution {
-            Caution::None => true,
-            Caution::Guarded => !vm.has_young_runs(now),
-            Caution::Isolated | Caution::Separate => {
-                vm.runs.is_empty() || (!patient && !vm.has_young_runs(now))
-            }
+    pub(crate) fn may_risk(vm: &Vm, caution: Caution, wanted: WantedVm, now: Millis) -> bool {
+        let is_settled = || !vm.has_young_runs(now);
+        match (caution, wanted) {
+            (Caution::None, _) => true,
+            (Caution::Guarded, _) => is_settled(),
+            (_, WantedVm::Empty) => vm.runs.is_empty(),
+            (_, WantedVm::Settled) => is_settled(),
+            (_, WantedVm::Any) => true,
         }
     }
 
-    /// Returns true if a suspect that was lost at `lost_at` still waits for a VM without runs.
-    pub(crate) fn awaits_empty_vm(&self, step_ref: StepRef, lost_at: Millis, now: Millis) -> bool {
+    /// Returns which VM a suspect still waits for that was lost at `lost_at`.
+    pub(crate) fn wanted_vm(&self, step_ref: StepRef, lost_at: Millis, now: Millis) -> WantedVm {
         let job = self.jobs.get(step_ref.job);
         let recurs = job.is_some_and(|job| self.is_suspect_queue(&job.policy.queue, now));
         let patience = if recurs {
@@ -201,7 +216,14 @@
         } else {
             FIRST_CRASH_PATIENCE
         };
-        now.since(lost_at) < patience
+        let waited = now.since(lost_at);
+        if waited < patience {
+            WantedVm::Empty
+        } else if waited < patience + SETTLED_VM_PATIENCE {
+            WantedVm::Settled
+        } else {
+            WantedVm::Any
+        }
     }
 
     /// Returns true if tasks of a step are to be spread over VMs where a crash would cost little.
@@ -243,14 +265,14 @@
         now: Millis,
     ) -> Option<(VmKey, CompactString)> {
         let lost_at = self.step_state(step_ref)?.tasks[index as usize].lost_at;
-        let patient = self.awaits_empty_vm(step_ref, lost_at, now);
+        let wanted = self.wanted_vm(step_ref, lost_at, now);
         let size = occupied_size(step);
         let mut best: Option<(u64, VmKey, CompactString)> = None;
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             let vm = &self.vms[key];
             let available = self.free_capacity(key, vm);
             let has_slot = self.count_slots(step_ref, step, vm, &available) > 0;
-            if !has_slot || !Self::may_risk(vm, caution, patient, now) {
+            if !has_slot || !Self::may_risk(vm, caution, wanted, now) {
                 continue;
             }
             let mut exposure = self.exposure(vm, now);
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -305,14 +305,14 @@
         let avoid = self.avoided_by_gang(step_ref, step, now);
         let tasks = self.step_state(step_ref).map(|state| &state.tasks);
         let lost_at = tasks.and_then(|tasks| tasks.iter().map(|task| task.lost_at).max());
-        let patient = self.awaits_empty_vm(step_ref, lost_at.unwrap_or_default(), now);
+        let wanted = self.wanted_vm(step_ref, lost_at.unwrap_or_default(), now);
         let mut slots = Vec::new();
         for (key, ticket) in self.startable_vms(step_ref, step, now) {
             if avoid.contains(&key) {
                 continue;
             }
             let vm = &self.vms[key];
-            if !Self::may_risk(vm, caution, patient, now) {
+            if !Self::may_risk(vm, caution, wanted, now) {
                 continue;
             }
             let capacity = self.free_capacity(key, vm);
--- a/crates/dotterel-cell/tests/cell/separate_runs.rs
+++ b/crates/dotterel-cell/tests/cell/separate_runs.rs
@@ -203,3 +203,23 @@
     let state = world.bench.cell.state(JobId(100));
     assert_eq!(state, Some(JobState::Completed));
 }
+
+// Guards against a suspect that waits for ever for a VM on which nothing has just started, as other work keeps
+// starting on all of them.
+#[test]
+fn a_suspect_starts_although_other_work_keeps_starting() {
+    let mut world = World::new(2);
+    world.submit(100, independent_tasks(1, 60_000));
+    world.run_for(100);
+    world.darken_vms_of(100);
+
+    let mut flood = independent_tasks(2, 150);
+    flood.spec.steps[0].max_per_vm = 1;
+    flood.spec.steps[0].size = size(1000, 100);
+    for id in 1000..1170 {
+        world.submit(id, flood.clone());
+        world.run_for(50);
+    }
+
+    assert_eq!(world.starts[&task(100, 0)], 2);
+}
