--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -23,6 +23,7 @@
 mod restarts;
 mod schedules;
 mod separate_runs;
+mod shapes;
 mod shares;
 mod sim;
 mod speeds;
