--- a/crates/dotterel-cell/tests/cell/gangs.rs
+++ b/crates/dotterel-cell/tests/cell/gangs.rs
@@ -1,11 +1,10 @@
 //! Gangs that need much capacity at once, competing with urgent and less urgent work.
 
-use compact_str::CompactString;
 use dotterel_cell::{AdviceRequest, JobId, JobRecord, VmKey};
 use dotterel_kernel::Millis;
 
 use crate::support::{
-    Bench, advice_requests, gang, record, size, starts, step, with_advice, with_slow_advice,
+    Bench, advice_requests, answer, gang, record, size, starts, step, with_advice, with_slow_advice,
 };
 
 const CORE: u32 = 1000;
@@ -24,21 +23,6 @@
     record
 }
 
-fn answer(bench: &mut Bench, request: &AdviceRequest, approved: &[VmKey], valid: u64) {
-    let rows: Vec<(CompactString, CompactString)> = approved
-        .iter()
-        .map(|key| {
-            let vm = bench.cell.vm(*key).expect("the VM is known");
-            (vm.info.id.clone(), "ticket".into())
-        })
-        .collect();
-    let now = bench.now;
-    bench.cell.adviser_finished(request.adviser, now);
-    bench
-        .cell
-        .advice_received(request.step, &request.vms, &rows, Millis(valid), now);
-}
-
 /// Returns a cell whose VMs are nearly full, with three gangs that lack capacity.
 fn nearly_full() -> Bench {
     let mut bench = Bench::new(4);
--- a/crates/dotterel-cell/tests/cell/racks.rs
+++ b/crates/dotterel-cell/tests/cell/racks.rs
@@ -4,13 +4,13 @@
 
 use compact_str::CompactString;
 use dotterel_cell::cell::CellEvent;
-use dotterel_cell::{AdviceRequest, JobRecord, Limits, RunOutcome, VmKey};
+use dotterel_cell::{JobRecord, Limits, RunOutcome, VmKey};
 
 use dotterel_kernel::Millis;
 
 use crate::support::{
-    Bench, Start, advice_requests, ended, gang, independent_tasks, size, starts, task, vm_info,
-    with_advice,
+    Bench, Start, advice_requests, answer, ended, gang, independent_tasks, size, starts, task,
+    vm_info, with_advice,
 };
 
 const GANG: u64 = 9;
@@ -230,7 +230,7 @@
         members.extend(starts(&orders));
         for request in advice_requests(&orders) {
             let approved: Vec<VmKey> = request.vms.iter().copied().step_by(2).collect();
-            approve(&mut bench, &request, &approved);
+            answer(&mut bench, &request, &approved, 2500);
         }
         bench.advance(BEAT);
         keep_running(&mut bench);
@@ -238,19 +238,3 @@
 
     assert_eq!(members.len(), 8);
 }
-
-fn approve(bench: &mut Bench, request: &AdviceRequest, approved: &[VmKey]) {
-    let rows: Vec<(CompactString, CompactString)> = approved
-        .iter()
-        .map(|key| {
-            let vm = bench.cell.vm(*key).expect("the VM is known");
-            (vm.info.id.clone(), "ticket".into())
-        })
-        .collect();
-    let now = bench.now;
-    bench.cell.adviser_finished(request.adviser, now);
-    let valid = Millis(2500);
-    bench
-        .cell
-        .advice_received(request.step, &request.vms, &rows, valid, now);
-}
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -336,6 +336,22 @@
     advice_requests.collect()
 }
 
+/// Answers a request for advice, with tickets that are valid for `valid` ms.
+pub(crate) fn answer(bench: &mut Bench, request: &AdviceRequest, approved: &[VmKey], valid: u64) {
+    let rows: Vec<(CompactString, CompactString)> = approved
+        .iter()
+        .map(|key| {
+            let vm = bench.cell.vm(*key).expect("the VM is known");
+            (vm.info.id.clone(), "ticket".into())
+        })
+        .collect();
+    let now = bench.now;
+    bench.cell.adviser_finished(request.adviser, now);
+    bench
+        .cell
+        .advice_received(request.step, &request.vms, &rows, Millis(valid), now);
+}
+
 pub(crate) fn vm_info(index: usize) -> VmInfo {
     VmInfo {
         id: format_compact!("vm-{index:03}"),
