--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -107,7 +107,7 @@
             };
             let step = &spec.steps[step];
             if self.is_capped(step_ref, step) {
-                if self.may_start(step_ref) && !rank.yields() {
+                if self.may_start(step_ref) && !rank.is_obsolete() && !rank.is_excess() {
                     self.keep_headroom(step_ref, step);
                 }
                 continue;
@@ -118,7 +118,7 @@
             }
             if step.gang {
                 let issued = self.issued_stops();
-                self.plan_gang(step_ref, step, rank.yields(), &mut gangs, now);
+                self.plan_gang(step_ref, step, &mut gangs, now);
                 self.note_preemptions(step_ref, issued);
                 continue;
             }
@@ -133,9 +133,10 @@
                 self.request_more_advice(step_ref, step, unplaced.total(), now);
             }
             let issued = self.issued_stops();
-            // Preemption would not free the VMs that tasks under caution need.
+            // Preemption would not free the VMs that tasks under caution need. Nothing is stopped for work
+            // beyond its tenant's rate.
             if unplaced.ordinary > 0
-                && !rank.yields()
+                && !rank.is_excess()
                 && preempting_left > 0
                 && self.preempt_for(step_ref, step, unplaced.ordinary, now)
             {
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -78,13 +78,11 @@
         free * CROWDED_DIVISOR < total
     }
 
-    /// Starts a gang, reserves capacity for it, or requests advice. A gang that `yields` neither preempts runs
-    /// nor holds partial capacity.
+    /// Starts a gang, reserves capacity for it, or requests advice.
     pub(crate) fn plan_gang(
         &mut self,
         step_ref: StepRef,
         step: &Step,
-        yields: bool,
         gangs: &mut GangQueue,
         now: Millis,
     ) {
@@ -98,12 +96,13 @@
         if !self.risk.allows(caution) {
             return;
         }
-        let position = if yields {
+        // Gangs beyond the rate of their tenant neither preempt runs nor hold partial capacity.
+        let position = if job.excess {
             u32::MAX
         } else {
             gangs.next_position(job.policy.priority)
         };
-        if state.reservation.shortage > 0 && !yields {
+        if state.reservation.shortage > 0 && !job.excess {
             gangs.lacking += 1;
             gangs.lacking_priority = job.policy.priority;
         }
--- a/crates/dotterel-cell/src/plan/order.rs
+++ b/crates/dotterel-cell/src/plan/order.rs
@@ -36,10 +36,12 @@
         self.priority
     }
 
-    /// Returns true if nothing is stopped or kept idle for the step: its result is worthless, or it is beyond
-    /// its tenant's rate.
-    pub(crate) const fn yields(&self) -> bool {
-        self.obsolete || self.excess
+    pub(crate) const fn is_obsolete(&self) -> bool {
+        self.obsolete
+    }
+
+    pub(crate) const fn is_excess(&self) -> bool {
+        self.excess
     }
 
     pub(crate) const fn set_band(&mut self, band: u32) {
