Bound the framing that a request brings beside its body

Callers got no answer while others sent chunked bodies whose chunk size is zeros (or blanks after it) without end. 300 such clients that connect again at once against a node of 120 MB (debug build): no ordinary request beside them was answered in 60 attempts (over 5 minutes); 20 MB were unread at most.

Cause: hyper bounds extensions and trailers, but not the digits and blanks of a chunk's size, and it decodes until the socket is empty. Each connection kept the thread of the node for as long as its sender was fast enough, until its deadline. Such a request also counted as in progress, so its connection was never closed for a new one.

A connection now counts what it has received since its request began, less the body that was taken from it, and fails the read beyond twice the limit on a head and 16 bytes for each byte of the body. Until its body is complete, a connection may be closed for another, as one that waits for a head: nothing has been sent to the scheduler.

The tests here are of the decisions.

--- a/crates/dotterel-node/src/front.rs
+++ b/crates/dotterel-node/src/front.rs
@@ -9,13 +9,12 @@
 use dotterel_kernel::{Clock, Millis};
 use futures_util::future::join_all;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use tokio::sync::watch;
 
 use crate::election::LANES;
 use crate::http::limits::{BodyError, ByteBudget, read_body};
 use crate::http::server::BUDGET_RETRY_AFTER_S;
-use crate::http::{Body, Service, json_response};
+use crate::http::{Body, RequestBody, Service, json_response};
 use crate::link::{self, CellNo, Reply};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table};
@@ -126,7 +125,7 @@
 }
 
 impl<P: Platform> Service for Front<P> {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body> {
         let received_at = self.clock.now();
         let action = match *request.method() {
             Method::POST => "submit",
@@ -193,7 +192,7 @@
     async fn route(
         &self,
         config: &Configuration,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         received_at: Millis,
     ) -> ApiResponse {
         let host = request
@@ -245,7 +244,7 @@
         &self,
         route: &Route,
         id: JobId,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         max_body: usize,
         caller: &Caller,
     ) -> ApiResponse {
--- a/crates/dotterel-node/src/http.rs
+++ b/crates/dotterel-node/src/http.rs
@@ -7,4 +7,4 @@
 
 pub use client::{CallError, Client, Reply};
 pub use in_flight::InFlight;
-pub use server::{Body, Service, json_response, serve, serve_limited};
+pub use server::{Body, RequestBody, Service, json_response, serve, serve_limited};
--- a/crates/dotterel-node/src/http/limits/body.rs
+++ b/crates/dotterel-node/src/http/limits/body.rs
@@ -6,10 +6,11 @@
 use dotterel_kernel::{Clock, Millis};
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 
 use super::bytes::{ByteBudget, ByteGuard};
 use super::refusals::Refusal;
+use crate::http::server::RequestBody;
 
 /// A body is held as bytes, as the decoded job, and as its copy in the queue of the link.
 pub(super) const BODY_COPIES: usize = 3;
@@ -41,7 +42,7 @@
 ///
 /// Returns an error when the body isn't complete, exceeds its limit or the budget, or is too slow.
 pub async fn read_body(
-    mut body: Incoming,
+    mut body: RequestBody,
     max: usize,
     budget: &Rc<ByteBudget>,
     clock: Clock,
--- a/crates/dotterel-node/src/http/limits/connections.rs
+++ b/crates/dotterel-node/src/http/limits/connections.rs
@@ -17,6 +17,10 @@
 /// A reply of which the caller has taken no byte for this long, 2 s, may be given up for another caller.
 pub(super) const UNREAD_SWEEPS: u64 = 8;
 
+/// Bytes of framing that each byte of a chunked body may bring: a chunk of one byte has a line of its size,
+/// which some senders pad to eight digits, and two line ends.
+const FRAMING_PER_BODY_BYTE: usize = 16;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -24,6 +28,8 @@
     Head,
     /// Nothing has been received since the last reply.
     Idle,
+    /// The body of a request is being received.
+    Body,
     /// A request is in progress.
     Busy,
     /// A reply is being sent.
@@ -42,6 +48,10 @@
     idle_sweeps: u64,
     pub(super) is_closed: Cell<bool>,
     closed: Notify,
+    /// Bytes received since the request began.
+    received: Cell<usize>,
+    /// Bytes of its body among them.
+    body: Cell<usize>,
     /// Bytes of a large reply that is being sent.
     reply: RefCell<Option<ByteGuard>>,
 }
@@ -57,18 +67,51 @@
         self.since.set(self.sweeps.get());
     }
 
-    /// Notes that bytes were received.
-    pub(in crate::http) fn received(&self) {
-        if self.phase.get() == Phase::Idle {
-            self.enter(Phase::Head);
+    /// Notes that bytes were received. Returns why the connection must be closed, if it must: its request has
+    /// brought more than `max_framing` bytes beyond what its body may.
+    pub(in crate::http) fn received(
+        &self,
+        bytes: usize,
+        max_framing: usize,
+    ) -> Result<(), Refusal> {
+        match self.phase.get() {
+            Phase::Idle => self.enter(Phase::Head),
+            Phase::Head => {}
+            Phase::Body | Phase::Busy | Phase::Reply => {
+                self.received.set(self.received.get() + bytes);
+                let framing = self.received.get().saturating_sub(self.body.get());
+                if framing > max_framing + self.body.get() * FRAMING_PER_BODY_BYTE {
+                    return Err(Refusal::Framing);
+                }
+            }
         }
+        Ok(())
     }
 
     /// Notes that a request has begun; until its reply, the connection isn't closed for others.
     pub fn begin_request(&self) {
+        self.received.set(0);
+        self.body.set(0);
         self.enter(Phase::Busy);
     }
 
+    /// Notes that the request has a body; until its end, the connection may be closed for others.
+    pub(in crate::http) fn begin_body(&self) {
+        self.enter(Phase::Body);
+    }
+
+    /// Notes that bytes of the body of the request were taken.
+    pub(in crate::http) fn body_taken(&self, bytes: usize) {
+        self.body.set(self.body.get() + bytes);
+    }
+
+    /// Notes that the body is complete; until the reply, the connection isn't closed for others.
+    pub(in crate::http) fn body_ended(&self) {
+        if self.phase.get() == Phase::Body {
+            self.enter(Phase::Busy);
+        }
+    }
+
     /// Notes that a reply of this many bytes will be sent; returns false if there are too few bytes
     /// for it.
     pub(in crate::http) fn begin_reply(&self, budget: &Rc<ByteBudget>, bytes: usize) -> bool {
@@ -106,13 +149,13 @@
         }
     }
 
-    /// Returns the rank in which the connection is closed for another, the highest first: heads that take
-    /// long, then replies that aren't read, then idle connections, and the oldest of each. `None` if it
-    /// must stay.
+    /// Returns the rank in which the connection is closed for another, the highest first: heads and bodies
+    /// that take long, then replies that aren't read, then idle connections, and the oldest of each. `None`
+    /// if it must stay.
     fn expendability(&self) -> Option<(u8, u64)> {
         let age = self.sweeps.get() - self.since.get();
         let (rank, min_age) = match self.phase.get() {
-            Phase::Head => (2, MIN_AGE_SWEEPS),
+            Phase::Head | Phase::Body => (2, MIN_AGE_SWEEPS),
             Phase::Reply => (1, UNREAD_SWEEPS),
             Phase::Idle => (0, MIN_AGE_SWEEPS),
             Phase::Busy => return None,
@@ -230,6 +273,8 @@
             idle_sweeps: to_sweeps(idle_timeout),
             is_closed: Cell::new(false),
             closed: Notify::new(),
+            received: Cell::new(0),
+            body: Cell::new(0),
             reply: RefCell::default(),
         });
         *self.by_address.borrow_mut().entry(address).or_default() += 1;
--- a/crates/dotterel-node/src/http/limits/refusals.rs
+++ b/crates/dotterel-node/src/http/limits/refusals.rs
@@ -35,12 +35,14 @@
     BodyBudget,
     /// A body exceeded its size limit.
     LargeBody,
+    /// A request brought too much framing for its body.
+    Framing,
     /// A frame from a peer was not read as it exceeded its limit or the budget.
     Frame,
 }
 
 impl Refusal {
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 13] = [
         Self::Connection,
         Self::Displaced,
         Self::LargeHead,
@@ -52,6 +54,7 @@
         Self::SlowBody,
         Self::BodyBudget,
         Self::LargeBody,
+        Self::Framing,
         Self::Frame,
     ];
 
@@ -70,6 +73,7 @@
             Self::SlowBody => "slow_body",
             Self::BodyBudget => "body_budget",
             Self::LargeBody => "large_body",
+            Self::Framing => "framing",
             Self::Frame => "frame",
         }
     }
--- a/crates/dotterel-node/src/http/limits/tests.rs
+++ b/crates/dotterel-node/src/http/limits/tests.rs
@@ -5,7 +5,6 @@
 
 use ::bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -14,7 +13,7 @@
 use super::bytes::{PROGRESSING_BYTES, Pace, STALL_SWEEPS, slowest};
 use super::connections::{Admission, Phase, UNREAD_SWEEPS, admission};
 use super::*;
-use crate::http::server::{Body, Service, json_response, serve_connection};
+use crate::http::server::{Body, RequestBody, Service, json_response, serve_connection};
 
 const MAX: usize = 80;
 
@@ -171,6 +170,47 @@
     );
 }
 
+/// Guards against a port that uploads without progress keep closed to others: they are displaced like slow
+/// heads, but not once the body is complete.
+#[test]
+fn uploads_are_displaced_until_their_end() {
+    let limits = small();
+    let held: Vec<_> = (0..MAX).map_while(|_| admit(&limits, 1)).collect();
+    for guard in &held {
+        guard.connection().begin_request();
+        guard.connection().begin_body();
+    }
+    for guard in &held[1..] {
+        guard.connection().body_ended();
+    }
+    sweep(&limits, MIN_AGE_SWEEPS);
+    let newcomer = admit(&limits, 1);
+    assert!(newcomer.is_some(), "the upload is displaced");
+    assert!(held[0].connection().is_closed.get());
+    assert!(admit(&limits, 1).is_none(), "the others are in progress");
+}
+
+/// Guards against framing without end, and against limits on it that chunks of a byte reach: padded to eight
+/// digits, each has 13 bytes.
+#[test]
+fn framing_is_bounded_by_the_body() {
+    const CHUNK_BYTES: usize = 13;
+    let limits = small();
+    let chunked = admit(&limits, 1).expect("there is a place");
+    chunked.connection().begin_request();
+    chunked.connection().begin_body();
+    for _ in 0..262_144 {
+        let received = chunked.connection().received(CHUNK_BYTES, 32_768);
+        assert_eq!(received, Ok(()));
+        chunked.connection().body_taken(1);
+    }
+    let endless = admit(&limits, 1).expect("there is a place");
+    endless.connection().begin_request();
+    endless.connection().begin_body();
+    let reads = (0..).take_while(|_| endless.connection().received(8192, 32_768).is_ok());
+    assert_eq!(reads.count(), 4);
+}
+
 /// Guards against pooled connections that are closed for new ones while slow heads are open.
 #[test]
 fn slow_heads_go_before_idle_connections() {
@@ -314,7 +354,7 @@
 struct Counting(Cell<u32>);
 
 impl Service for Counting {
-    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _: Request<RequestBody>) -> Response<Body> {
         self.0.set(self.0.get() + 1);
         json_response(StatusCode::OK, Bytes::new())
     }
--- a/crates/dotterel-node/src/http/server.rs
+++ b/crates/dotterel-node/src/http/server.rs
@@ -12,7 +12,7 @@
 use dotterel_kernel::Millis;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -32,10 +32,46 @@
 /// Retry-After while the bytes for callers are exhausted, in s: slow uploads are closed within seconds.
 pub const BUDGET_RETRY_AFTER_S: u64 = 2;
 
+/// The body of a request. What is taken of it counts as the progress of its connection.
+#[derive(Debug)]
+pub struct RequestBody {
+    incoming: Incoming,
+    connection: Rc<Connection>,
+}
+
+impl hyper::body::Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.connection.body_taken(bytes);
+            }
+            Poll::Ready(None) => self.connection.body_ended(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Handles HTTP requests.
 pub trait Service: 'static {
     /// Handles one request.
-    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+    fn handle(&self, request: Request<RequestBody>) -> impl Future<Output = Response<Body>>;
 
     /// Returns the timeout for reading the headers of a request.
     fn header_timeout(&self) -> Millis {
@@ -144,14 +180,22 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let max_head = service.max_head_bytes();
+    let max_buffer = max_head.max(MIN_BUFFER_BYTES);
     let tracked = Rc::clone(guard.connection());
     let budget = Rc::clone(limits.budget());
-    let handler = service_fn(move |request| {
+    let handler = service_fn(move |request: Request<Incoming>| {
         let service = Rc::clone(&service);
         let budget = Rc::clone(&budget);
         let connection = Rc::clone(&tracked);
         async move {
             connection.begin_request();
+            if !request.body().is_end_stream() {
+                connection.begin_body();
+            }
+            let request = request.map(|incoming| RequestBody {
+                incoming,
+                connection: Rc::clone(&connection),
+            });
             let mut response = service.handle(request).await;
             let bytes = response.body().size_hint().exact().unwrap_or_default();
             let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
@@ -169,12 +213,15 @@
     let io = Tracked {
         stream,
         connection: Rc::clone(guard.connection()),
+        limits: Rc::clone(&limits),
+        // A buffer of bytes that were read ahead, and trailers or an extension of the size of a head.
+        max_framing: max_buffer + max_head,
     };
     // The buffer bounds a head with the empty lines before it. The time for a head is bounded by the
     // sweeps of the limits, since hyper's timer also closes idle connections.
     let connection = http1::Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
+        .max_buf_size(max_buffer)
         .max_header_size(max_head)
         .serve_connection(TokioIo::new(io), handler);
     let mut connection = std::pin::pin!(connection);
@@ -202,6 +249,8 @@
 struct Tracked {
     stream: TcpStream,
     connection: Rc<Connection>,
+    limits: Rc<ConnectionLimits>,
+    max_framing: usize,
 }
 
 impl Tracked {
@@ -220,8 +269,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.received();
+        let bytes = buf.filled().len() - before;
+        if bytes > 0
+            && let Err(refusal) = self.connection.received(bytes, self.max_framing)
+        {
+            self.limits.record(refusal);
+            return Poll::Ready(Err(io::Error::other(refusal.name())));
         }
         read
     }
--- a/crates/dotterel-node/src/node.rs
+++ b/crates/dotterel-node/src/node.rs
@@ -7,7 +7,6 @@
 use anyhow::Context;
 use dotterel_kernel::{Clock, Millis};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -17,7 +16,7 @@
 use crate::election::Election;
 use crate::front::{Front, Relay};
 use crate::http::limits::{LimitSizes, Limits};
-use crate::http::{Body, InFlight, Service, json_response, serve_limited, server};
+use crate::http::{Body, InFlight, RequestBody, Service, json_response, serve_limited, server};
 use crate::link::CellNo;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -48,7 +47,7 @@
 }
 
 impl Service for ReadyService {
-    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _: Request<RequestBody>) -> Response<Body> {
         let is_linked = self.relays.iter().all(|relay| relay.is_linked(LINK_GRACE));
         let is_ready = is_linked && self.config.current().is_some() && !self.stopping.get();
         let status = if is_ready {
@@ -63,7 +62,7 @@
 struct MetricsService(Rc<Metrics>);
 
 impl Service for MetricsService {
-    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _: Request<RequestBody>) -> Response<Body> {
         json_response(StatusCode::OK, self.0.encode().into())
     }
 }
@@ -203,7 +202,7 @@
 }
 
 impl<P: Platform> Service for CountingFront<P> {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body> {
         let _counted = self.in_flight.begin();
         self.front.handle(request).await
     }
