Let other tasks run between reads of callers' connections

While 300 clients sent chunk sizes of zeros without end and connected again at once, an ordinary caller got "no scheduler in reach" from a node that led its own cell, even with the framing of each request bounded to 32 KB.

Cause: the thread went through all 300 connections, which were ready again each time, before it came back to the link between front and scheduler: 350 ms a round in a debug build. A ping and its answer need several rounds, and the link ends after 700 ms.

Connections of callers now read 64 KB together, and then wait until all other tasks that are ready have run. They are woken in their order, so an ordinary request is read in its turn.

--- a/crates/dotterel-node/src/http/limits.rs
+++ b/crates/dotterel-node/src/http/limits.rs
@@ -6,6 +6,7 @@
 //! - `bytes`: the byte budget and its guards.
 //! - `connections`: limits the connections to a port.
 //! - `refusals`: counts and logs what was closed or refused.
+//! - `turns`: lets other tasks run between reads of callers' connections.
 
 use std::rc::Rc;
 
@@ -18,12 +19,14 @@
 mod bytes;
 mod connections;
 mod refusals;
+mod turns;
 
 pub use body::{BodyError, read_body};
 pub use bytes::{ByteBudget, ByteGuard};
 pub use connections::{Connection, ConnectionGuard, ConnectionLimits};
 pub use refusals::Refusal;
 use refusals::Refusals;
+pub use turns::ReadTurns;
 
 /// Interval between sweeps.
 pub const SWEEP_INTERVAL: Millis = Millis(250);
@@ -132,6 +135,7 @@
     pub metrics: Rc<ConnectionLimits>,
     /// Connections from peers.
     pub peers: Rc<ConnectionLimits>,
+    turns: Rc<ReadTurns>,
     refusals: Rc<Refusals>,
 }
 
@@ -142,7 +146,9 @@
         let refusals = Refusals::new(metrics, clock);
         let callers = ByteBudget::new("front", sizes.caller_bytes, &refusals);
         let links = ByteBudget::new("peer", sizes.link_bytes, &refusals);
-        let port = |name, max, budget| ConnectionLimits::new(name, max, budget, &refusals);
+        let turns = ReadTurns::new();
+        let port =
+            |name, max, budget| ConnectionLimits::new(name, max, budget, Some(&turns), &refusals);
         Rc::new(Self {
             sizes,
             front: port("front", sizes.front_connections, &callers),
@@ -151,12 +157,17 @@
             peers: port("peer", sizes.link_connections, &links),
             callers,
             links,
+            turns,
             refusals,
         })
     }
 
-    /// Sweeps until the process ends.
+    /// Sweeps, and gives connections their turns, until the process ends.
     pub async fn run(self: Rc<Self>) {
+        futures_util::future::join(self.sweep_regularly(), self.turns.run()).await;
+    }
+
+    async fn sweep_regularly(&self) {
         let mut sweeps = interval(SWEEP_INTERVAL.duration());
         // A frozen process must not make up for the sweeps it has missed.
         sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/dotterel-node/src/http/limits/bytes.rs
+++ b/crates/dotterel-node/src/http/limits/bytes.rs
@@ -42,6 +42,11 @@
 }
 
 impl ByteGuard {
+    /// Returns the number of bytes held.
+    pub(super) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Acquires more bytes; returns false, and acquires nothing, if the budget has too few.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
--- a/crates/dotterel-node/src/http/limits/connections.rs
+++ b/crates/dotterel-node/src/http/limits/connections.rs
@@ -11,6 +11,7 @@
 
 use super::bytes::{ByteBudget, ByteGuard};
 use super::refusals::{Refusal, Refusals};
+use super::turns::ReadTurns;
 use super::{CONNECTION_BYTES, MIN_AGE_SWEEPS, SWEEP_INTERVAL};
 use crate::metrics::Metrics;
 
@@ -48,10 +49,14 @@
     idle_sweeps: u64,
     pub(super) is_closed: Cell<bool>,
     closed: Notify,
+    /// Set while the connection waits for a turn to read.
+    pub(super) awaits_turn: Cell<bool>,
     /// Bytes received since the request began.
     received: Cell<usize>,
     /// Bytes of its body among them.
     body: Cell<usize>,
+    /// Bytes of the read buffer.
+    buffer: RefCell<ByteGuard>,
     /// Bytes of a large reply that is being sent.
     reply: RefCell<Option<ByteGuard>>,
 }
@@ -67,11 +72,13 @@
         self.since.set(self.sweeps.get());
     }
 
-    /// Notes that bytes were received. Returns why the connection must be closed, if it must: its request has
-    /// brought more than `max_framing` bytes beyond what its body may.
+    /// Notes that bytes were received into a buffer of `capacity`. Returns why the connection must be closed,
+    /// if it must: its request has brought more than `max_framing` bytes beyond what its body may, or there
+    /// are too few bytes for the buffer.
     pub(in crate::http) fn received(
         &self,
         bytes: usize,
+        capacity: usize,
         max_framing: usize,
     ) -> Result<(), Refusal> {
         match self.phase.get() {
@@ -85,6 +92,11 @@
                 }
             }
         }
+        let mut buffer = self.buffer.borrow_mut();
+        let missing = capacity.saturating_sub(buffer.bytes());
+        if missing > 0 && !buffer.try_grow(missing) {
+            return Err(Refusal::BodyBudget);
+        }
         Ok(())
     }
 
@@ -201,6 +213,8 @@
     port: &'static str,
     max: usize,
     budget: Rc<ByteBudget>,
+    /// Turns in which the connections are read; `None` if they are under control.
+    turns: Option<Rc<ReadTurns>>,
     refusals: Rc<Refusals>,
     sweeps: Rc<Cell<u64>>,
     pub(super) connections: RefCell<SlotMap<DefaultKey, Rc<Connection>>>,
@@ -213,12 +227,14 @@
         port: &'static str,
         max: usize,
         budget: &Rc<ByteBudget>,
+        turns: Option<&Rc<ReadTurns>>,
         refusals: &Rc<Refusals>,
     ) -> Rc<Self> {
         Rc::new(Self {
             port,
             max,
             budget: Rc::clone(budget),
+            turns: turns.cloned(),
             refusals: Rc::clone(refusals),
             sweeps: Rc::default(),
             connections: RefCell::default(),
@@ -231,7 +247,13 @@
     pub fn unlimited() -> Rc<Self> {
         let refusals = Refusals::new(Rc::new(Metrics::new()), Clock::system());
         let budget = ByteBudget::new("unlimited", usize::MAX, &refusals);
-        Self::new("unlimited", usize::MAX, &budget, &refusals)
+        Self::new("unlimited", usize::MAX, &budget, None, &refusals)
+    }
+
+    /// Returns the turns in which the connections are read; `None` if they aren't limited.
+    #[must_use]
+    pub const fn turns(&self) -> Option<&Rc<ReadTurns>> {
+        self.turns.as_ref()
     }
 
     /// Returns the budget that the connections are charged to.
@@ -273,8 +295,11 @@
             idle_sweeps: to_sweeps(idle_timeout),
             is_closed: Cell::new(false),
             closed: Notify::new(),
+            awaits_turn: Cell::new(false),
             received: Cell::new(0),
             body: Cell::new(0),
+            // The number of connections is bounded, to half of the budget at most.
+            buffer: RefCell::new(self.budget.take(CONNECTION_BYTES)),
             reply: RefCell::default(),
         });
         *self.by_address.borrow_mut().entry(address).or_default() += 1;
@@ -282,8 +307,6 @@
             limits: Rc::clone(self),
             key: self.connections.borrow_mut().insert(Rc::clone(&connection)),
             connection,
-            // The number of connections is bounded, to half of the budget at most.
-            _bytes: self.budget.take(CONNECTION_BYTES),
         })
     }
 
@@ -350,7 +373,6 @@
     limits: Rc<ConnectionLimits>,
     key: DefaultKey,
     connection: Rc<Connection>,
-    _bytes: ByteGuard,
 }
 
 impl ConnectionGuard {
@@ -364,6 +386,8 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.limits.connections.borrow_mut().remove(self.key);
+        // Others may still refer to the connection.
+        *self.connection.buffer.borrow_mut() = self.limits.budget.guard();
         if !self.connection.is_closed.get() {
             self.limits.forget(self.connection.address);
         }
--- a/crates/dotterel-node/src/http/limits/tests.rs
+++ b/crates/dotterel-node/src/http/limits/tests.rs
@@ -200,17 +200,31 @@
     chunked.connection().begin_request();
     chunked.connection().begin_body();
     for _ in 0..262_144 {
-        let received = chunked.connection().received(CHUNK_BYTES, 32_768);
+        let received = chunked.connection().received(CHUNK_BYTES, 8192, 32_768);
         assert_eq!(received, Ok(()));
         chunked.connection().body_taken(1);
     }
     let endless = admit(&limits, 1).expect("there is a place");
     endless.connection().begin_request();
     endless.connection().begin_body();
-    let reads = (0..).take_while(|_| endless.connection().received(8192, 32_768).is_ok());
+    let reads = (0..).take_while(|_| endless.connection().received(8192, 8192, 32_768).is_ok());
     assert_eq!(reads.count(), 4);
 }
 
+/// Guards against read buffers that grow beyond what their connections are charged.
+#[test]
+fn larger_read_buffers_are_charged() {
+    let limits = small();
+    let used = limits.callers.used();
+    let guard = admit(&limits, 1).expect("there is a place");
+    assert_eq!(guard.connection().received(100, 8192, 32_768), Ok(()));
+    assert_eq!(limits.callers.used(), used + CONNECTION_BYTES);
+    assert_eq!(guard.connection().received(100, 16_384, 32_768), Ok(()));
+    assert_eq!(limits.callers.used(), used + 16_384);
+    drop(guard);
+    assert_eq!(limits.callers.used(), used);
+}
+
 /// Guards against pooled connections that are closed for new ones while slow heads are open.
 #[test]
 fn slow_heads_go_before_idle_connections() {
--- a/crates/dotterel-node/src/http/server.rs
+++ b/crates/dotterel-node/src/http/server.rs
@@ -267,11 +267,23 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(turns) = self.limits.turns()
+            && !turns.may_read(&self.connection, cx)
+        {
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         let bytes = buf.filled().len() - before;
-        if bytes > 0
-            && let Err(refusal) = self.connection.received(bytes, self.max_framing)
+        if bytes == 0 {
+            return read;
+        }
+        if let Some(turns) = self.limits.turns() {
+            turns.count(bytes);
+        }
+        if let Err(refusal) = self
+            .connection
+            .received(bytes, buf.capacity(), self.max_framing)
         {
             self.limits.record(refusal);
             return Poll::Ready(Err(io::Error::other(refusal.name())));
