Hold the history of a task only once it has one

2,000 legal jobs of 256 steps (14 KB each) took 299 MB of a node, 149 KB a job, and 100 jobs of 200,000 tasks, which are requests of 600 bytes, 3,141 MB: 31 MB a job (debug build, x86-64, no VM).

Cause: each task had four lists and two times for its failures, losses and saved states, and each step the advice and the reservation of a gang, empty for nearly all of them.

They are now allocated when they are first changed: a task takes 56 bytes, a step 88. The former run of a task stays in place, as a takeover sets it for all waiting tasks.

--- a/crates/dotterel-cell/src/cell/caps.rs
+++ b/crates/dotterel-cell/src/cell/caps.rs
@@ -9,7 +9,7 @@
 
 use super::tenants::{Account, account_index};
 use super::{Cell, CellEvent};
-use crate::job::{Job, Reservation, StepRef, StepState};
+use crate::job::{Job, Sparse, StepRef, StepState};
 use crate::plan::occupied_size;
 use crate::spec::{JobSpec, Step};
 use crate::tenant::{TenantNo, times};
@@ -122,7 +122,7 @@
         if step.gang
             && let Some(state) = self.step_state_mut(step_ref)
         {
-            state.reservation = Reservation::default();
+            state.reservation = Sparse::default();
         }
         true
     }
--- a/crates/dotterel-cell/src/cell/crashes.rs
+++ b/crates/dotterel-cell/src/cell/crashes.rs
@@ -289,6 +289,9 @@
             return;
         };
         let losses = task.lost_runs.len();
+        if losses == 0 {
+            return;
+        }
         task.lost_runs.retain(|lost| !lost.confirmed);
         if task.lost_runs.len() < losses {
             self.mark_changed(job, now);
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -12,11 +12,13 @@
 
 mod former_run;
 mod schedule;
+mod sparse;
 mod step;
 
 pub use former_run::{FormerRun, Release};
 pub use schedule::MAX_IDLE_ROUNDS;
-pub use step::{Advice, Allowed, Phase, Reservation, StepState, Task};
+pub use sparse::{Sparse, Unset};
+pub use step::{Advice, Allowed, History, Phase, Reservation, StepState, Task};
 
 new_key_type! {
     /// Key of a job in the cell.
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -1,9 +1,11 @@
 //! State of a step in one round: its tasks, advice and reservation.
 
+use std::ops::{Deref, DerefMut};
+
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
 
-use super::{FormerRun, ProgressDetail};
+use super::{FormerRun, ProgressDetail, Sparse, Unset};
 use crate::record::{LostRun, StepProgress, Suspicion, TaskMark};
 use crate::spec::Step;
 use crate::vm::VmKey;
@@ -32,7 +34,7 @@
     Done,
 }
 
-/// State of one task.
+/// State of one task. There may be hundreds of thousands of them, and most have no history.
 #[derive(Clone, Debug)]
 pub struct Task {
     /// Current phase.
@@ -41,6 +43,14 @@
     pub last_run: u32,
     /// Highest run number known; it can be that of an earlier term's run, and no current one.
     pub highest_run: u32,
+    /// The run before the next start, until that is confirmed; `None` before the first one.
+    pub former: Option<FormerRun>,
+    history: Sparse<History>,
+}
+
+/// What has happened to a task, apart from starting and being done.
+#[derive(Clone, Debug, Default)]
+pub struct History {
     /// Numbers of the failed runs.
     pub failed_runs: Vec<u32>,
     /// Saved state to resume from; empty for none.
@@ -53,8 +63,31 @@
     pub lost_at: Millis,
     /// When a run of the task was last found to be over although no end of it was listed.
     pub vanished_at: Millis,
-    /// The run before the next start, until that is confirmed; `None` before the first one.
-    pub former: Option<FormerRun>,
+}
+
+impl Unset for History {
+    const UNSET: &'static Self = &Self {
+        failed_runs: Vec::new(),
+        saved: CompactString::const_new(""),
+        avoided_vms: Vec::new(),
+        lost_runs: Vec::new(),
+        lost_at: Millis::ZERO,
+        vanished_at: Millis::ZERO,
+    };
+}
+
+impl Deref for Task {
+    type Target = History;
+
+    fn deref(&self) -> &History {
+        &self.history
+    }
+}
+
+impl DerefMut for Task {
+    fn deref_mut(&mut self) -> &mut History {
+        &mut self.history
+    }
 }
 
 impl Task {
@@ -151,6 +184,17 @@
     pub not_before: Millis,
 }
 
+impl Unset for Advice {
+    const UNSET: &'static Self = &Self {
+        requested: Vec::new(),
+        allowed: Vec::new(),
+        in_flight: 0,
+        in_flight_vms: Vec::new(),
+        requested_at: Millis::ZERO,
+        not_before: Millis::ZERO,
+    };
+}
+
 /// Capacity reserved for a gang until it can start.
 #[derive(Clone, Debug, Default)]
 pub struct Reservation {
@@ -160,6 +204,13 @@
     pub shortage: u32,
 }
 
+impl Unset for Reservation {
+    const UNSET: &'static Self = &Self {
+        slots: Vec::new(),
+        shortage: 0,
+    };
+}
+
 /// State of one step in a round.
 #[derive(Clone, Debug)]
 pub struct StepState {
@@ -174,9 +225,9 @@
     /// Numbers of the failed runs of the gang.
     pub failed_runs: Vec<u32>,
     /// Advice on the VMs that may run the step.
-    pub advice: Advice,
+    pub advice: Sparse<Advice>,
     /// Capacity reserved for the step.
-    pub reservation: Reservation,
+    pub reservation: Sparse<Reservation>,
     /// Time of the last attempt to place its waiting tasks.
     pub planned_at: Millis,
 }
@@ -187,13 +238,8 @@
             phase: Phase::Waiting,
             last_run: 0,
             highest_run: 0,
-            failed_runs: Vec::new(),
-            saved: CompactString::default(),
-            avoided_vms: Vec::new(),
-            lost_runs: Vec::new(),
-            lost_at: Millis::ZERO,
-            vanished_at: Millis::ZERO,
             former: None,
+            history: Sparse::default(),
         };
         Self {
             tasks: vec![task; step.count as usize],
@@ -201,8 +247,8 @@
             is_open: false,
             opened_at: now,
             failed_runs: Vec::new(),
-            advice: Advice::default(),
-            reservation: Reservation::default(),
+            advice: Sparse::default(),
+            reservation: Sparse::default(),
             planned_at: Millis::ZERO,
         }
     }
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -7,7 +7,7 @@
 use dotterel_kernel::{Millis, Size};
 
 use crate::cell::Cell;
-use crate::job::{Reservation, StepRef};
+use crate::job::{Sparse, StepRef};
 use crate::plan::advice::to_f32;
 use crate::plan::occupied_size;
 use crate::spec::Step;
@@ -124,7 +124,7 @@
                 self.guarded_rate.record();
             }
             if let Some(state) = self.step_state_mut(step_ref) {
-                state.reservation = Reservation::default();
+                state.reservation = Sparse::default();
                 state.planned_at = Millis::ZERO;
             }
             return;
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod ends_property;
 mod former_runs;
 mod gangs;
+mod held_bytes;
 mod interference;
 mod next_life;
 mod overload;
