Bound the memory of accepted jobs, and refuse at once beyond it

Cause: open jobs were bounded by their number alone, 20,000, "a few kilobytes each". A successor read all rows of the cell, and released none before all jobs were restored.

A job is now refused with 503 and Retry-After 2 if all jobs in memory would take more than 20 MB with it, by an estimate that follows from its specification. The bound is the same on all machines, as the next leader may be smaller, and a successor restores all that was accepted, whatever it takes. While the memory is full, a schedule opens one round at a time that has not begun: 1,000 schedules of 20 steps that become due would take 173 MB otherwise. Ended jobs, known for another two minutes, keep no list of remaining durations. A successor releases each row once it is restored.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -113,10 +113,12 @@
 /// Why a job was rejected for now, with the inputs of the decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalGround {
-    /// The cell holds as many open jobs as it may.
+    /// The cell holds as many open jobs as it may, or as many bytes of jobs.
     OpenJobs {
         /// Number of open jobs.
         open: usize,
+        /// Estimated bytes of all jobs in memory, with the one that was rejected.
+        held_bytes: usize,
     },
     /// Its queue crashes VMs, so that its jobs start slowly.
     CrashingQueue {
@@ -229,6 +231,7 @@
     held_stops: Vec<Order>,
     /// Sequence number of the last job change that has to be written.
     seq: u64,
+    job_bytes: admission::HeldBytes,
     pub(crate) plan_needed: bool,
     pub(crate) approval_rates: Vec<(CompactString, f32)>,
     pub(crate) advisers: Vec<Adviser>,
@@ -293,6 +296,7 @@
             risk: RiskBudget::default(),
             held_stops: Vec::new(),
             seq: 0,
+            job_bytes: admission::HeldBytes::default(),
             plan_needed: true,
             approval_rates: Vec::new(),
             advisers: Vec::new(),
--- a/crates/dotterel-cell/src/cell/admission.rs
+++ b/crates/dotterel-cell/src/cell/admission.rs
@@ -3,15 +3,28 @@
 use dotterel_kernel::Millis;
 
 use super::{Cancelled, Cell, Refusal, RefusalGround, RefusalKind, Submitted};
-use crate::job::{Job, JobState};
+use crate::job::{Footprint, Job, JobState};
 use crate::record::JobRecord;
 use crate::spec::JobId;
 
-/// Maximum number of open jobs in a cell. Each takes a few kilobytes, so this bounds memory.
+/// Maximum number of open jobs in a cell.
 const MAX_OPEN_JOBS: usize = 20_000;
+/// Maximum estimated bytes of all jobs in memory: what the smallest machine holds beside the VMs
+/// (docs/design/request-limits.md). Larger machines hold no more, as the next leader may be a smaller one. The
+/// largest job allowed takes less.
+const MAX_HELD_BYTES: usize = 20 << 20;
+/// Jobs that grow or end meanwhile are counted after this time at the latest.
+const COUNT_INTERVAL: Millis = Millis(250);
 /// Retry delay given to callers when the cell is full.
 const FULL_RETRY_AFTER: Millis = Millis::secs(2);
 
+/// Estimated bytes of all jobs in memory.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeldBytes {
+    bytes: usize,
+    counted_at: Millis,
+}
+
 impl Cell {
     /// Submits a job.
     pub fn submit(&mut self, id: JobId, mut record: JobRecord, now: Millis) -> Submitted {
@@ -28,7 +41,7 @@
             return Submitted::Never(over);
         }
         let refusal = self
-            .refuse_full()
+            .refuse_full(&record, now)
             .or_else(|| self.refuse_guarded(&record, now))
             .or_else(|| self.refuse_overload(id, &record, tenant, now));
         if let Some(refusal) = refusal {
@@ -44,6 +57,7 @@
         }
         let key = self.insert_job(job);
         self.new_jobs.push(key);
+        self.add_held_bytes(self.jobs[key].held_bytes());
         self.start_due_rounds(key, now);
         self.count_accepted(key, now);
         Submitted::New
@@ -82,19 +96,43 @@
         refused
     }
 
-    /// Refuses a job if the cell holds as many open jobs as it may.
-    fn refuse_full(&self) -> Option<Refusal> {
+    /// Refuses a job if the cell holds as many open jobs as it may, or if their memory would exceed its limit.
+    fn refuse_full(&mut self, record: &JobRecord, now: Millis) -> Option<Refusal> {
+        let held_bytes = self.held_bytes(now) + Footprint::of(&record.spec).bytes(1);
         // Ended jobs are retained for a while, so this avoids counting the open ones on each call.
-        if self.jobs.len() < MAX_OPEN_JOBS {
+        if self.jobs.len() < MAX_OPEN_JOBS && held_bytes <= MAX_HELD_BYTES {
             return None;
         }
         let open = self.open_jobs();
-        (open >= MAX_OPEN_JOBS).then_some(Refusal {
+        let is_full = open >= MAX_OPEN_JOBS || held_bytes > MAX_HELD_BYTES;
+        is_full.then_some(Refusal {
             retry_after: FULL_RETRY_AFTER,
-            ground: RefusalGround::OpenJobs { open },
+            ground: RefusalGround::OpenJobs { open, held_bytes },
         })
     }
 
+    /// Returns true if the jobs take as much memory as they may.
+    pub(super) fn is_memory_full(&mut self, now: Millis) -> bool {
+        self.held_bytes(now) >= MAX_HELD_BYTES
+    }
+
+    /// Adds bytes of jobs to those that were counted last.
+    pub(super) const fn add_held_bytes(&mut self, bytes: usize) {
+        self.job_bytes.bytes += bytes;
+    }
+
+    /// Returns the estimated bytes of all jobs, counted regularly. What is added meanwhile is included.
+    fn held_bytes(&mut self, now: Millis) -> usize {
+        if now.since(self.job_bytes.counted_at) >= COUNT_INTERVAL {
+            let bytes = self.jobs.values().map(Job::held_bytes).sum();
+            self.job_bytes = HeldBytes {
+                bytes,
+                counted_at: now,
+            };
+        }
+        self.job_bytes.bytes
+    }
+
     fn open_jobs(&self) -> usize {
         self.jobs.values().filter(|job| job.end.is_none()).count()
     }
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -305,8 +305,7 @@
             if let Some(job) = self.jobs.get_mut(*key) {
                 job.end_durable = true;
                 // The rest is never queried again, and the jobs that end within a day are many.
-                job.rounds = Vec::new();
-                job.spec = std::sync::Arc::default();
+                job.release();
             }
         }
         if let Some(keys) = &batch.stopping_vms {
--- a/crates/dotterel-cell/src/cell/rounds.rs
+++ b/crates/dotterel-cell/src/cell/rounds.rs
@@ -3,7 +3,7 @@
 use dotterel_kernel::Millis;
 
 use super::Cell;
-use crate::job::{JobKey, StepRef};
+use crate::job::{Crowding, JobKey, StepRef};
 use crate::spec::TaskName;
 
 /// While more steps wait, a schedule that is late starts its rounds one by one.
@@ -12,13 +12,23 @@
 impl Cell {
     /// Starts rounds of a job that are due.
     pub(super) fn start_due_rounds(&mut self, key: JobKey, now: Millis) {
-        let is_crowded = self.open_steps.len() > CROWDED_STEPS;
+        let crowding = if self.is_memory_full(now) {
+            Crowding::MemoryFull
+        } else if self.open_steps.len() > CROWDED_STEPS {
+            Crowding::ManySteps
+        } else {
+            Crowding::None
+        };
         let job = &mut self.jobs[key];
         if job.end.is_some() {
             return;
         }
         let restored = job.restored;
-        for number in job.start_due_rounds(is_crowded, now) {
+        let bytes_before = job.held_bytes();
+        let started = job.start_due_rounds(crowding, now);
+        let bytes = job.held_bytes() - bytes_before;
+        self.add_held_bytes(bytes);
+        for number in started {
             let due_at = self.jobs[key].due_at(number);
             if restored && due_at.is_some_and(|due_at| due_at <= self.took_over_at) {
                 self.note_earlier_term(key, number, now);
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -10,13 +10,15 @@
 use crate::spec::{JobId, JobSpec, Policy};
 use crate::tenant::TenantNo;
 
+mod footprint;
 mod former_run;
 mod schedule;
 mod sparse;
 mod step;
 
+pub use footprint::Footprint;
 pub use former_run::{FormerRun, Release};
-pub use schedule::MAX_IDLE_ROUNDS;
+pub use schedule::{Crowding, MAX_IDLE_ROUNDS};
 pub use sparse::{Sparse, Unset};
 pub use step::{Advice, Allowed, History, Phase, Reservation, StepState, Task};
 
@@ -134,6 +136,7 @@
     pub run_floor: u32,
     /// Set if the job was restored after a takeover.
     pub restored: bool,
+    footprint: Footprint,
 }
 
 impl Job {
@@ -141,6 +144,7 @@
     #[must_use]
     pub fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
         let steps = 0u16..u16::try_from(record.spec.steps.len()).unwrap_or(u16::MAX);
+        let footprint = Footprint::of(&record.spec);
         Self {
             id,
             objective: record.objective(),
@@ -168,9 +172,24 @@
             next_round: 0,
             run_floor: 0,
             restored: false,
+            footprint,
         }
     }
 
+    /// Returns the estimated bytes of the job in memory.
+    #[must_use]
+    pub const fn held_bytes(&self) -> usize {
+        self.footprint.bytes(self.rounds.len())
+    }
+
+    /// Releases what is never queried again of a job that has ended.
+    pub fn release(&mut self) {
+        self.rounds = Vec::new();
+        self.remaining = Vec::new();
+        self.spec = Arc::default();
+        self.footprint = Footprint::default();
+    }
+
     /// Returns true if a lane may write the job's rows.
     #[must_use]
     pub fn may_use_lane(&self, lane: u8) -> bool {
--- a/crates/dotterel-cell/src/job/schedule.rs
+++ b/crates/dotterel-cell/src/job/schedule.rs
@@ -19,6 +19,17 @@
 /// row of the store holds, as failures and losses add to it.
 const MAX_PROGRESS_BYTES: usize = 32 * 1024;
 
+/// What limits the open rounds of a cell beside the limits for each job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crowding {
+    /// Nothing.
+    None,
+    /// Many steps are open.
+    ManySteps,
+    /// The jobs take as much memory as they may.
+    MemoryFull,
+}
+
 /// Open rounds of a job, counted against the limits.
 #[derive(Clone, Copy, Debug, Default)]
 struct OpenRounds {
@@ -50,9 +61,10 @@
         later.saturating_add(1).min(rest)
     }
 
-    /// Starts rounds that are due, as far as the limits on open rounds allow. At most one round that is
-    /// already late is left to begin if `is_crowded` is set. Returns the numbers of those it has started.
-    pub fn start_due_rounds(&mut self, is_crowded: bool, now: Millis) -> Vec<u32> {
+    /// Starts rounds that are due, as far as the limits on open rounds allow. In a crowded cell, at most one
+    /// round that is already late is left to begin; at most one of any kind if the memory is full. Returns the
+    /// numbers of those it has started.
+    pub fn start_due_rounds(&mut self, crowding: Crowding, now: Millis) -> Vec<u32> {
         let mut started = Vec::new();
         let mut counts = None;
         loop {
@@ -63,10 +75,10 @@
             };
             let counts = counts.get_or_insert_with(|| self.count_rounds());
             let is_late = self.spec.repeats > 0 && now > due_at + self.objective;
-            let max_idle = if is_crowded && is_late {
-                1
-            } else {
-                MAX_IDLE_ROUNDS
+            let max_idle = match crowding {
+                Crowding::MemoryFull => 1,
+                Crowding::ManySteps if is_late => 1,
+                Crowding::ManySteps | Crowding::None => MAX_IDLE_ROUNDS,
             };
             if !self.has_room(*counts, max_idle) {
                 break;
--- a/crates/dotterel-node/src/scheduler/peers.rs
+++ b/crates/dotterel-node/src/scheduler/peers.rs
@@ -266,8 +266,8 @@
     let reason = refusal.ground.kind().name();
     let retry_ms = refusal.retry_after.0;
     match refusal.ground {
-        RefusalGround::OpenJobs { open } => log::info!(
-            job:% = id, tenant, queue, reason, retry_ms, open;
+        RefusalGround::OpenJobs { open, held_bytes } => log::info!(
+            job:% = id, tenant, queue, reason, retry_ms, open, held_bytes;
             "job refused"),
         RefusalGround::CrashingQueue {
             waiting,
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -47,7 +47,7 @@
                 return false;
             };
             jobs += rows.jobs.len();
-            ended += self.restore_jobs(lane, &rows, now);
+            ended += self.restore_jobs(lane, rows, now);
         }
         self.note_pass(Pass::Restore, restoring_since);
         log::info!(
@@ -170,11 +170,12 @@
         }
     }
 
-    /// Restores a lane's jobs; returns how many of them had ended.
-    fn restore_jobs(&self, lane: u8, rows: &LaneRows, now: Millis) -> usize {
+    /// Restores a lane's jobs, and releases their rows one by one; returns how many of them had ended.
+    fn restore_jobs(&self, lane: u8, rows: LaneRows, now: Millis) -> usize {
         let mut cell = self.cell.borrow_mut();
         let mut ended = 0;
-        for row in &rows.jobs {
+        let progress_rows = rows.progress;
+        for row in rows.jobs {
             let record = decode::<JobRow>(&row.value);
             let (Ok(id), Some(record)) = (row.key.parse::<JobId>(), record) else {
                 log::error!(key = row.key.as_str(), table = "jobs"; "failed to decode row");
@@ -197,9 +198,8 @@
                     continue;
                 }
             };
-            let progress = &rows.progress;
-            let index = progress.binary_search_by(|other| other.key.cmp(&row.key));
-            let written = index.ok().map(|index| &progress[index].value);
+            let index = progress_rows.binary_search_by(|other| other.key.cmp(&row.key));
+            let written = index.ok().map(|index| &progress_rows[index].value);
             let progress = written.and_then(|value| decode::<Progress>(value));
             if written.is_some() && progress.is_none() {
                 log::error!(key = row.key.as_str(), table = "progress"; "failed to decode row");
