Charge framing that a connection holds

A chunked body may bring 16 KB of trailers, which hyper holds until their end. 1,024 connections that stop short of it hold 16 MB beside the budget of callers, which is 16 MB on a machine of 120 MB.

A connection is now charged the framing of its request, up to its limit of 32 KB, like a read buffer that grows; how much of it are trailers isn't known before their end. framing_is_charged failed before.

--- a/crates/dotterel-node/src/http/limits/connections.rs
+++ b/crates/dotterel-node/src/http/limits/connections.rs
@@ -55,7 +55,7 @@
     received: Cell<usize>,
     /// Bytes of its body among them.
     body: Cell<usize>,
-    /// Bytes of the read buffer.
+    /// Bytes of the read buffer, and of framing that is held.
     buffer: RefCell<ByteGuard>,
     /// Bytes of a large reply that is being sent.
     reply: RefCell<Option<ByteGuard>>,
@@ -74,13 +74,15 @@
 
     /// Notes that bytes were received into a buffer of `capacity`. Returns why the connection must be closed,
     /// if it must: its request has brought more than `max_framing` bytes beyond what its body may, or there
-    /// are too few bytes for the buffer.
+    /// are too few bytes for what is held of it. Trailers are held until their end; how much of the framing
+    /// they are isn't known.
     pub(in crate::http) fn received(
         &self,
         bytes: usize,
         capacity: usize,
         max_framing: usize,
     ) -> Result<(), Refusal> {
+        let mut held = capacity;
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Head),
             Phase::Head => {}
@@ -90,10 +92,11 @@
                 if framing > max_framing + self.body.get() * FRAMING_PER_BODY_BYTE {
                     return Err(Refusal::Framing);
                 }
+                held = held.max(framing.min(max_framing));
             }
         }
         let mut buffer = self.buffer.borrow_mut();
-        let missing = capacity.saturating_sub(buffer.bytes());
+        let missing = held.saturating_sub(buffer.bytes());
         if missing > 0 && !buffer.try_grow(missing) {
             return Err(Refusal::BodyBudget);
         }
--- a/crates/dotterel-node/src/http/limits/tests.rs
+++ b/crates/dotterel-node/src/http/limits/tests.rs
@@ -219,6 +219,24 @@
     assert_eq!(reads.count(), 4);
 }
 
+/// Guards against trailers that are held without a charge.
+#[test]
+fn framing_is_charged() {
+    let limits = small();
+    let used = limits.callers.used();
+    let guard = admit(&limits, 1).expect("there is a place");
+    guard.connection().begin_request();
+    guard.connection().begin_body();
+    for _ in 0..3 {
+        assert_eq!(guard.connection().received(8192, 8192, 32_768), Ok(()));
+    }
+    assert_eq!(limits.callers.used(), used + 3 * 8192);
+    let others: Vec<_> = (0..9).map_while(|_| admit(&limits, 2)).collect();
+    assert_eq!(others.len(), 9);
+    let refused = guard.connection().received(8192, 8192, 32_768);
+    assert_eq!(refused, Err(Refusal::BodyBudget), "the budget is exhausted");
+}
+
 /// Guards against read buffers that grow beyond what their connections are charged.
 #[test]
 fn larger_read_buffers_are_charged() {
