review: sound jobs fail because broken workers crash

Cause: a task that was lost twice with a worker on which it had just begun is taken for the cause, and its job is shown as failed.

Change: case 12, a script in which 3 of 22 workers crash 80 ms after each start.

--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, clients and judges of the cases 11 to 15 that are scripts.
 
+mod broken_workers;
 mod cluster;
 mod http;
 mod json;
@@ -22,6 +23,7 @@
     cluster::limit_time();
     let held = match case.as_str() {
         "poison-job" => poison_job::run(folder),
+        "broken-workers" => broken_workers::run(folder),
         _ => {
             eprintln!("no case {case}");
             exit(2);
