review: a priority above 255 blocks a version of the configuration

Cause: the decoder holds a route's priority and attempts in a byte and gives up the whole configuration.

Change: case 13, a script in which the operator adds a route with priority 300 and drops another.

--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -2,6 +2,7 @@
 
 mod broken_workers;
 mod cluster;
+mod high_priority;
 mod http;
 mod json;
 mod poison_job;
@@ -24,6 +25,7 @@
     let held = match case.as_str() {
         "poison-job" => poison_job::run(folder),
         "broken-workers" => broken_workers::run(folder),
+        "high-priority" => high_priority::run(folder),
         _ => {
             eprintln!("no case {case}");
             exit(2);
