review: a configuration without tenants opens all routes

Cause: an empty list of tenants is taken for a deployment without keys.

Change: case 15, a script in which the last tenant leaves the configuration.

--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -5,6 +5,7 @@
 mod high_priority;
 mod http;
 mod json;
+mod no_tenants;
 mod poison_job;
 mod record;
 mod store;
@@ -26,6 +27,7 @@
         "poison-job" => poison_job::run(folder),
         "broken-workers" => broken_workers::run(folder),
         "high-priority" => high_priority::run(folder),
+        "no-tenants" => no_tenants::run(folder),
         _ => {
             eprintln!("no case {case}");
             exit(2);
--- a/review/stand-3/world.rs
+++ b/review/stand-3/world.rs
@@ -91,9 +91,25 @@
 
     /// Sends a client's request to a node. Returns the status and the body, or none without an answer.
     pub fn send(&self, node: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        self.send_with_key(node, method, path, body, "")
+    }
+
+    /// Does the same with the key of a tenant; empty for none.
+    pub fn send_with_key(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        key: &str,
+    ) -> Option<(u16, String)> {
         let node = &self.cluster.nodes[node % self.cluster.nodes.len()];
         let wait = CLIENT_WAIT.as_millis().to_string();
-        let headers = [("Host", HOST), ("Deadline-Ms", wait.as_str())];
+        let mut headers = vec![("Host", HOST), ("Deadline-Ms", wait.as_str())];
+        let bearer = format!("Bearer {key}");
+        if !key.is_empty() {
+            headers.push(("Authorization", bearer.as_str()));
+        }
         let answer = http::call(node.front, method, path, &headers, body, CLIENT_WAIT).ok();
         let shown = match &answer {
             Some((status, text)) => format!("{status} {text}"),
@@ -101,7 +117,7 @@
         };
         let sent: String = body.chars().take(160).collect();
         self.record
-            .line(&format!("{method} {path} to {}: {shown} {sent}", node.name));
+            .line(&format!("{method} {path} {key} to {}: {shown} {sent}", node.name));
         answer
     }
 
