review: a task that fails as the leader is replaced runs twice

The successor's first poll of a worker lists a run that fails just afterwards; the old leader, which still gets the answer to its own poll, starts the task again on a worker that the successor has not reached yet; the successor stops that run, and starts another one before it has ended.

--- a/review/stand-3/broken_workers.rs
+++ b/review/stand-3/broken_workers.rs
@@ -29,7 +29,10 @@
         milli_cores: 32_000,
         memory_mb: 65_536,
         hold_max: HOLD_MAX,
-        work: Box::new(|spec| Work {
+        stop_time: Duration::from_millis(50),
+        fail_after_takeover: None,
+        regions: 0,
+        work: Box::new(|spec, _| Work {
             takes: Duration::from_millis(if spec == "lasting" { 600_000 } else { 2000 }),
             fails: false,
         }),
--- a/review/stand-3/cluster.rs
+++ b/review/stand-3/cluster.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -46,16 +47,32 @@
     program: PathBuf,
 }
 
-/// Returns a free port of the loopback address.
+/// Ports for cases, below those that the system gives to connections.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+/// How many ports a case has to itself, so that cases can run at the same time.
+const PORTS_EACH: u32 = 200;
+
+/// Returns a free port of the loopback address, each time another one.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let shares = PORTS.len() as u32 / PORTS_EACH;
+    let first = PORTS.start + std::process::id() % shares * PORTS_EACH;
+    loop {
+        let given = GIVEN.fetch_add(1, Ordering::SeqCst);
+        if given >= PORTS_EACH {
+            return Err(io::Error::other("no free port"));
+        }
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", (first + given) as u16)) {
+            return listener.local_addr();
+        }
+    }
 }
 
 impl Cluster {
-    pub fn new(count: usize, store: SocketAddr, folder: PathBuf) -> io::Result<Self> {
+    pub fn new(stores: &[SocketAddr], folder: PathBuf) -> io::Result<Self> {
         fs::create_dir_all(&folder)?;
         let mut addresses = Vec::new();
-        for _ in 0..count {
+        for _ in stores {
             let mut each = Vec::new();
             for _ in 0..4 {
                 each.push(free_address()?);
@@ -68,7 +85,7 @@
             .map(|each| format!("\"{}\"", each[0]))
             .collect();
         let mut nodes = Vec::new();
-        for (number, each) in addresses.iter().enumerate() {
+        for (number, (each, store)) in addresses.iter().zip(stores).enumerate() {
             let name = format!("edge-z1-{}", number + 1);
             // What platform/settings.toml.template makes of the settings of carn-relay.
             let text = format!(
@@ -150,14 +167,6 @@
         ended.count()
     }
 
-    pub fn signal(&self, number: usize, signal: &str) {
-        if let Some(child) = &self.nodes[number].child {
-            let _ = Command::new("kill")
-                .args([signal, &child.id().to_string()])
-                .status();
-        }
-    }
-
     pub fn kill(&mut self, number: usize) {
         if let Some(mut child) = self.nodes[number].child.take() {
             let _ = child.kill();
--- a/review/stand-3/high_priority.rs
+++ b/review/stand-3/high_priority.rs
@@ -18,7 +18,10 @@
         milli_cores: 32_000,
         memory_mb: 65_536,
         hold_max: HOLD_MAX,
-        work: Box::new(|_| Work {
+        stop_time: Duration::from_millis(50),
+        fail_after_takeover: None,
+        regions: 0,
+        work: Box::new(|_, _| Work {
             takes: Duration::from_millis(540),
             fails: false,
         }),
--- a/review/stand-3/http.rs
+++ b/review/stand-3/http.rs
@@ -14,6 +14,8 @@
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    /// The first request of its connection.
+    pub is_first: bool,
 }
 
 impl Request {
@@ -102,6 +104,7 @@
 ) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream.try_clone()?;
+    let mut is_first = true;
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -122,6 +125,7 @@
             query: query.collect(),
             headers: Vec::new(),
             body: String::new(),
+            is_first: std::mem::take(&mut is_first),
         };
         let mut length = 0;
         loop {
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -9,6 +9,7 @@
 mod poison_job;
 mod record;
 mod store;
+mod two_runs;
 mod vm;
 mod world;
 
@@ -27,6 +28,7 @@
         "poison-job" => poison_job::run(folder),
         "broken-workers" => broken_workers::run(folder),
         "high-priority" => high_priority::run(folder),
+        "two-runs" => two_runs::run(folder),
         "no-tenants" => no_tenants::run(folder),
         _ => {
             eprintln!("no case {case}");
--- a/review/stand-3/no_tenants.rs
+++ b/review/stand-3/no_tenants.rs
@@ -20,7 +20,10 @@
         milli_cores: 64_000,
         memory_mb: 262_144,
         hold_max: HOLD_MAX,
-        work: Box::new(|_| Work {
+        stop_time: Duration::from_millis(50),
+        fail_after_takeover: None,
+        regions: 0,
+        work: Box::new(|_, _| Work {
             takes: Duration::from_millis(800),
             fails: false,
         }),
--- a/review/stand-3/poison_job.rs
+++ b/review/stand-3/poison_job.rs
@@ -21,7 +21,10 @@
         milli_cores: 32_000,
         memory_mb: 65_536,
         hold_max: HOLD_MAX,
-        work: Box::new(move |spec| Work {
+        stop_time: Duration::from_millis(50),
+        fail_after_takeover: None,
+        regions: 0,
+        work: Box::new(move |spec, _| Work {
             takes: Duration::from_millis(if spec == "large" { 8000 } else { 540 }),
             fails: trouble && spec == "large",
         }),
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -28,6 +28,10 @@
     /// Every change, oldest first; none for a removal.
     log: Vec<(u64, RowKey, Option<String>)>,
     rejected: u64,
+    /// The process whose transaction got a version.
+    writers: BTreeMap<u64, usize>,
+    /// The processes that get no answer at the moment.
+    silenced: Vec<usize>,
 }
 
 pub struct Store {
@@ -45,12 +49,45 @@
             started: Instant::now(),
             record,
         });
-        let handler = Arc::clone(&store);
-        let server = Server::start(address, move |request| handler.handle(request))?;
-        std::mem::forget(server);
+        store.listen(address, 0)?;
         Ok(store)
     }
 
+    /// Listens at an address of its own for a process.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr, process: usize) -> io::Result<()> {
+        let handler = Arc::clone(self);
+        let server = Server::start(address, move |request| {
+            if handler.is_silenced(process) {
+                while handler.is_silenced(process) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                return None;
+            }
+            handler.handle(request, process)
+        })?;
+        std::mem::forget(server);
+        Ok(())
+    }
+
+    fn is_silenced(&self, process: usize) -> bool {
+        self.state.lock().unwrap().silenced.contains(&process)
+    }
+
+    /// Gives a process no answer from now on, or answers it again. Nothing that it sends meanwhile takes effect.
+    pub fn silence(&self, process: usize, silent: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.silenced.retain(|other| *other != process);
+        if silent {
+            state.silenced.push(process);
+        }
+    }
+
+    /// Returns the process whose transaction got a version, which is the fencing token of a takeover.
+    pub fn holder(&self, fence: u64) -> Option<usize> {
+        let state = self.state.lock().unwrap();
+        state.writers.get(&fence).copied()
+    }
+
     /// Writes a row of the operator or of a worker.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
@@ -79,16 +116,16 @@
         self.state.lock().unwrap().rejected
     }
 
-    fn handle(&self, request: &Request) -> Answer {
+    fn handle(&self, request: &Request, process: usize) -> Answer {
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/rows-tx") => Some(self.transact(&request.body)),
+            ("POST", "/rows-tx") => Some(self.transact(&request.body, process)),
             ("GET", "/rows-get") => Some(self.read(request)),
             ("GET", "/rows-feed") => Some(self.feed(request)),
             _ => Some((404, String::new())),
         }
     }
 
-    fn transact(&self, body: &str) -> (u16, String) {
+    fn transact(&self, body: &str, process: usize) -> (u16, String) {
         let Some(call) = Json::parse(body) else {
             return (400, String::new());
         };
@@ -136,6 +173,7 @@
         }
         let version = state.version + 1;
         state.version = version;
+        state.writers.insert(version, process);
         for put in puts {
             let (at, value) = (key(put), put.get("value").text().to_owned());
             state.rows.insert(at.clone(), (value.clone(), version));
--- a/review/stand-3/vm.rs
+++ b/review/stand-3/vm.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -16,9 +17,10 @@
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 const MAX_LISTED_ENDS: usize = 500;
 const MAX_WAIT: Duration = Duration::from_millis(2000);
-/// How long a stop takes; the sites state 200 to 900 ms at most.
-const STOP_TIME: Duration = Duration::from_millis(50);
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(2);
+/// `in_zone_ms` and `cross_region_ms` of the sites.
+const IN_ZONE: Duration = Duration::from_micros(200);
+const CROSS_REGION: Duration = Duration::from_millis(8);
 
 /// What a task does on a worker.
 #[derive(Clone, Copy)]
@@ -33,8 +35,14 @@
     pub milli_cores: u64,
     pub memory_mb: u64,
     pub hold_max: Duration,
-    /// What a run of a task does, by its `spec`.
-    pub work: Box<dyn Fn(&str) -> Work + Send + Sync>,
+    /// How long a stop takes; `stop_ms` is 400.
+    pub stop_time: Duration,
+    /// What a run does, by the `spec` and the name of its task.
+    pub work: Box<dyn Fn(&str, &str) -> Work + Send + Sync>,
+    /// How long after a worker has first heard from another leader the runs that fail do so, if they haven't yet.
+    pub fail_after_takeover: Option<Duration>,
+    /// Number of regions; workers and processes are spread over them by their numbers. With 0, calls take no time.
+    pub regions: usize,
 }
 
 struct Run {
@@ -88,6 +96,7 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     state: Mutex<State>,
     changed: Condvar,
+    highest_fence: AtomicU64,
     server: Mutex<Option<Server>>,
 }
 
@@ -114,6 +123,7 @@
             seen: Arc::clone(seen),
             state: Mutex::new(new_life()),
             changed: Condvar::new(),
+            highest_fence: AtomicU64::new(0),
             server: Mutex::new(None),
         });
         vm.listen()?;
@@ -147,7 +157,7 @@
 
     fn listen(self: &Arc<Self>) -> io::Result<()> {
         let vm = Arc::clone(self);
-        let server = Server::start(self.address, move |request| vm.handle(request))?;
+        let server = Server::start(self.address, move |request| vm.handle_from_afar(request))?;
         *self.server.lock().unwrap() = Some(server);
         Ok(())
     }
@@ -268,6 +278,33 @@
         }
     }
 
+    /// Handles a call after the time that it takes to get here, and answers after the time that the answer takes.
+    fn handle_from_afar(&self, request: &Request) -> Answer {
+        let regions = self.plan.regions;
+        if regions == 0 {
+            return self.handle(request);
+        }
+        let fence = Json::parse(&request.body)?.get("fence").number();
+        if self.highest_fence.fetch_max(fence, Ordering::SeqCst) < fence && self.number < 3 {
+            self.record.line(&format!("{} gets a call with fence {fence}", self.id));
+        }
+        let is_near = self
+            .store
+            .holder(fence)
+            .is_none_or(|process| process % regions == self.number % regions);
+        let transit = if is_near { IN_ZONE } else { CROSS_REGION };
+        // A connection is opened first, which takes a packet in each direction.
+        thread::sleep(transit * if request.is_first { 3 } else { 1 });
+        let answer = self.handle(request);
+        thread::sleep(transit);
+        answer
+    }
+
+    /// Returns the highest fencing token that has been sent to the worker.
+    pub fn highest_fence(&self) -> u64 {
+        self.highest_fence.load(Ordering::SeqCst)
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         let call = Json::parse(&request.body)?;
         let expected = request.header("expect-instance");
@@ -285,6 +322,13 @@
         if fence < state.fence {
             return refuse("fence");
         }
+        if fence > state.fence
+            && let Some(delay) = self.plan.fail_after_takeover
+        {
+            for run in state.running.values_mut().filter(|run| run.work.fails) {
+                run.work.takes = run.work.takes.min(run.began.elapsed() + delay);
+            }
+        }
         state.fence = fence;
         let deadline = match call.get("deadline_ms") {
             Json::Num(value) => Some(Duration::from_millis(*value as u64)),
@@ -318,12 +362,12 @@
                 ));
                 self.seen.lock().unwrap().push(Seen {
                     vm: self.number,
-                    task,
+                    task: task.clone(),
                     run,
                     began: self.record.now(),
                     ended: None,
                 });
-                let work = (self.plan.work)(&spec);
+                let work = (self.plan.work)(&spec, &task);
                 let began = Instant::now();
                 state.running.insert(
                     key,
@@ -340,7 +384,7 @@
                 let barred = state.barred.entry(task.clone()).or_default();
                 *barred = (*barred).max(run);
                 if let Some(found) = state.running.get_mut(&(task, run)) {
-                    found.stops_at.get_or_insert(Instant::now() + STOP_TIME);
+                    found.stops_at.get_or_insert(Instant::now() + self.plan.stop_time);
                 }
                 Some((200, format!("{{{clock_text}}}")))
             }
@@ -355,7 +399,7 @@
                 let (born, known) = (state.born, state.last_end);
                 loop {
                     let left = until.saturating_duration_since(Instant::now());
-                    if left.is_zero() || state.last_end > known || !state.ended.is_empty() {
+                    if left.is_zero() || state.last_end > known {
                         break;
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
--- a/review/stand-3/world.rs
+++ b/review/stand-3/world.rs
@@ -72,7 +72,14 @@
         let vms = vms.collect::<io::Result<Vec<_>>>()?;
         let name = format!("review-3-{}", std::process::id());
         let temporary: PathBuf = std::env::temp_dir().join(name);
-        let mut cluster = Cluster::new(nodes, address, temporary)?;
+        // Each process has an address of its own for the store, so that one can be cut off from it.
+        let mut addresses = vec![address];
+        for process in 1..nodes {
+            let address = free_address()?;
+            store.listen(address, process)?;
+            addresses.push(address);
+        }
+        let mut cluster = Cluster::new(&addresses, temporary)?;
         cluster.start_all()?;
         if !cluster.wait_ready(Duration::from_secs(15)) {
             return Err(io::Error::other("the system isn't ready"));
