cell: wait for stops of the former leader before restored tasks start

What callers saw: after a takeover a task could run on two VMs at once, for up to the stop timeout. Found by a search over the cell with two leaders; no report of it is known.

Cause: a run that is being stopped is listed by its VM neither as running nor as ended until it is over. The successor left the capacity of VMs on the stored list of stops alone for the stop timeout, but took their first report for complete, and started the task elsewhere. Class: what may still run was asked of the VM that a task is placed on.

Now a VM that the former leader may have been stopping runs on counts as awaited until it has reported after the stop timeout, by its own clock, which starts with its first reply: from then on it rejects stops of the former leader. Polls of such VMs are timed to that moment. New jobs don't wait.

Evidence: single_run::restored_tasks_wait_until_stops_of_the_former_leader_are_over and new_jobs_start_beside_stops_of_the_former_leader failed before, as the restored job was started at once, and pass now.

Ruled out: storing which tasks are being stopped, as each stop would wait for a write of its own.

--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -46,7 +46,9 @@
             };
             vm.lease_end = vm.lease_end.max(report.clock + lease);
             if std::mem::take(&mut vm.may_be_stopping) {
-                vm.not_before = now + self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
+                let longest_stop = self.limits.stop_timeout + TAKEOVER_STOP_MARGIN;
+                vm.not_before = now + longest_stop;
+                vm.stops_end = report.clock + longest_stop;
             }
             self.update_vm_record(key);
         }
@@ -59,8 +61,10 @@
             vm.answered_at = now;
         }
         let last_end = vm.last_end;
-        let lists_rest = vm.awaited && !report.has_more_ends;
-        vm.awaited &= report.has_more_ends;
+        // A run that is being stopped is listed neither as running nor as ended.
+        let lists_all = !report.has_more_ends && report.clock >= vm.stops_end;
+        let lists_rest = vm.awaited && lists_all;
+        vm.awaited &= !lists_all;
         if lists_rest && was_fenced {
             // A newer leader may have acknowledged ends while the VM delayed its reply.
             self.confirmation.doubt_recovery(now);
@@ -118,6 +122,14 @@
         Some(requested)
     }
 
+    /// Returns the time until stops of an earlier term are over on a VM, for which recovery waits.
+    #[must_use]
+    pub fn awaited_stops(&self, key: VmKey, now: Millis) -> Option<Millis> {
+        let vm = self.vms.get(key).filter(|vm| vm.awaited && vm.fenced)?;
+        let left = vm.stops_end.since(vm.min_clock_at(now));
+        (left > Millis::ZERO).then_some(left)
+    }
+
     fn apply_running(&mut self, key: VmKey, reported: &ReportedRun, now: Millis) {
         let vm = &self.vms[key];
         let mut known = vm.find(reported.task, reported.run);
--- a/crates/dotterel-cell/src/vm.rs
+++ b/crates/dotterel-cell/src/vm.rs
@@ -273,6 +273,8 @@
     pub awaited: bool,
     /// Set if an earlier term may have ordered stops whose runs still occupy capacity.
     pub may_be_stopping: bool,
+    /// When such stops are over, on the VM's clock: its reports list all their ends from then on.
+    pub stops_end: Millis,
     /// Whether the store names the VM as one on which runs may be stopping.
     pub stops: StopRecord,
     /// No run is started before this time: runs that a previous leader ordered to stop occupy
@@ -323,6 +325,7 @@
             recorded: false,
             awaited: false,
             may_be_stopping: false,
+            stops_end: Millis::ZERO,
             stops: StopRecord::None,
             not_before: Millis::ZERO,
             used: Size::ZERO,
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -27,6 +27,7 @@
 mod shapes;
 mod shares;
 mod sim;
+mod single_run;
 mod speeds;
 mod stall;
 mod stored_lists;
--- a/crates/dotterel-node/src/scheduler/watch.rs
+++ b/crates/dotterel-node/src/scheduler/watch.rs
@@ -231,6 +231,9 @@
         if session.has_more_ends {
             wait = wait.min(BACKLOG_WAIT);
         }
+        if let Some(stops_end) = self.cell.borrow().awaited_stops(key, now) {
+            wait = wait.min(stops_end);
+        }
         wait = wait.min(HOLD_WAIT - session.delay);
         let polled = self.platform.hold(target, connection, lease, acked, wait);
         let report = polled.await?;
