cell: start a task only once no other run of it can be left

Cause: the successor knew run 1 on VM A. The old leader read from a poll that A still held that run 1 had failed, and started run 2 on VM B within its lease. The successor's first poll of B listed run 2, which it ordered to stop, but noted only in B's list of runs. When it read that run 1 had failed, the task waited and was started on a third VM. Whether another run of the task was left was asked nowhere.

Now a task keeps the runs that a VM has listed although they weren't its current one, also those that a restarted VM may have been ordered to start. Cell::startable_tasks answers for all starts (tasks one by one, gangs, retries, preempted and lasting tasks) whether one of them is still on its VM, and the same is asked again when a queued start is about to be sent. Such a run leaves its VM when its end is listed, when its stop is acknowledged and it is no longer listed, when the VM restarts, or when the lease has expired. Steps that may have copies are exempt.

Ruled out: a start without a lease, as the successor waits for all VMs that may hold one; an index of all runs by task, as only runs that aren't current ones matter, and these are few.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -36,6 +36,7 @@
 mod reports;
 mod restore;
 mod rounds;
+mod single_run;
 mod speeds;
 mod stop_list;
 mod suspect_queues;
--- a/crates/dotterel-cell/src/cell/caps.rs
+++ b/crates/dotterel-cell/src/cell/caps.rs
@@ -145,9 +145,7 @@
         if !cap.is_some_and(|cap| least_start(step).fits(&cap)) {
             return;
         }
-        let waiting = self
-            .step_state(step_ref)
-            .map_or(0, |state| self.startable_tasks(state).len());
+        let waiting = self.startable_tasks(step_ref).len();
         self.pledge(step_ref, step, u32::try_from(waiting).unwrap_or(u32::MAX));
     }
 
--- a/crates/dotterel-cell/src/cell/confirmation.rs
+++ b/crates/dotterel-cell/src/cell/confirmation.rs
@@ -11,7 +11,6 @@
 use slotmap::SecondaryMap;
 
 use super::{Cell, CellEvent};
-use crate::job::StepState;
 use crate::spec::TaskName;
 use crate::vm::VmKey;
 
@@ -173,11 +172,8 @@
         }
     }
 
-    /// Returns the indices of a step's waiting tasks of which no run can have ended unnoticed.
-    pub(crate) fn startable_tasks(&self, state: &StepState) -> Vec<u32> {
-        let sent_at = self.confirmation.sent_at;
-        let tasks = (0u32..).zip(&state.tasks);
-        let startable = tasks.filter(|(_, task)| task.is_startable(sent_at));
-        startable.map(|(index, _)| index).collect()
+    /// Returns when the last renewal of the leadership that succeeded was sent.
+    pub(super) const fn confirmed_at(&self) -> Millis {
+        self.confirmation.sent_at
     }
 }
--- a/crates/dotterel-cell/src/cell/queued_starts.rs
+++ b/crates/dotterel-cell/src/cell/queued_starts.rs
@@ -8,7 +8,7 @@
 use dotterel_kernel::Millis;
 
 use super::Cell;
-use crate::job::Phase;
+use crate::job::{Phase, Task};
 use crate::spec::TaskName;
 use crate::vm::{Delivery, RunPhase, START_ORDER_TIMEOUT, StartAnswer, Vm, VmKey, VmRun};
 
@@ -32,6 +32,8 @@
     Gone,
     /// The job has ended, or the task is done or placed elsewhere.
     NotWanted,
+    /// Another run of the task may be going on.
+    OtherRun,
     /// It has waited for too long.
     Overdue,
     /// The VM may not be given runs any more.
@@ -105,8 +107,9 @@
         if vm_run.phase != RunPhase::Starting {
             return Err(Withheld::Gone);
         }
-        if !self.is_placed(key, vm_run) {
-            return Err(Withheld::NotWanted);
+        let task = self.placed_task(key, vm_run).ok_or(Withheld::NotWanted)?;
+        if self.has_other_run(vm_run.task, task) {
+            return Err(Withheld::OtherRun);
         }
         let queued_at = vm_run.delivery.queued_at();
         if queued_at.is_some_and(|since| now.since(since) > START_ORDER_TIMEOUT) {
@@ -121,8 +124,8 @@
         Ok(())
     }
 
-    /// Returns true if a run is the one that its task waits for.
-    fn is_placed(&self, key: VmKey, vm_run: &VmRun) -> bool {
+    /// Returns the task of a run if it is the one that the task waits for.
+    fn placed_task(&self, key: VmKey, vm_run: &VmRun) -> Option<&Task> {
         let job = self
             .job_key(vm_run.task.job)
             .map(|job| &self.jobs[job])
@@ -130,7 +133,7 @@
         let round = job.and_then(|job| job.round(vm_run.task.round));
         let step = round.and_then(|round| round.steps.get(usize::from(vm_run.task.step)));
         let task = step.and_then(|step| step.tasks.get(vm_run.task.index as usize));
-        task.is_some_and(|task| task.phase == Phase::Placed(key) && task.last_run == vm_run.run)
+        task.filter(|task| task.phase == Phase::Placed(key) && task.last_run == vm_run.run)
     }
 
     /// Returns true if a VM may still be given a run that was placed on it.
--- a/crates/dotterel-cell/src/cell/registry.rs
+++ b/crates/dotterel-cell/src/cell/registry.rs
@@ -245,6 +245,7 @@
             }
             let (task, run) = (vm_run.task, vm_run.run);
             self.vms[key].add(vm_run);
+            self.note_other_run(key, task, run);
             self.push_stop(key, task, run, "VM restarted");
         }
     }
--- a/crates/dotterel-cell/src/cell/reports.rs
+++ b/crates/dotterel-cell/src/cell/reports.rs
@@ -191,6 +191,7 @@
         } else {
             run.phase = RunPhase::Stopping { acked_at: None };
             self.vms[key].add(run);
+            self.note_other_run(key, reported.task, reported.run);
             let reason = "task not expected on this VM";
             self.push_stop(key, reported.task, reported.run, reason);
         }
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -63,6 +63,8 @@
     pub lost_at: Millis,
     /// When a run of the task was last found to be over although no end of it was listed.
     pub vanished_at: Millis,
+    /// Runs on VMs that weren't the current one when they were found, and may have ended since.
+    pub other_runs: Vec<(VmKey, u32)>,
 }
 
 impl Unset for History {
@@ -73,6 +75,7 @@
         lost_runs: Vec::new(),
         lost_at: Millis::ZERO,
         vanished_at: Millis::ZERO,
+        other_runs: Vec::new(),
     };
 }
 
--- a/crates/dotterel-cell/src/plan.rs
+++ b/crates/dotterel-cell/src/plan.rs
@@ -171,10 +171,7 @@
     /// their tenant are left out.
     fn place_tasks(&mut self, step_ref: StepRef, step: &Step, now: Millis) -> Unplaced {
         let mut unplaced = Unplaced::default();
-        let Some(state) = self.step_state(step_ref) else {
-            return unplaced;
-        };
-        let waiting = self.startable_tasks(state);
+        let waiting = self.startable_tasks(step_ref);
         let mut headroom = self.startable_count(step_ref, step);
         let mut none_fits = false;
         let mut risked = None;
--- a/crates/dotterel-cell/src/plan/gang.rs
+++ b/crates/dotterel-cell/src/plan/gang.rs
@@ -235,7 +235,7 @@
         let Some(state) = self.step_state(step_ref) else {
             return 0;
         };
-        if self.startable_tasks(state).len() < state.tasks.len() {
+        if self.startable_tasks(step_ref).len() < state.tasks.len() {
             // The previous run has members that have not ended yet, or may have ended unnoticed.
             return 0;
         }
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -36,3 +36,4 @@
 mod takeover;
 mod tenant_report;
 mod tenant_terms;
+mod two_terms;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -256,12 +256,14 @@
     }
 }
 
-/// Rows that are durable, without the list of VMs on which runs may be stopping.
+/// Rows that are durable.
 #[derive(Default)]
 pub(crate) struct Store {
     jobs: BTreeMap<JobId, Vec<u8>>,
     progress: BTreeMap<JobId, Vec<u8>>,
     vm_lists: BTreeMap<u8, Vec<u8>>,
+    /// VMs on which runs may be stopping.
+    stops: Vec<u8>,
 }
 
 impl Store {
@@ -273,11 +275,19 @@
                 RowWrite::DropProgress(id) => drop(self.progress.remove(&id)),
                 RowWrite::DropJob(id) => drop(self.jobs.remove(&id)),
                 RowWrite::VmList(row, list) => drop(self.vm_lists.insert(row, list)),
-                RowWrite::StopList(_) => {}
+                RowWrite::StopList(list) => self.stops = list,
             }
         }
     }
 
+    /// Restores the list of VMs on which runs may be stopping, which `restore` leaves out.
+    pub(crate) fn restore_stop_list(&self, cell: &mut Cell) {
+        match decode::<Vec<CompactString>>(&self.stops) {
+            Some(ids) => cell.restore_stop_list(&ids),
+            None => cell.assume_stops_on_all(),
+        }
+    }
+
     /// Restores a cell whose leader's wall clock is `lag` behind that of the first one.
     pub(crate) fn restore(&self, cell: &mut Cell, lag: Millis, now: Millis) {
         for list in self.vm_lists.values() {
