cell: divide the progress of a job into as many rows as it takes

Each leader in turn built the same row, which the store refuses.

Cause: the progress row of a job lists the failed runs of each unfinished task, and its shortest form was written whatever its length. The row of the job itself and the list of VMs with stops weren't bounded either.

Now what doesn't fit the first row goes into pages, rows of their own, each with the history of the tasks from its start on. A page is written when its content has changed, and is divided when it outgrows its row. A new page is written before the row that its tasks leave; in between they are in both, and the page counts. So each row can be written by itself, in as many transactions as it takes, and the job's ends are acknowledged after the last of them. Progress takes about half of a transaction at most, and large jobs take turns. Pages are deleted once the end of the job is durable. A job of more than 56,000 bytes in its stored form is rejected with 400. A list of stops that is too long is left empty, which a successor takes for stops on all VMs.

Ruled out: a limit on tasks or attempts; a shorter form of equal tasks, whose worst case stays long; counting failures without their runs, as a successor may read an end again.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -201,6 +201,10 @@
     ending_jobs: Vec<JobKey>,
     /// Ended jobs whose rows are to be deleted, and the lanes that wrote them.
     expired_jobs: Vec<(JobId, u8)>,
+    /// Rows of the progress of ended jobs that are to be deleted.
+    expired_pages: Vec<batch::ExpiredPage>,
+    /// The last job of which only a part of the changed progress was written.
+    partly_written: JobKey,
     /// Rows of the list of VMs that have to be rewritten, sorted.
     changed_vm_rows: Vec<u8>,
     /// The list of VMs on which runs may be stopping has to be rewritten.
@@ -280,6 +284,8 @@
             changed_at: Millis::ZERO,
             ending_jobs: Vec::new(),
             expired_jobs: Vec::new(),
+            expired_pages: Vec::new(),
+            partly_written: JobKey::default(),
             changed_vm_rows: Vec::new(),
             // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -9,7 +9,7 @@
 
 use super::{Cell, CellEvent};
 use crate::job::{JobKey, JobState};
-use crate::record::{EndRecord, JobRecord, JobRow, encode};
+use crate::record::{EndRecord, JobRecord, JobRow, MAX_ROW_BYTES, PageStart, encode};
 use crate::spec::JobId;
 use crate::vm::VmKey;
 
@@ -30,10 +30,14 @@
 pub enum RowWrite {
     /// Writes the job's row when it is accepted or has ended.
     Job(JobId, Vec<u8>),
-    /// Writes the job's progress.
+    /// Writes the job's progress, or the first row of it.
     Progress(JobId, Vec<u8>),
+    /// Writes a further row of the job's progress.
+    ProgressPage(JobId, PageStart, Vec<u8>),
     /// Deletes the job's progress, which is no longer needed.
     DropProgress(JobId),
+    /// Deletes a further row of the progress of a job that has ended.
+    DropProgressPage(JobId, PageStart),
     /// Deletes the row of a job whose retention has expired.
     DropJob(JobId),
     /// Writes a row of the list of VMs that may have runs.
@@ -47,9 +51,10 @@
         match self {
             Self::Job(_, bytes)
             | Self::Progress(_, bytes)
+            | Self::ProgressPage(_, _, bytes)
             | Self::VmList(_, bytes)
             | Self::StopList(bytes) => bytes.len(),
-            Self::DropProgress(_) | Self::DropJob(_) => 0,
+            Self::DropProgress(_) | Self::DropProgressPage(..) | Self::DropJob(_) => 0,
         }
     }
 }
@@ -67,6 +72,8 @@
     seq: u64,
     lane: u8,
     jobs: Vec<JobKey>,
+    /// Jobs of which the batch writes only some of the progress that has changed.
+    partial_jobs: Vec<JobKey>,
     ended_jobs: Vec<JobKey>,
     /// VMs that the batch lists.
     listed_vms: Vec<VmKey>,
@@ -90,6 +97,7 @@
                 .expired_jobs
                 .iter()
                 .any(|(_, row_lane)| *row_lane == lane)
+            || self.expired_pages.iter().any(|page| page.lane == lane)
             || (lane == VM_LIST_LANE && (self.stops_changed || !self.changed_vm_rows.is_empty()))
     }
 
@@ -120,7 +128,7 @@
         self.take_ends(lane, &mut batch, &mut budget, now);
         self.take_new_jobs(&mut batch, &mut budget);
         self.take_expired(lane, &mut batch, &mut budget);
-        for key in &batch.jobs {
+        for key in batch.jobs.iter().chain(&batch.partial_jobs) {
             self.jobs[*key].lane = Some(lane);
         }
         batch
@@ -131,7 +139,14 @@
     fn take_vm_lists(&mut self, batch: &mut Batch, budget: &mut BatchBudget, now: Millis) {
         if self.stops_changed {
             let (ids, keys) = self.take_stop_list(now);
-            let write = RowWrite::StopList(encode(&ids));
+            let list = encode(&ids);
+            // A list that is longer than a row is left empty: a successor assumes stops on all VMs then.
+            let list = if list.len() <= MAX_ROW_BYTES {
+                list
+            } else {
+                Vec::new()
+            };
+            let write = RowWrite::StopList(list);
             // The first rows of a batch always fit.
             budget.try_add(std::slice::from_ref(&write));
             batch.stopping_vms = Some(keys);
@@ -161,6 +176,19 @@
             }
         }
         self.expired_jobs = remaining;
+        let mut remaining = Vec::new();
+        for page in std::mem::take(&mut self.expired_pages) {
+            let write = RowWrite::DropProgressPage(page.job, page.start);
+            let job = self.job_key(page.job).map(|key| &self.jobs[key]);
+            // Until the end is durable, a successor needs them.
+            let is_ended = job.is_none_or(|job| job.end_durable);
+            if page.lane == lane && is_ended && budget.try_add(std::slice::from_ref(&write)) {
+                batch.writes.push(write);
+            } else {
+                remaining.push(page);
+            }
+        }
+        self.expired_pages = remaining;
     }
 
     fn take_progress(&mut self, lane: u8, batch: &mut Batch, budget: &mut BatchBudget) {
@@ -168,36 +196,64 @@
         const PROGRESS_ROWS: usize = 40;
         /// The same while more rows wait than fit into a batch.
         const BACKLOG_PROGRESS_ROWS: usize = 12;
+        /// Bytes of a batch available to progress, with one row more. The rest is for callers as well.
+        const MAX_PROGRESS_BYTES: usize = 320_000;
         let waiting = self.new_jobs.len() + self.ending_jobs.len() * 2;
         let max_rows = if waiting > MAX_BATCH_ROWS - PROGRESS_ROWS {
             BACKLOG_PROGRESS_ROWS
         } else {
             PROGRESS_ROWS
         };
+        let mut bytes = 0;
         let mut remaining = Vec::new();
-        for key in std::mem::take(&mut self.changed_jobs) {
+        let mut changed = std::mem::take(&mut self.changed_jobs);
+        // Jobs whose progress takes several batches take turns.
+        let next = changed.partition_point(|key| *key <= self.partly_written);
+        changed.rotate_left(next);
+        for key in changed {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            if !job.may_use_lane(lane) || batch.writes.len() >= max_rows {
+            let is_full = batch.writes.len() >= max_rows || bytes >= MAX_PROGRESS_BYTES;
+            if !job.may_use_lane(lane) || is_full {
                 remaining.push(key);
                 continue;
             }
-            let (row, is_shortened) = job.progress_row();
+            let (rows, is_shortened) = job.changed_progress();
             if is_shortened && !job.has_long_progress {
                 job.has_long_progress = true;
                 self.events
                     .push(CellEvent::ProgressShortened { job: job.id });
             }
-            let write = RowWrite::Progress(job.id, row);
-            if !budget.try_add(std::slice::from_ref(&write)) {
+            let rows_left = rows.len();
+            let mut rows_taken = 0;
+            for row in rows {
+                let fits = bytes < MAX_PROGRESS_BYTES && batch.writes.len() < max_rows;
+                let length = row.bytes.len();
+                if !fits || !budget.has_room(length) {
+                    break;
+                }
+                job.note_written(&row);
+                let write = match row.page {
+                    Some(start) => RowWrite::ProgressPage(job.id, start, row.bytes),
+                    None => RowWrite::Progress(job.id, row.bytes),
+                };
+                budget.try_add(std::slice::from_ref(&write));
+                batch.writes.push(write);
+                bytes += length;
+                rows_taken += 1;
+            }
+            if rows_taken == rows_left {
+                batch.jobs.push(key);
+            } else {
                 remaining.push(key);
-                continue;
+                if rows_taken > 0 {
+                    self.partly_written = key;
+                    batch.partial_jobs.push(key);
+                }
             }
-            job.has_progress_row = true;
-            batch.jobs.push(key);
-            batch.writes.push(write);
         }
+        remaining.sort_unstable();
         self.changed_jobs = remaining;
     }
 
@@ -227,6 +283,19 @@
                 remaining.push(key);
                 continue;
             }
+            // There may be more pages than a transaction takes, and nobody reads them once the job has ended.
+            let pages = job.pages.iter().map(|page| ExpiredPage {
+                job: job.id,
+                start: page.start,
+                lane,
+            });
+            self.expired_pages.extend(pages);
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.pages = Vec::new();
+            }
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
             batch.ended.push(job.id);
             if !job.stored {
                 batch.accepted.push(job.id);
@@ -266,6 +335,11 @@
 
     /// Requeues the rows of a batch that is known not to have been written.
     pub fn batch_failed(&mut self, batch: &Batch, now: Millis) {
+        for key in batch.jobs.iter().chain(&batch.partial_jobs) {
+            if let Some(job) = self.jobs.get_mut(*key) {
+                job.forget_written();
+            }
+        }
         for key in &batch.jobs {
             let Some(job) = self.jobs.get_mut(*key) else {
                 continue;
@@ -284,6 +358,11 @@
         for write in &batch.writes {
             match write {
                 RowWrite::DropJob(id) => self.expired_jobs.push((*id, batch.lane)),
+                RowWrite::DropProgressPage(job, start) => self.expired_pages.push(ExpiredPage {
+                    job: *job,
+                    start: *start,
+                    lane: batch.lane,
+                }),
                 RowWrite::VmList(row, _) => self.mark_vm_list_row(*row),
                 RowWrite::StopList(_) => self.stops_changed = true,
                 _ => {}
@@ -324,6 +403,15 @@
     }
 }
 
+/// A row of the progress of a job that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExpiredPage {
+    pub(super) job: JobId,
+    pub(super) start: PageStart,
+    /// Lane that wrote it.
+    pub(super) lane: u8,
+}
+
 #[derive(Default)]
 struct BatchBudget {
     rows: usize,
@@ -331,6 +419,10 @@
 }
 
 impl BatchBudget {
+    const fn has_room(&self, bytes: usize) -> bool {
+        self.rows < MAX_BATCH_ROWS && (self.bytes + bytes <= MAX_BATCH_BYTES || self.rows == 0)
+    }
+
     fn try_add(&mut self, writes: &[RowWrite]) -> bool {
         let rows = self.rows + writes.len();
         let bytes = self.bytes + writes.iter().map(RowWrite::bytes).sum::<usize>();
--- a/crates/dotterel-cell/src/cell/restore.rs
+++ b/crates/dotterel-cell/src/cell/restore.rs
@@ -3,8 +3,9 @@
 use dotterel_kernel::Millis;
 
 use super::Cell;
+use super::batch::ExpiredPage;
 use crate::job::Job;
-use crate::record::{EndRecord, JobRecord, Progress};
+use crate::record::{EndRecord, JobRecord, PageStart, Progress};
 use crate::spec::JobId;
 
 impl Cell {
@@ -42,6 +43,23 @@
         self.restore_losses(key, now);
     }
 
+    /// Records the rows of a job's progress beyond the first one that an earlier term has written. They are
+    /// deleted if the job has ended.
+    pub fn restore_progress_pages(&mut self, id: JobId, starts: Vec<PageStart>, lane: u8) {
+        let job = self.job_key(id).map(|key| &mut self.jobs[key]);
+        match job.filter(|job| job.end.is_none()) {
+            Some(job) => job.restore_pages(starts),
+            None => {
+                let pages = starts.into_iter().map(|start| ExpiredPage {
+                    job: id,
+                    start,
+                    lane,
+                });
+                self.expired_pages.extend(pages);
+            }
+        }
+    }
+
     /// Restores a job of `tenant` that ended in an earlier term, from the rows of a lane. `tenant` is empty
     /// for a job without one.
     pub fn restore_ended_job(
--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -6,18 +6,20 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::record::{JobRecord, Progress, RoundProgress, encode};
+use crate::record::{JobRecord, Progress, RoundProgress};
 use crate::spec::{JobId, JobSpec, Policy};
 use crate::tenant::TenantNo;
 
 mod footprint;
 mod former_run;
+mod pages;
 mod schedule;
 mod sparse;
 mod step;
 
 pub use footprint::Footprint;
 pub use former_run::{FormerRun, Release};
+pub use pages::{ProgressPage, ProgressRow};
 pub use schedule::{Crowding, MAX_IDLE_ROUNDS};
 pub use sparse::{Sparse, Unset};
 pub use step::{Advice, Allowed, History, Phase, Reservation, StepState, Task};
@@ -57,8 +59,6 @@
     Full,
     /// Those of waiting tasks: VMs report those of running tasks again to a successor.
     WithoutRunning,
-    /// None: tasks that wait start over after a takeover.
-    WithoutSaved,
 }
 
 /// Identifies a step in a round of a job.
@@ -125,6 +125,8 @@
     pub has_long_progress: bool,
     /// Set once the job may have a progress row.
     pub has_progress_row: bool,
+    /// Rows of the progress beyond the first one, sorted.
+    pub pages: Vec<ProgressPage>,
     /// Time at which the job ended.
     pub ended_at: Millis,
     /// Rounds in progress, sorted. Those from `next_round` on were started by an earlier leader, and are
@@ -167,6 +169,7 @@
             durable_seq: 0,
             has_long_progress: false,
             has_progress_row: false,
+            pages: Vec::new(),
             ended_at: Millis::ZERO,
             rounds: Vec::new(),
             next_round: 0,
@@ -259,23 +262,6 @@
         opened
     }
 
-    /// Returns the progress to store for a successor, with as much detail as a row of the store holds, and
-    /// whether any was left out.
-    #[must_use]
-    pub fn progress_row(&self) -> (Vec<u8>, bool) {
-        /// The store accepts 65,536 bytes.
-        const MAX_ROW_BYTES: usize = 64_000;
-        let full = encode(&self.progress(ProgressDetail::Full));
-        if full.len() <= MAX_ROW_BYTES {
-            return (full, false);
-        }
-        let without_running = encode(&self.progress(ProgressDetail::WithoutRunning));
-        if without_running.len() <= MAX_ROW_BYTES {
-            return (without_running, true);
-        }
-        (encode(&self.progress(ProgressDetail::WithoutSaved)), true)
-    }
-
     fn progress(&self, detail: ProgressDetail) -> Progress {
         let rounds = self.rounds.iter().map(|round| round.progress(detail));
         Progress {
--- a/crates/dotterel-cell/src/job/step.rs
+++ b/crates/dotterel-cell/src/job/step.rs
@@ -23,6 +23,11 @@
 /// good never tells.
 const MAX_VERDICT_WAIT: Millis = Millis::secs(3);
 
+/// Longer states of tasks aren't stored: with all else, the history of a task has to fit a row.
+const MAX_SAVED_BYTES: usize = 16_000;
+/// Losses of a task that are stored, the latest ones; each may take 400 bytes.
+const MAX_LOST_RUNS: usize = 64;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -98,8 +103,9 @@
     fn mark(&self, index: u32, detail: ProgressDetail) -> Option<TaskMark> {
         let keeps_saved = match detail {
             ProgressDetail::Full => true,
-            ProgressDetail::WithoutRunning => self.phase == Phase::Waiting,
-            ProgressDetail::WithoutSaved => false,
+            ProgressDetail::WithoutRunning => {
+                self.phase == Phase::Waiting && self.saved.len() <= MAX_SAVED_BYTES
+            }
         };
         let saved = if keeps_saved {
             self.saved.clone()
@@ -113,7 +119,8 @@
             failed_runs: self.failed_runs.clone(),
             last_run: self.highest_run,
             saved,
-            lost_runs: self.lost_runs.clone(),
+            lost_runs: self.lost_runs[self.lost_runs.len().saturating_sub(MAX_LOST_RUNS)..]
+                .to_vec(),
         })
     }
 
--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -1,11 +1,17 @@
 //! Records kept in the store for each job, and their encoding.
 
+use std::fmt;
+use std::str::FromStr;
+
 use compact_str::CompactString;
 use dotterel_kernel::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::job::JobState;
-use crate::spec::{JobSpec, Policy};
+use crate::spec::{JobSpec, Policy, SpecError};
+
+/// Maximum length of a row. The store accepts 65,536 bytes.
+pub const MAX_ROW_BYTES: usize = 64_000;
 
 /// Record written when a job is accepted.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -42,6 +48,125 @@
     pub next_round: u32,
 }
 
+impl Progress {
+    /// Removes and returns the history of the tasks from `start` on. Which tasks are done stays.
+    #[must_use]
+    pub fn split_off(&mut self, start: PageStart) -> Self {
+        let mut rest = Self::default();
+        for round in &mut self.rounds {
+            let number = round.round;
+            let mut steps: Vec<StepProgress> = Vec::new();
+            for (step, progress) in (0u16..).zip(&mut round.steps) {
+                let at = |index| PageStart {
+                    round: number,
+                    step,
+                    index,
+                };
+                let kept = progress
+                    .marks
+                    .partition_point(|mark| at(mark.index) < start);
+                let mut cut = StepProgress {
+                    marks: progress.marks.split_off(kept),
+                    ..StepProgress::default()
+                };
+                if at(0) >= start {
+                    cut.failed_runs = std::mem::take(&mut progress.failed_runs);
+                }
+                if !cut.marks.is_empty() || !cut.failed_runs.is_empty() {
+                    steps.resize(usize::from(step), StepProgress::default());
+                    steps.push(cut);
+                }
+            }
+            if !steps.is_empty() {
+                rest.rounds.push(RoundProgress {
+                    round: number,
+                    steps,
+                });
+            }
+        }
+        rest
+    }
+
+    /// Adds the history in a page. What it says of a task replaces what was said before.
+    pub fn join(&mut self, page: Self) {
+        for cut in page.rounds {
+            let mut rounds = self.rounds.iter_mut();
+            // A round that the first row doesn't name is done, or isn't stored yet.
+            let Some(round) = rounds.find(|round| round.round == cut.round) else {
+                continue;
+            };
+            for (step, mut cut) in round.steps.iter_mut().zip(cut.steps) {
+                step.marks.append(&mut cut.marks);
+                cut.failed_runs
+                    .retain(|run| !step.failed_runs.contains(run));
+                step.failed_runs.append(&mut cut.failed_runs);
+            }
+        }
+    }
+
+    /// Returns a task that divides the history into two parts of about the same length; `None` if there is
+    /// that of one task at most.
+    #[must_use]
+    pub fn middle(&self) -> Option<PageStart> {
+        let mut sizes: Vec<(PageStart, usize)> = Vec::new();
+        for round in &self.rounds {
+            for (step, progress) in (0u16..).zip(&round.steps) {
+                let at = |index| PageStart {
+                    round: round.round,
+                    step,
+                    index,
+                };
+                if !progress.failed_runs.is_empty() {
+                    sizes.push((at(0), encode(&progress.failed_runs).len()));
+                }
+                let marks = progress.marks.iter();
+                sizes.extend(marks.map(|mark| (at(mark.index), encode(mark).len())));
+            }
+        }
+        let half = sizes.iter().map(|(_, size)| size).sum::<usize>() / 2;
+        let (first, _) = *sizes.first()?;
+        let mut before = 0;
+        let middle = sizes.iter().find(|(start, size)| {
+            let is_middle = before >= half && *start > first;
+            before += size;
+            is_middle
+        });
+        let last = sizes.last().filter(|(start, _)| *start > first);
+        middle.or(last).map(|(start, _)| *start)
+    }
+}
+
+/// Where a page of a job's progress begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PageStart {
+    /// Number of the round.
+    pub round: u32,
+    /// Index of the step.
+    pub step: u16,
+    /// Index of the task in its step.
+    pub index: u32,
+}
+
+impl fmt::Display for PageStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.round, self.step, self.index)
+    }
+}
+
+impl FromStr for PageStart {
+    type Err = SpecError;
+
+    fn from_str(text: &str) -> Result<Self, SpecError> {
+        let mut parts = text.splitn(3, '.');
+        let mut next = || parts.next().ok_or(SpecError::Id);
+        Ok(Self {
+            round: next()?.parse().map_err(|_| SpecError::Id)?,
+            step: next()?.parse().map_err(|_| SpecError::Id)?,
+            index: next()?.parse().map_err(|_| SpecError::Id)?,
+        })
+    }
+}
+
 /// Progress of one round.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoundProgress {
--- a/crates/dotterel-cell/src/spec.rs
+++ b/crates/dotterel-cell/src/spec.rs
@@ -7,6 +7,8 @@
 use dotterel_kernel::{Millis, Size};
 use serde::{Deserialize, Serialize};
 
+use crate::record::encode;
+
 /// Maximum length of the text passed to tasks, in bytes, as stated in the interface for callers.
 pub const MAX_SPEC_BYTES: usize = 4000;
 /// Maximum number of steps of a job, far above what callers send.
@@ -16,6 +18,11 @@
 /// Maximum number of tasks of a job: which of them are done is kept in one row of the store.
 pub const MAX_JOB_TASKS: u32 = 200_000;
 
+/// Maximum length of an encoded job, in bytes. It is stored in one row, with its policy and tenant.
+pub const MAX_JOB_BYTES: usize = 56_000;
+/// Maximum length of the names of queues, services and tenants, in bytes.
+pub const MAX_NAME_BYTES: usize = 1000;
+
 /// Job id chosen by the caller: 16 hexadecimal digits, the letters in lower case. Ids that differ in the case
 /// of a letter would name one job.
 #[derive(
@@ -219,6 +226,8 @@
     TaskCount,
     /// The steps have more than [`MAX_JOB_TASKS`] tasks together.
     JobTaskCount,
+    /// The job is longer than [`MAX_JOB_BYTES`] once it is encoded.
+    TooLong,
     /// A step depends on itself or on a later step.
     After,
     /// The schedule has no period or too many rounds.
@@ -233,6 +242,7 @@
             Self::StepCount => "a job must have 1 to 256 steps",
             Self::TaskCount => "a step must have 1 to 20000 tasks",
             Self::JobTaskCount => "a job must have at most 200000 tasks",
+            Self::TooLong => "a job must have at most 56000 bytes in its stored form",
             Self::After => "a step may only come after earlier steps",
             Self::Schedule => "a schedule needs a period and at most 4294967295 occurrences",
         })
@@ -272,13 +282,17 @@
         if steps.iter().map(|step| step.count).sum::<u32>() > MAX_JOB_TASKS {
             return Err(SpecError::JobTaskCount);
         }
-        Ok(Self {
+        let spec = Self {
             text: raw.text,
             steps,
             repeats,
             first_due: raw.first_due,
             period: raw.period,
-        })
+        };
+        if encode(&spec).len() > MAX_JOB_BYTES {
+            return Err(SpecError::TooLong);
+        }
+        Ok(spec)
     }
 }
 
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -15,6 +15,7 @@
 mod gangs;
 mod held_bytes;
 mod interference;
+mod long_rows;
 mod next_life;
 mod overload;
 mod preemption;
--- a/crates/dotterel-cell/tests/cell/support.rs
+++ b/crates/dotterel-cell/tests/cell/support.rs
@@ -5,7 +5,7 @@
 use compact_str::{CompactString, format_compact};
 use dotterel_cell::cell::{DueStart, VmRecord, Withheld};
 use dotterel_cell::job::FormerRun;
-use dotterel_cell::record::{JobRow, decode};
+use dotterel_cell::record::{JobRow, PageStart, Progress, decode};
 use dotterel_cell::vm::Vm;
 use dotterel_cell::{
     AdviceRequest, AdviceTerms, Batch, Cell, JobId, JobRecord, JobSpec, Limits, Order, Policy,
@@ -261,6 +261,7 @@
 pub(crate) struct Store {
     jobs: BTreeMap<JobId, Vec<u8>>,
     progress: BTreeMap<JobId, Vec<u8>>,
+    pages: BTreeMap<(JobId, PageStart), Vec<u8>>,
     vm_lists: BTreeMap<u8, Vec<u8>>,
     /// VMs on which runs may be stopping.
     stops: Vec<u8>,
@@ -272,6 +273,10 @@
             match write {
                 RowWrite::Job(id, row) => drop(self.jobs.insert(id, row)),
                 RowWrite::Progress(id, row) => drop(self.progress.insert(id, row)),
+                RowWrite::ProgressPage(id, start, row) => {
+                    drop(self.pages.insert((id, start), row));
+                }
+                RowWrite::DropProgressPage(id, start) => drop(self.pages.remove(&(id, start))),
                 RowWrite::DropProgress(id) => drop(self.progress.remove(&id)),
                 RowWrite::DropJob(id) => drop(self.jobs.remove(&id)),
                 RowWrite::VmList(row, list) => drop(self.vm_lists.insert(row, list)),
@@ -280,6 +285,11 @@
         }
     }
 
+    /// Returns the number of rows with progress of jobs.
+    pub(crate) fn count_progress(&self) -> usize {
+        self.progress.len() + self.pages.len()
+    }
+
     /// Restores the list of VMs on which runs may be stopping, which `restore` leaves out.
     pub(crate) fn restore_stop_list(&self, cell: &mut Cell) {
         match decode::<Vec<CompactString>>(&self.stops) {
@@ -309,8 +319,17 @@
             };
             record.spec.first_due += lag;
             record.tenant = tenant;
-            let progress = self.progress.get(id).and_then(|row| decode(row));
+            let mut progress: Option<Progress> = self.progress.get(id).and_then(|row| decode(row));
+            let pages = self.pages.iter().filter(|((job, _), _)| job == id);
+            let mut starts = Vec::new();
+            for ((_, start), row) in pages {
+                starts.push(*start);
+                if let Some(progress) = &mut progress {
+                    progress.join(decode(row).expect("the row is valid"));
+                }
+            }
             cell.restore_job(*id, *record, progress.as_ref(), 0, now);
+            cell.restore_progress_pages(*id, starts, 0);
         }
     }
 }
--- a/crates/dotterel-cell/tests/spec.rs
+++ b/crates/dotterel-cell/tests/spec.rs
@@ -51,3 +51,23 @@
     assert!(accepted.is_ok());
     assert_eq!(rejected, Err(SpecError::JobTaskCount));
 }
+
+// Guards against a job whose own row the store refuses: its steps come after all earlier ones, or its names are long.
+#[test]
+fn a_job_whose_row_would_be_too_long_is_rejected() {
+    let mut raw = job_of(1);
+    raw.steps[0].step.count = 1;
+    raw.steps = vec![raw.steps[0].clone(); 256];
+    for (number, step) in (0..).zip(&mut raw.steps) {
+        step.after = (0..number).collect();
+        step.step.image = "a".repeat(40).into();
+    }
+    let mut named = job_of(1);
+    named.steps[0].step.label = "a".repeat(57_000).into();
+    let mut long = job_of(1);
+    long.text = "a".repeat(4000).into();
+
+    assert_eq!(JobSpec::try_from(raw).err(), Some(SpecError::TooLong));
+    assert_eq!(JobSpec::try_from(named).err(), Some(SpecError::TooLong));
+    assert_eq!(JobSpec::try_from(long).err(), None);
+}
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -4,9 +4,9 @@
 use std::time::Instant;
 
 use compact_str::CompactString;
-use dotterel_cell::JobId;
 use dotterel_cell::cell::{VM_LIST_LANE, VmRecord};
-use dotterel_cell::record::{JobRow, Progress, decode, encode};
+use dotterel_cell::record::{JobRow, PageStart, Progress, decode, encode};
+use dotterel_cell::{JobId, JobState};
 use dotterel_kernel::Millis;
 use futures_util::future::{join, join_all, join3};
 
@@ -30,6 +30,42 @@
     progress: Vec<Row>,
 }
 
+/// Returns the job and the start of a page of its progress from the key of the row.
+fn parse_page_key(key: &str) -> Option<(JobId, PageStart)> {
+    let (id, start) = key.split_once('.')?;
+    Some((id.parse().ok()?, start.parse().ok()?))
+}
+
+/// Joins the rows of a job's progress, which are sorted by key; returns the starts of its pages as well.
+fn join_progress(job: &str, rows: &[Row]) -> (Option<Progress>, Vec<PageStart>) {
+    let mut progress = None;
+    let mut pages = Vec::new();
+    let from = rows.partition_point(|row| row.key.as_str() < job);
+    for row in rows[from..]
+        .iter()
+        .take_while(|row| row.key.starts_with(job))
+    {
+        let Some(content) = decode::<Progress>(&row.value) else {
+            log::error!(key = row.key.as_str(), table = "progress"; "failed to decode row");
+            continue;
+        };
+        if row.key == job {
+            progress = Some(content);
+        } else if let Some((_, start)) = parse_page_key(&row.key) {
+            pages.push((start, content));
+        }
+    }
+    // The first row is written after the pages that take over from it.
+    pages.sort_unstable_by_key(|(start, _)| *start);
+    let starts = pages.iter().map(|(start, _)| *start).collect();
+    if let Some(progress) = &mut progress {
+        for (_, page) in pages {
+            progress.join(page);
+        }
+    }
+    (progress, starts)
+}
+
 impl<P: Platform> Scheduler<P> {
     /// Fences all lanes and restores the jobs in them, retrying without limit. Returns
     /// false if another node has taken over in the meantime.
@@ -198,13 +234,17 @@
                     continue;
                 }
             };
-            let index = progress_rows.binary_search_by(|other| other.key.cmp(&row.key));
-            let written = index.ok().map(|index| &progress_rows[index].value);
-            let progress = written.and_then(|value| decode::<Progress>(value));
-            if written.is_some() && progress.is_none() {
-                log::error!(key = row.key.as_str(), table = "progress"; "failed to decode row");
-            }
+            let (progress, pages) = join_progress(&row.key, &progress_rows);
             cell.restore_job(id, record, progress.as_ref(), lane, now);
+            cell.restore_progress_pages(id, pages, lane);
+        }
+        for row in progress_rows {
+            // Pages of jobs that had ended; those of open jobs have been restored.
+            if let Some((id, start)) = parse_page_key(&row.key)
+                && cell.state(id).is_none_or(JobState::is_final)
+            {
+                cell.restore_progress_pages(id, vec![start], lane);
+            }
         }
         ended
     }
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -383,6 +383,14 @@
     match write {
         RowWrite::Job(id, value) => tx.puts.push((Table::Jobs, key(id), value.clone())),
         RowWrite::Progress(id, value) => tx.puts.push((Table::Progress, key(id), value.clone())),
+        RowWrite::ProgressPage(id, start, value) => {
+            let key = format_compact!("{id}.{start}");
+            tx.puts.push((Table::Progress, key, value.clone()));
+        }
+        RowWrite::DropProgressPage(id, start) => {
+            let key = format_compact!("{id}.{start}");
+            tx.removes.push((Table::Progress, key));
+        }
         RowWrite::DropProgress(id) => tx.removes.push((Table::Progress, key(id))),
         RowWrite::DropJob(id) => tx.removes.push((Table::Jobs, key(id))),
         RowWrite::StopList(value) => {
