node: write all other rows when the store refuses one for its content

Cause: a transaction that was refused with 400 counted as not executed by a store that is away. Its rows were sent again, and joined by all others of the lane.

The next transaction of lane 0 renews the leadership alone. The following ones are halved until one job, or one list, is alone; it is set aside, tried again alone every 2 s, and logged with its rows, while all else is written. A new job whose row is refused gets 400.

Ruled out: acknowledging the ends of such a job all the same, as a successor would run its tasks again.

--- a/crates/dotterel-cell/src/cell.rs
+++ b/crates/dotterel-cell/src/cell.rs
@@ -31,6 +31,7 @@
 mod orders;
 mod overload;
 mod queued_starts;
+mod refused_rows;
 mod registry;
 pub(crate) mod replace;
 mod reports;
@@ -60,6 +61,7 @@
 pub use orders::{AdviceRequest, Order};
 pub use overload::Estimate;
 pub use queued_starts::{DueStart, Withheld};
+pub use refused_rows::RefusedBatch;
 pub use registry::{LossReason, LostVm};
 pub use tenant_report::{
     JobCounts, MAX_NAMED_TENANTS, OTHER_TENANTS, Preemption, RefusalKind, TenantFigures,
@@ -205,6 +207,8 @@
     expired_pages: Vec<batch::ExpiredPage>,
     /// The last job of which only a part of the changed progress was written.
     partly_written: JobKey,
+    /// Rows that the store has refused for their content.
+    refusals: refused_rows::Refusals,
     /// Rows of the list of VMs that have to be rewritten, sorted.
     changed_vm_rows: Vec<u8>,
     /// The list of VMs on which runs may be stopping has to be rewritten.
@@ -286,6 +290,7 @@
             expired_jobs: Vec::new(),
             expired_pages: Vec::new(),
             partly_written: JobKey::default(),
+            refusals: refused_rows::Refusals::default(),
             changed_vm_rows: Vec::new(),
             // A successor that finds no list delays its starts on all VMs.
             stops_changed: true,
--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -7,6 +7,7 @@
 
 use dotterel_kernel::Millis;
 
+use super::refused_rows::Unit;
 use super::{Cell, CellEvent};
 use crate::job::{JobKey, JobState};
 use crate::record::{EndRecord, JobRecord, JobRow, MAX_ROW_BYTES, PageStart, encode};
@@ -15,7 +16,7 @@
 
 /// Maximum rows per transaction. The store accepts 100 entries, and the writer adds some of its
 /// own.
-const MAX_BATCH_ROWS: usize = 94;
+pub(super) const MAX_BATCH_ROWS: usize = 94;
 /// Maximum bytes per transaction. The store accepts 1 MB of encoded text, which is a third larger
 /// than the bytes.
 const MAX_BATCH_BYTES: usize = 600_000;
@@ -23,7 +24,7 @@
 pub const VM_LIST_LANE: u8 = 0;
 /// How long progress is delayed to batch it. Losing progress that is not yet written costs no work,
 /// because the VMs keep the ends.
-const PROGRESS_DELAY: Millis = Millis(200);
+pub(super) const PROGRESS_DELAY: Millis = Millis(200);
 
 /// A change to a job's rows.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,16 +82,27 @@
     stopping_vms: Option<Vec<VmKey>>,
 }
 
+impl Batch {
+    pub(super) const fn lane(&self) -> u8 {
+        self.lane
+    }
+}
+
 impl Cell {
     /// Returns true if there are rows that only this lane may write.
     #[must_use]
     pub fn has_rows(&self, lane: u8, now: Millis) -> bool {
         let due = now.since(self.changed_at) >= PROGRESS_DELAY;
         let is_own = |key: &JobKey| {
-            self.jobs
-                .get(*key)
-                .is_some_and(|job| job.lane == Some(lane))
+            let job = self.jobs.get(*key);
+            job.is_some_and(|job| job.lane == Some(lane))
+                && self.refusals.is_due(Unit::Job(*key), now)
         };
+        let has_lists = self.stops_changed && self.refusals.is_due(Unit::StopList, now)
+            || self
+                .changed_vm_rows
+                .iter()
+                .any(|row| self.refusals.is_due(Unit::VmList(*row), now));
         self.ending_jobs.iter().any(is_own)
             || (due && self.changed_jobs.iter().any(is_own))
             || self
@@ -98,7 +110,7 @@
                 .iter()
                 .any(|(_, row_lane)| *row_lane == lane)
             || self.expired_pages.iter().any(|page| page.lane == lane)
-            || (lane == VM_LIST_LANE && (self.stops_changed || !self.changed_vm_rows.is_empty()))
+            || (lane == VM_LIST_LANE && has_lists)
     }
 
     /// Returns true if there are rows that any lane may write.
@@ -116,7 +128,8 @@
             lane,
             ..Batch::default()
         };
-        let mut budget = BatchBudget::default();
+        self.choose_refused(lane, now);
+        let mut budget = BatchBudget::new(self.refusals.row_limit(lane));
         if lane == VM_LIST_LANE {
             self.take_vm_lists(&mut batch, &mut budget, now);
         }
@@ -128,6 +141,7 @@
         self.take_ends(lane, &mut batch, &mut budget, now);
         self.take_new_jobs(&mut batch, &mut budget);
         self.take_expired(lane, &mut batch, &mut budget);
+        self.end_choice();
         for key in batch.jobs.iter().chain(&batch.partial_jobs) {
             self.jobs[*key].lane = Some(lane);
         }
@@ -137,7 +151,7 @@
     /// Takes the changed rows of the lists of VMs. VMs can't be used, and runs not stopped, before
     /// they are listed, so these rows go first.
     fn take_vm_lists(&mut self, batch: &mut Batch, budget: &mut BatchBudget, now: Millis) {
-        if self.stops_changed {
+        if self.stops_changed && self.refusals.allows(Unit::StopList) {
             let (ids, keys) = self.take_stop_list(now);
             let list = encode(&ids);
             // A list that is longer than a row is left empty: a successor assumes stops on all VMs then.
@@ -156,7 +170,9 @@
         for row in std::mem::take(&mut self.changed_vm_rows) {
             let (records, mut keys) = self.vm_list_content(row);
             let write = RowWrite::VmList(row, encode(&records));
-            if budget.try_add(std::slice::from_ref(&write)) {
+            if self.refusals.allows(Unit::VmList(row))
+                && budget.try_add(std::slice::from_ref(&write))
+            {
                 batch.listed_vms.append(&mut keys);
                 batch.writes.push(write);
             } else {
@@ -169,7 +185,10 @@
     fn take_expired(&mut self, lane: u8, batch: &mut Batch, budget: &mut BatchBudget) {
         let mut remaining = Vec::new();
         for (id, row_lane) in std::mem::take(&mut self.expired_jobs) {
-            if row_lane == lane && budget.try_add(&[RowWrite::DropJob(id)]) {
+            if row_lane == lane
+                && !self.refusals.is_choosing()
+                && budget.try_add(&[RowWrite::DropJob(id)])
+            {
                 batch.writes.push(RowWrite::DropJob(id));
             } else {
                 remaining.push((id, row_lane));
@@ -215,7 +234,8 @@
                 continue;
             };
             let is_full = batch.writes.len() >= max_rows || bytes >= MAX_PROGRESS_BYTES;
-            if !job.may_use_lane(lane) || is_full {
+            let is_allowed = self.refusals.allows(Unit::Job(key));
+            if !job.may_use_lane(lane) || is_full || !is_allowed {
                 remaining.push(key);
                 continue;
             }
@@ -263,7 +283,7 @@
             let Some(job) = self.jobs.get(key) else {
                 continue;
             };
-            if !job.may_use_lane(lane) {
+            if !job.may_use_lane(lane) || !self.refusals.allows(Unit::Job(key)) {
                 remaining.push(key);
                 continue;
             }
@@ -322,7 +342,9 @@
                 tenant: self.tenant_name(job.tenant).into(),
             };
             let write = RowWrite::Job(job.id, encode(&JobRow::open(record)));
-            if !budget.try_add(std::slice::from_ref(&write)) {
+            if !self.refusals.allows(Unit::Job(key))
+                || !budget.try_add(std::slice::from_ref(&write))
+            {
                 remaining.push(key);
                 continue;
             }
@@ -372,6 +394,7 @@
 
     /// Marks a batch as durable.
     pub fn batch_committed(&mut self, batch: &Batch) {
+        self.note_accepted(batch);
         for key in &batch.jobs {
             if let Some(job) = self.jobs.get_mut(*key) {
                 if !std::mem::replace(&mut job.stored, true) {
@@ -414,19 +437,28 @@
 
 #[derive(Default)]
 struct BatchBudget {
+    max_rows: usize,
     rows: usize,
     bytes: usize,
 }
 
 impl BatchBudget {
+    fn new(max_rows: usize) -> Self {
+        Self {
+            max_rows: max_rows.min(MAX_BATCH_ROWS),
+            ..Self::default()
+        }
+    }
+
     const fn has_room(&self, bytes: usize) -> bool {
-        self.rows < MAX_BATCH_ROWS && (self.bytes + bytes <= MAX_BATCH_BYTES || self.rows == 0)
+        self.rows < self.max_rows && (self.bytes + bytes <= MAX_BATCH_BYTES || self.rows == 0)
     }
 
     fn try_add(&mut self, writes: &[RowWrite]) -> bool {
         let rows = self.rows + writes.len();
         let bytes = self.bytes + writes.iter().map(RowWrite::bytes).sum::<usize>();
-        let fits = rows <= MAX_BATCH_ROWS && (bytes <= MAX_BATCH_BYTES || self.rows == 0);
+        // The first rows always fit.
+        let fits = self.rows == 0 || (rows <= self.max_rows && bytes <= MAX_BATCH_BYTES);
         if fits {
             self.rows = rows;
             self.bytes = bytes;
--- a/crates/dotterel-cell/tests/cell/main.rs
+++ b/crates/dotterel-cell/tests/cell/main.rs
@@ -21,6 +21,7 @@
 mod preemption;
 mod queued_starts;
 mod racks;
+mod refused_rows;
 mod replace;
 mod restarts;
 mod schedules;
--- a/crates/dotterel-node/src/election.rs
+++ b/crates/dotterel-node/src/election.rs
@@ -345,7 +345,7 @@
                 });
             }
             Commit::Conflict(_) => {}
-            Commit::NotDone | Commit::Unknown => self.sleep(POLL_INTERVAL).await,
+            Commit::NotDone | Commit::Refused | Commit::Unknown => self.sleep(POLL_INTERVAL).await,
         }
     }
 
--- a/crates/dotterel-node/src/platform.rs
+++ b/crates/dotterel-node/src/platform.rs
@@ -73,6 +73,8 @@
     Conflict(Vec<Row>),
     /// Not committed: the store is unavailable or busy.
     NotDone,
+    /// Not committed: the store rejects what the transaction contains, however often it is sent.
+    Refused,
     /// No response: the transaction may have been committed, or may still be.
     Unknown,
 }
--- a/crates/dotterel-node/src/scheduler/recovery.rs
+++ b/crates/dotterel-node/src/scheduler/recovery.rs
@@ -197,7 +197,7 @@
                     }
                     expected = row.version;
                 }
-                Commit::NotDone | Commit::Unknown => {
+                Commit::NotDone | Commit::Refused | Commit::Unknown => {
                     self.note_store_failure();
                     log::warn!(cell = self.cell_no.0, lane; "lane not fenced yet, retrying");
                     tokio::time::sleep(RETRY_INTERVAL.duration()).await;
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use compact_str::{CompactString, format_compact};
+use dotterel_cell::cell::RefusedBatch;
 use dotterel_cell::record::{decode, encode};
 use dotterel_cell::{Batch, RowWrite};
 use dotterel_kernel::Millis;
@@ -60,6 +61,8 @@
     Committed(u64),
     /// Not committed, and the store rejects other transactions as well.
     Rejected,
+    /// Not committed, as the store rejects the content.
+    Refused,
     /// Another node has taken over.
     LeadershipLost,
 }
@@ -71,6 +74,7 @@
         let mut version = self.lane_versions.borrow()[usize::from(lane)];
         let index = usize::from(lane);
         let mut count = 0;
+        let mut was_refused = false;
         loop {
             self.wait_for_rows(lane).await;
             let now = self.clock.now();
@@ -82,7 +86,12 @@
                     tokio::time::sleep(BATCH_INTERVAL.duration()).await;
                 }
             }
-            let batch = self.cell.borrow_mut().take_batch(lane, now);
+            // The leadership is renewed first, by itself.
+            let batch = if std::mem::take(&mut was_refused) && lane == 0 {
+                Batch::default()
+            } else {
+                self.cell.borrow_mut().take_batch(lane, now)
+            };
             count += 1;
             self.busy_since.borrow_mut()[index] = Some(now);
             let tx = self.build_tx(&batch, lane, version, count, releasing);
@@ -102,6 +111,12 @@
                     tokio::time::sleep(RETRY_INTERVAL.duration()).await;
                     continue;
                 }
+                TxOutcome::Refused => {
+                    was_refused = true;
+                    self.handle_refused(&batch);
+                    tokio::time::sleep(BATCH_INTERVAL.duration()).await;
+                    continue;
+                }
                 TxOutcome::LeadershipLost => {
                     self.end("another node has taken over");
                     return;
@@ -133,6 +148,38 @@
         }
     }
 
+    /// Has the rows of a refused transaction written without the one at fault.
+    fn handle_refused(&self, batch: &Batch) {
+        /// Rows that are named in the log.
+        const MAX_NAMED: usize = 4;
+        let cell = self.cell_no.0;
+        if batch.writes.is_empty() {
+            log::error!(cell; "store refuses the renewal of the leadership");
+            return;
+        }
+        let refused = self
+            .cell
+            .borrow_mut()
+            .batch_refused(batch, self.clock.now());
+        let rows = batch.writes.len();
+        let named: Vec<_> = batch.writes.iter().take(MAX_NAMED).map(describe).collect();
+        let named = named.join(", ");
+        log::error!(
+            cell, rows, first = named.as_str(), outcome:? = refused;
+            "store refuses rows for their content");
+        match refused {
+            RefusedBatch::NotAccepted(id) => {
+                let reason = "the store refuses the job";
+                log::info!(job:% = id, reason; "job refused");
+                self.reply_waiters(id, false, &Reply::Never(reason.into()));
+            }
+            RefusedBatch::GivenUp(id) => {
+                log::error!(job:% = id; "job failed, as its progress can't be stored");
+            }
+            RefusedBatch::Divided | RefusedBatch::SetAside(_) | RefusedBatch::Left => {}
+        }
+    }
+
     /// Records a renewal that was sent at `sent_at`, and releases at once what has waited for it.
     fn confirm_leadership(&self, sent_at: Millis) {
         let mut cell = self.cell.borrow_mut();
@@ -265,6 +312,7 @@
                 Commit::Done(version) => Some(TxOutcome::Committed(*version)),
                 Commit::Conflict(rows) => Some(self.resolve_conflict(rows, count)),
                 Commit::NotDone => None,
+                Commit::Refused => Some(TxOutcome::Refused),
                 Commit::Unknown => {
                     is_rejected = false;
                     None
@@ -378,6 +426,22 @@
     }
 }
 
+/// Names a row for the log, with its bytes.
+fn describe(write: &RowWrite) -> String {
+    match write {
+        RowWrite::Job(id, value) => format!("job {id} ({})", value.len()),
+        RowWrite::Progress(id, value) => format!("progress {id} ({})", value.len()),
+        RowWrite::ProgressPage(id, start, value) => {
+            format!("progress {id}.{start} ({})", value.len())
+        }
+        RowWrite::VmList(row, value) => format!("VM list {row} ({})", value.len()),
+        RowWrite::StopList(value) => format!("stops ({})", value.len()),
+        RowWrite::DropProgress(id) => format!("removal of progress {id}"),
+        RowWrite::DropProgressPage(id, start) => format!("removal of progress {id}.{start}"),
+        RowWrite::DropJob(id) => format!("removal of job {id}"),
+    }
+}
+
 fn append(tx: &mut Tx, write: &RowWrite) {
     let key = |id: &dotterel_cell::JobId| -> CompactString { format_compact!("{id}") };
     match write {
--- a/crates/dotterel-node/tests/scheduler/main.rs
+++ b/crates/dotterel-node/tests/scheduler/main.rs
@@ -15,6 +15,7 @@
 mod random_leaders;
 mod restarted_vm;
 mod small_links;
+mod stored_rows;
 mod support;
 mod tenants;
 mod two_leaders;
--- a/crates/dotterel-node/tests/scheduler/world.rs
+++ b/crates/dotterel-node/tests/scheduler/world.rs
@@ -37,6 +37,8 @@
     pub(crate) unregistered: RefCell<Vec<CompactString>>,
     /// Runs that have started: time, VM and task.
     pub(crate) starts: RefCell<Vec<(Millis, CompactString, TaskName)>>,
+    /// Transactions that write this row are refused for their content.
+    pub(crate) refused_row: RefCell<Option<(Table, CompactString)>>,
     /// How much longer than a read a transaction takes.
     pub(crate) commit_delay: Cell<Duration>,
     /// Transactions sent.
@@ -114,6 +116,7 @@
             odd_entry: RefCell::default(),
             unregistered: RefCell::default(),
             starts: RefCell::default(),
+            refused_row: RefCell::default(),
             commit_delay: Cell::default(),
             commits: Cell::default(),
             replies: RefCell::default(),
@@ -223,6 +226,29 @@
         self.rows.borrow_mut().insert(row_key, row);
     }
 
+    /// Returns the value of a row.
+    pub(crate) fn row(&self, part: &str, table: Table, key: &str) -> Option<Bytes> {
+        let rows = self.rows.borrow();
+        let row = rows.get(&(part.into(), table, key.into()));
+        row.map(|(_, value)| value.clone())
+    }
+
+    /// Returns the keys of all rows of a table.
+    pub(crate) fn keys(&self, table: Table) -> Vec<CompactString> {
+        let rows = self.rows.borrow();
+        let keys = rows.keys().filter(|(_, other, _)| *other == table);
+        keys.map(|(_, _, key)| key.clone()).collect()
+    }
+
+    /// Returns the number of the run of a task on a VM.
+    pub(crate) fn run_on(&self, id: &str, task: TaskName) -> Option<u32> {
+        let vms = self.vms.borrow();
+        let vm = vms.iter().find(|vm| vm.id == id)?;
+        let runs = vm.runs.borrow();
+        let found = runs.iter().find(|(other, _)| *other == task);
+        found.map(|(_, run)| *run)
+    }
+
     /// Returns the VMs on which a task is running.
     pub(crate) fn vms_running(&self, task: TaskName) -> Vec<CompactString> {
         let now = self.clock.now();
@@ -240,6 +266,15 @@
     }
 
     fn commit(&self, tx: &Tx) -> Commit {
+        let refused = self.refused_row.borrow();
+        let is_refused = |(table, key, _): &(Table, CompactString, Vec<u8>)| {
+            refused
+                .as_ref()
+                .is_some_and(|row| (row.0, &row.1) == (*table, key))
+        };
+        if tx.puts.iter().any(is_refused) {
+            return Commit::Refused;
+        }
         let key = |table: Table, key: &CompactString| (tx.part.clone(), table, key.clone());
         let mut rows = self.rows.borrow_mut();
         let current = |table: Table, name: &CompactString| {
