config: check keys whenever the configuration has the field tenants

Cause: keys were checked if the list had entries, so an empty one was the same as a configuration without the field.

Now keys are checked if the field is there. A node that has checked keys goes on to do so after a version without the field.

Not covered: a node that is started after a version without the field doesn't know that an earlier one had it.

--- a/crates/dotterel-node/src/config.rs
+++ b/crates/dotterel-node/src/config.rs
@@ -27,11 +27,20 @@
 
 impl ActiveConfig {
     /// Replaces the configuration by a higher version; returns false and changes nothing if it isn't higher.
-    pub fn apply(&self, latest: Configuration, source: &'static str) -> bool {
+    ///
+    /// Once keys were checked, they are checked until the process ends: a version without tenants opens no
+    /// route that was closed.
+    pub fn apply(&self, mut latest: Configuration, source: &'static str) -> bool {
         let before = self.version();
         if latest.version <= before {
             return false;
         }
+        if !latest.checks_keys && self.current().is_some_and(|config| config.checks_keys) {
+            log::warn!(
+                version = latest.version;
+                "configuration without tenants after one with tenants, no key is valid");
+            latest.checks_keys = true;
+        }
         log::info!(
             version = latest.version, before, queues = latest.routes.len(),
             tenants = latest.tenants.len(), keys = latest.keys.len(), source;
--- a/crates/dotterel-node/src/routes.rs
+++ b/crates/dotterel-node/src/routes.rs
@@ -74,7 +74,7 @@
     pub tenants: Vec<TenantTerms>,
     /// The API keys of the tenants.
     pub keys: KeyRing,
-    /// Set if the configuration lists tenants, well-formed or not.
+    /// Set if the configuration has a list of tenants, which may be empty or malformed.
     pub checks_keys: bool,
     /// The row that the configuration was decoded from.
     pub row: SecretBytes,
--- a/crates/dotterel-node/tests/keys.rs
+++ b/crates/dotterel-node/tests/keys.rs
@@ -1,5 +1,6 @@
 //! Tests of the API keys of a configuration.
 
+use dotterel_node::config::ActiveConfig;
 use dotterel_node::keys::KeyRing;
 use dotterel_node::routes::{Configuration, RequestLimits, SecretBytes};
 
@@ -52,3 +53,22 @@
     assert!(!shown.contains("107, 45"), "{shown}");
     assert!(shown.contains("KeyRing { keys: 1 }"), "{shown}");
 }
+
+/// Guards against a version without a list of tenants that opens all routes to callers with any key.
+#[test]
+fn keys_stay_checked_once_a_configuration_had_tenants() {
+    let with_keys = Configuration {
+        keys: KeyRing::new([(KEY, "red")]),
+        checks_keys: true,
+        ..Configuration::new(3, Vec::new(), RequestLimits::default())
+    };
+    let without = Configuration::new(4, Vec::new(), RequestLimits::default());
+    let (guarded, open) = (ActiveConfig::default(), ActiveConfig::default());
+
+    assert!(guarded.apply(with_keys, "test") && guarded.apply(without.clone(), "test"));
+    assert!(open.apply(without, "test"));
+
+    let checks_keys = |active: &ActiveConfig| active.current().map(|config| config.checks_keys);
+    assert_eq!(checks_keys(&guarded), Some(true));
+    assert_eq!(checks_keys(&open), Some(false));
+}
