--- a/crates/dotterel-node/src/routes.rs
+++ b/crates/dotterel-node/src/routes.rs
@@ -11,7 +11,7 @@
 use crate::keys::KeyRing;
 
 /// A queue, and the requests that are routed to it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Route {
     /// The queue's name.
     pub name: CompactString,
@@ -25,6 +25,8 @@
     pub policy: Policy,
     /// Set if its requests need no API key.
     pub is_public: bool,
+    /// Set if its entry is malformed: its requests match no queue, also none with a shorter prefix.
+    pub is_closed: bool,
 }
 
 /// Limits on callers' requests.
@@ -94,7 +96,7 @@
     }
 
     /// Finds the queue of a request: among the queues of its host, the one with the longest
-    /// matching path prefix.
+    /// matching path prefix. `None` if that one is closed.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, port)| {
@@ -104,9 +106,11 @@
                 host
             }
         });
-        self.routes
-            .iter()
-            .find(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix))
+        let mut routes = self.routes.iter();
+        let found = routes.find(|route| {
+            route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix)
+        });
+        found.filter(|route| !route.is_closed)
     }
 }
 
--- a/crates/dotterel-node/tests/config_check.rs
+++ b/crates/dotterel-node/tests/config_check.rs
@@ -26,6 +26,7 @@
                 ..Policy::default()
             },
             is_public: false,
+            is_closed: false,
         },
         unread: Vec::new(),
     }
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -351,6 +351,7 @@
         timeout: Millis::MAX,
         policy: job_record().policy,
         is_public,
+        is_closed: false,
     };
     let routes = vec![route("orders", false), route("open", true)];
     let mut tenants: Vec<_> = pairs.iter().map(|(tenant, _)| *tenant).collect();
