cell: count jobs as begun after a takeover only if a task was started

Cause: each restored job with a progress row counted as begun. Such a row is also written for a run that was lost with its VM, or is about to start in isolation, whose start may never have arrived.

Now a task that is done, has failed or has saved its state shows that its job has begun.

--- a/crates/dotterel-cell/src/job.rs
+++ b/crates/dotterel-cell/src/job.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::record::{JobRecord, Progress, RoundProgress};
+use crate::record::{JobRecord, Progress, RoundProgress, StepProgress};
 use crate::spec::{JobId, JobSpec, Policy};
 use crate::tenant::TenantNo;
 
@@ -281,7 +281,7 @@
             for (step, saved) in round.steps.iter_mut().zip(&saved.steps) {
                 step.restore(saved);
             }
-            self.started = true;
+            self.started |= saved.steps.iter().any(StepProgress::shows_start);
         }
         self.next_round = self.next_round.max(progress.next_round);
     }
--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -187,6 +187,18 @@
     pub failed_runs: Vec<u32>,
 }
 
+impl StepProgress {
+    /// Returns true if a task has certainly been started. Runs that were lost with their VM, and those of an
+    /// isolated start, may not have been: their starts may never have arrived.
+    #[must_use]
+    pub fn shows_start(&self) -> bool {
+        let mut marks = self.marks.iter();
+        !self.failed_runs.is_empty()
+            || self.done.iter().any(|bits| *bits != 0)
+            || marks.any(|mark| !mark.failed_runs.is_empty() || !mark.saved.is_empty())
+    }
+}
+
 /// Record of a task that is not done.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TaskMark {
--- a/crates/dotterel-cell/tests/cell/takeover.rs
+++ b/crates/dotterel-cell/tests/cell/takeover.rs
@@ -1,7 +1,9 @@
 //! A successor finds out what is running before it starts anything.
 
 use crate::support::{self, Bench, ended, independent_tasks, running, task};
-use dotterel_cell::record::{Progress, decode};
+use dotterel_cell::record::{
+    LostRun, Progress, RoundProgress, StepProgress, Suspicion, TaskMark, decode,
+};
 use dotterel_cell::{JobId, Report, RowWrite, RunOutcome};
 use dotterel_kernel::Millis;
 
@@ -525,3 +527,51 @@
     assert!(orders.is_empty(), "{orders:?}");
     assert_eq!(bench.vm(silent).runs.len(), 1);
 }
+
+/// Guards against jobs that count as begun after a takeover although no VM has carried out a start of theirs: a
+/// caller is told of too few that wait.
+#[test]
+fn a_job_whose_start_may_not_have_arrived_waits_after_a_takeover() {
+    let restored = |mark: TaskMark| {
+        let mut bench = Bench::successor(1);
+        let step = StepProgress {
+            done: vec![0],
+            marks: vec![mark],
+            failed_runs: Vec::new(),
+        };
+        let round = RoundProgress {
+            round: 0,
+            steps: vec![step],
+        };
+        let progress = Progress {
+            rounds: vec![round],
+            next_round: 1,
+        };
+        let (job, now) = (independent_tasks(1, 1000), bench.now);
+        bench
+            .cell
+            .restore_job(JobId(1), job, Some(&progress), 0, now);
+        bench.cell.pending("queue-1")
+    };
+    let lost = LostRun {
+        run: 1,
+        vm: "vm-000".into(),
+        address: "127.0.0.1:9000".into(),
+        incarnation: 7,
+        suspicion: Suspicion::Sole,
+        confirmed: false,
+    };
+
+    let unknown = restored(TaskMark {
+        last_run: 1,
+        lost_runs: vec![lost],
+        ..TaskMark::default()
+    });
+    let failed = restored(TaskMark {
+        last_run: 1,
+        failed_runs: vec![1],
+        ..TaskMark::default()
+    });
+
+    assert_eq!((unknown, failed), (1, 0));
+}
