cell: keep rows that are set aside alone also from deletions of pages

A transaction that tries a refused row again took deletions of pages of other jobs along. They can't be at fault, but the row is meant to be alone.

--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -201,7 +201,11 @@
             let job = self.job_key(page.job).map(|key| &self.jobs[key]);
             // Until the end is durable, a successor needs them.
             let is_ended = job.is_none_or(|job| job.end_durable);
-            if page.lane == lane && is_ended && budget.try_add(std::slice::from_ref(&write)) {
+            if page.lane == lane
+                && is_ended
+                && !self.refusals.is_choosing()
+                && budget.try_add(std::slice::from_ref(&write))
+            {
                 batch.writes.push(write);
             } else {
                 remaining.push(page);
@@ -215,7 +219,7 @@
         const PROGRESS_ROWS: usize = 40;
         /// The same while more rows wait than fit into a batch.
         const BACKLOG_PROGRESS_ROWS: usize = 12;
-        /// Bytes of a batch available to progress, with one row more. The rest is for callers as well.
+        /// Bytes of a batch available to progress, which the last row may exceed.
         const MAX_PROGRESS_BYTES: usize = 320_000;
         let waiting = self.new_jobs.len() + self.ending_jobs.len() * 2;
         let max_rows = if waiting > MAX_BATCH_ROWS - PROGRESS_ROWS {
@@ -245,7 +249,7 @@
                 self.events
                     .push(CellEvent::ProgressShortened { job: job.id });
             }
-            let rows_left = rows.len();
+            let rows_changed = rows.len();
             let mut rows_taken = 0;
             for row in rows {
                 let fits = bytes < MAX_PROGRESS_BYTES && batch.writes.len() < max_rows;
@@ -263,7 +267,7 @@
                 bytes += length;
                 rows_taken += 1;
             }
-            if rows_taken == rows_left {
+            if rows_taken == rows_changed {
                 batch.jobs.push(key);
             } else {
                 remaining.push(key);
--- a/crates/dotterel-cell/tests/cell/long_rows.rs
+++ b/crates/dotterel-cell/tests/cell/long_rows.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use dotterel_cell::job::{Crowding, Job, Phase, ProgressRow};
-use dotterel_cell::record::{MAX_ROW_BYTES, PageStart, Progress, decode};
+use dotterel_cell::job::{Crowding, Job, Phase, ProgressRow, Round};
+use dotterel_cell::record::{LostRun, MAX_ROW_BYTES, PageStart, Progress, Suspicion, decode};
 use dotterel_cell::{
     Batch, Cell, JobId, JobRecord, JobState, Limits, RowWrite, RunOutcome, TaskName,
 };
@@ -295,6 +295,60 @@
     tasks.map(|task| task.failed_runs.clone()).collect()
 }
 
+/// Guards against rows that outgrow their limit by what else is stored of tasks: saved states of waiting tasks,
+/// lost runs on VMs with long names, and rounds of a schedule that overlap.
+#[test]
+fn histories_of_every_kind_fit_their_rows() {
+    for seed in 1..=6 {
+        let mut random = Random::new(seed);
+        let mut record = large_job(2, 300, 255);
+        record.spec.steps[0].checkpoint = true;
+        record.spec.repeats = 1000;
+        record.spec.period = Millis(10);
+        let mut job = started(record);
+        let mut rows = Rows::new();
+        for beat in 0..20u32 {
+            job.start_due_rounds(Crowding::None, Millis(1000 + u64::from(beat) * 50));
+            for round in &mut job.rounds {
+                for task in round.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+                    match random.below(12) {
+                        0 => task.failed_runs.push(u32::MAX - beat),
+                        1 => task.saved = "s".repeat(1 + beat as usize * 100).into(),
+                        2 => task.lost_runs.push(lost_run(beat)),
+                        _ => {}
+                    }
+                }
+            }
+            write(&mut job, &mut rows, usize::MAX);
+            let restored = restore(&job, &rows);
+            assert_eq!(restored.rounds.len(), job.rounds.len());
+            for (round, known) in job.rounds.iter().zip(&restored.rounds) {
+                let tasks = |round: &Round| {
+                    let tasks = round.steps.iter().flat_map(|step| &step.tasks);
+                    let kept = tasks.map(|task| {
+                        let lost = task.lost_runs.len();
+                        (task.failed_runs.clone(), task.saved.clone(), lost)
+                    });
+                    kept.collect::<Vec<_>>()
+                };
+                assert_eq!(tasks(round), tasks(known), "seed {seed}");
+            }
+        }
+        assert!(rows.len() > 4, "seed {seed}");
+    }
+}
+
+fn lost_run(run: u32) -> LostRun {
+    LostRun {
+        run,
+        vm: "v".repeat(200).into(),
+        address: "127.0.0.1:9000".into(),
+        incarnation: 1_900_000_000_000,
+        suspicion: Suspicion::Sole,
+        confirmed: false,
+    }
+}
+
 /// Guards against a list of VMs with stops that is longer than a row. A successor then spares all VMs.
 #[test]
 fn a_list_of_stops_that_is_too_long_is_left_empty() {
