cell: try a refused end at intervals only, and answer those who cancelled a refused job

While the end of a job with several rows of progress was refused, the lane sent an empty transaction every 12 ms: whether its pages may be deleted was asked in one place and not in the other. Both ask the same function now. The count of refusals overflowed after 256 of them. Callers who had cancelled a new job that the store refuses got no answer until their deadline; they get 410.

refused_rows::an_end_that_stays_refused_is_tried_again_at_intervals failed before ("batches follow each other without end") and passes.

--- a/crates/dotterel-cell/src/cell/batch.rs
+++ b/crates/dotterel-cell/src/cell/batch.rs
@@ -109,7 +109,10 @@
                 .expired_jobs
                 .iter()
                 .any(|(_, row_lane)| *row_lane == lane)
-            || self.expired_pages.iter().any(|page| page.lane == lane)
+            || self
+                .expired_pages
+                .iter()
+                .any(|page| self.may_drop(page, lane))
             || (lane == VM_LIST_LANE && has_lists)
     }
 
@@ -198,11 +201,7 @@
         let mut remaining = Vec::new();
         for page in std::mem::take(&mut self.expired_pages) {
             let write = RowWrite::DropProgressPage(page.job, page.start);
-            let job = self.job_key(page.job).map(|key| &self.jobs[key]);
-            // Until the end is durable, a successor needs them.
-            let is_ended = job.is_none_or(|job| job.end_durable);
-            if page.lane == lane
-                && is_ended
+            if self.may_drop(&page, lane)
                 && !self.refusals.is_choosing()
                 && budget.try_add(std::slice::from_ref(&write))
             {
@@ -214,6 +213,12 @@
         self.expired_pages = remaining;
     }
 
+    /// Returns true if a lane may delete a page of an ended job. Until the end is durable, a successor needs it.
+    fn may_drop(&self, page: &ExpiredPage, lane: u8) -> bool {
+        let job = self.job_key(page.job).map(|key| &self.jobs[key]);
+        page.lane == lane && job.is_none_or(|job| job.end_durable)
+    }
+
     fn take_progress(&mut self, lane: u8, batch: &mut Batch, budget: &mut BatchBudget) {
         /// Rows of a batch available to progress; the rest is for callers waiting for a reply.
         const PROGRESS_ROWS: usize = 40;
@@ -308,18 +313,14 @@
                 continue;
             }
             // There may be more pages than a transaction takes, and nobody reads them once the job has ended.
-            let pages = job.pages.iter().map(|page| ExpiredPage {
+            let pages = std::mem::take(&mut self.jobs[key].pages);
+            let job = &self.jobs[key];
+            let pages = pages.into_iter().map(|page| ExpiredPage {
                 job: job.id,
                 start: page.start,
                 lane,
             });
             self.expired_pages.extend(pages);
-            if let Some(job) = self.jobs.get_mut(key) {
-                job.pages = Vec::new();
-            }
-            let Some(job) = self.jobs.get(key) else {
-                continue;
-            };
             batch.ended.push(job.id);
             if !job.stored {
                 batch.accepted.push(job.id);
--- a/crates/dotterel-cell/src/cell/refused_rows.rs
+++ b/crates/dotterel-cell/src/cell/refused_rows.rs
@@ -151,7 +151,8 @@
         };
         let known = self.refusals.set_aside.iter();
         let known = known.filter(|aside| aside.unit == unit);
-        let refusals = known.map(|aside| aside.refusals).sum::<u8>() + 1;
+        let refusals = known.map(|aside| aside.refusals).max().unwrap_or_default();
+        let refusals = refusals.saturating_add(1);
         self.refusals.set_aside.retain(|aside| aside.unit != unit);
         let job = match unit {
             Unit::Job(key) => self.jobs.get(key).map(|job| (key, job)),
--- a/crates/dotterel-cell/tests/cell/refused_rows.rs
+++ b/crates/dotterel-cell/tests/cell/refused_rows.rs
@@ -139,3 +139,43 @@
     assert!(refusals > 0);
     assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Queued));
 }
+
+/// Guards against an end that is refused for long: the count of its refusals overflowed after 256 of them, and
+/// between two of them empty transactions were sent, as the further rows of its progress were still to be deleted.
+#[test]
+fn an_end_that_stays_refused_is_tried_again_at_intervals() {
+    let mut bench = Bench::new(1);
+    bench.submit(1, independent_tasks(10_000, 1000));
+    bench.commit_all();
+    let ends = (0u32..10_000).map(|index| {
+        let number = u64::from(index) + 1;
+        ended(number, task(1, index), 1, RunOutcome::Failed)
+    });
+    let ends: Vec<_> = ends.collect();
+    bench.report(0, &[], &ends);
+    bench.advance(300);
+    bench.commit_all();
+    let pages = bench.cell.job(JobId(1)).map(|job| job.pages.len());
+    bench.cell.cancel(JobId(1), bench.now);
+
+    let mut batches = 0;
+    for _ in 0..300 {
+        while bench.cell.has_rows(0, bench.now) {
+            let batch = bench.cell.take_batch(0, bench.now);
+            if batch.ended.is_empty() {
+                bench.cell.batch_committed(&batch);
+            } else {
+                bench.cell.batch_refused(&batch, bench.now);
+            }
+            batches += 1;
+            assert!(batches < 400, "batches follow each other without end");
+        }
+        bench.advance(2000);
+    }
+
+    assert!(pages.is_some_and(|pages| pages > 0));
+    assert!(batches >= 300);
+    let batch = bench.cell.take_batch(0, bench.now);
+    bench.cell.batch_committed(&batch);
+    assert_eq!(bench.cell.state(JobId(1)), Some(JobState::Cancelled));
+}
--- a/crates/dotterel-node/src/scheduler/writer.rs
+++ b/crates/dotterel-node/src/scheduler/writer.rs
@@ -172,6 +172,7 @@
                 let reason = "the store refuses the job";
                 log::info!(job:% = id, reason; "job refused");
                 self.reply_waiters(id, false, &Reply::Never(reason.into()));
+                self.reply_waiters(id, true, &Reply::Cancelled(false));
             }
             RefusedBatch::GivenUp(id) => {
                 log::error!(job:% = id; "job failed, as its progress can't be stored");
