cell: keep failed runs whichever row of a job's progress is the older one

While nodes are updated one by one, a leader of the last version may follow one that has divided a job's progress: it reads and writes the first row alone. The next new leader let the older pages replace what that row says, so that failed runs were forgotten and a task could get too many attempts. Now failed runs of both rows hold, and of the rest that of the later run.

long_rows::a_page_that_is_older_than_the_first_row_takes_no_failure_away failed before ([1] instead of three runs).

--- a/crates/dotterel-cell/src/record.rs
+++ b/crates/dotterel-cell/src/record.rs
@@ -87,7 +87,8 @@
         rest
     }
 
-    /// Adds the history in a page. What it says of a task replaces what was said before.
+    /// Adds the history in a page. Either may be the older one: an earlier version of the program writes the first
+    /// row alone.
     pub fn join(&mut self, page: Self) {
         for cut in page.rounds {
             let mut rounds = self.rounds.iter_mut();
@@ -95,11 +96,17 @@
             let Some(round) = rounds.find(|round| round.round == cut.round) else {
                 continue;
             };
-            for (step, mut cut) in round.steps.iter_mut().zip(cut.steps) {
-                step.marks.append(&mut cut.marks);
-                cut.failed_runs
-                    .retain(|run| !step.failed_runs.contains(run));
-                step.failed_runs.append(&mut cut.failed_runs);
+            for (step, cut) in round.steps.iter_mut().zip(cut.steps) {
+                add_runs(&mut step.failed_runs, &cut.failed_runs);
+                for mark in cut.marks {
+                    match step
+                        .marks
+                        .binary_search_by_key(&mark.index, |known| known.index)
+                    {
+                        Ok(at) => step.marks[at].join(mark),
+                        Err(at) => step.marks.insert(at, mark),
+                    }
+                }
             }
         }
     }
@@ -215,6 +222,27 @@
     pub lost_runs: Vec<LostRun>,
 }
 
+impl TaskMark {
+    /// Adds what another record of the task says. A failed run is never forgotten; of the rest, that of the later
+    /// run holds.
+    fn join(&mut self, other: Self) {
+        add_runs(&mut self.failed_runs, &other.failed_runs);
+        if other.last_run >= self.last_run {
+            self.last_run = other.last_run;
+            self.saved = other.saved;
+            self.lost_runs = other.lost_runs;
+        }
+    }
+}
+
+fn add_runs(runs: &mut Vec<u32>, others: &[u32]) {
+    for run in others {
+        if !runs.contains(run) {
+            runs.push(*run);
+        }
+    }
+}
+
 /// A run that was lost with its VM, or is about to start in isolation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostRun {
--- a/crates/dotterel-cell/tests/cell/long_rows.rs
+++ b/crates/dotterel-cell/tests/cell/long_rows.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use dotterel_cell::job::{Crowding, Job, Phase, ProgressRow, Round};
-use dotterel_cell::record::{LostRun, MAX_ROW_BYTES, PageStart, Progress, Suspicion, decode};
+use dotterel_cell::record::{
+    LostRun, MAX_ROW_BYTES, PageStart, Progress, Suspicion, TaskMark, decode, encode,
+};
 use dotterel_cell::{
     Batch, Cell, JobId, JobRecord, JobState, Limits, RowWrite, RunOutcome, TaskName,
 };
@@ -295,6 +297,40 @@
     tasks.map(|task| task.failed_runs.clone()).collect()
 }
 
+/// Guards against failed runs that are lost as nodes are updated one by one: a leader of the last version reads and
+/// writes the first row alone, beside pages that are older by then.
+#[test]
+fn a_page_that_is_older_than_the_first_row_takes_no_failure_away() {
+    let mut job = started(large_job(2, 8000, 255));
+    let mut rows = Rows::new();
+    for task in job.rounds[0]
+        .steps
+        .iter_mut()
+        .flat_map(|step| &mut step.tasks)
+    {
+        task.failed_runs = vec![1];
+        task.highest_run = 1;
+    }
+    write(&mut job, &mut rows, usize::MAX);
+    let mut first: Progress = decode(&rows[&None]).expect("the row is valid");
+    let (last, failed) = (7999, vec![16_385, 16_386]);
+    let marks = &mut first.rounds[0].steps[1].marks;
+    assert!(marks.is_empty(), "the task's history is in a page");
+    marks.push(TaskMark {
+        index: last,
+        failed_runs: failed.clone(),
+        last_run: 16_386,
+        ..TaskMark::default()
+    });
+    rows.insert(None, encode(&first));
+
+    let restored = restore(&job, &rows);
+
+    let task = &restored.rounds[0].steps[1].tasks[7999];
+    assert_eq!(task.failed_runs, [failed, vec![1]].concat());
+    assert_eq!(task.highest_run, 16_386);
+}
+
 /// Guards against rows that outgrow their limit by what else is stored of tasks: saved states of waiting tasks,
 /// lost runs on VMs with long names, and rounds of a schedule that overlap.
 #[test]
