tests: a revoked key is refused on connections that are open

With the last tenant gone, neither its key nor an unknown one reaches the state of its job or can cancel it, on open connections and new ones.

--- a/crates/dotterel-node/tests/scheduler/tenants.rs
+++ b/crates/dotterel-node/tests/scheduler/tenants.rs
@@ -313,6 +313,49 @@
     });
 }
 
+/// Sends a request without a body on an open connection, and returns the status.
+async fn status_on(stream: &mut TcpStream, method: &str, path: &str, key: &str) -> u16 {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("the front reads");
+    let mut response = vec![0; 4096];
+    let read = timeout(Duration::from_secs(5), stream.read(&mut response)).await;
+    let length = read.expect("the front answers").expect("it is connected");
+    status_of(&String::from_utf8_lossy(&response[..length]))
+}
+
+/// Guards against a revoked key that is valid on connections which were open before, and against jobs of a tenant
+/// that anyone reaches once the last tenant has left.
+#[test]
+fn a_revoked_key_is_refused_on_open_connections() {
+    run(async {
+        let cell = start_cell("4 red:k-1").await;
+        let path = format!("/orders/{JOB}");
+        assert_eq!(cell.status("POST", &path, "k-1").await, 200);
+        let mut caller = TcpStream::connect(&*cell.address)
+            .await
+            .expect("it listens");
+        let mut stranger = TcpStream::connect(&*cell.address)
+            .await
+            .expect("it listens");
+        assert_eq!(status_on(&mut caller, "GET", &path, "k-1").await, 200);
+        assert_eq!(status_on(&mut stranger, "GET", &path, "k-9").await, 401);
+
+        assert!(apply(&cell.config, "5"), "a version without tenants");
+
+        for method in ["GET", "DELETE"] {
+            let found = status_on(&mut caller, method, &path, "k-1").await;
+            assert_eq!(found, 401, "{method}");
+            let found = status_on(&mut stranger, method, &path, "k-9").await;
+            assert_eq!(found, 401, "{method}");
+        }
+        assert_eq!(cell.status("POST", &path, "k-1").await, 401);
+        assert_eq!(cell.status("GET", &path, "").await, 401);
+    });
+}
+
 /// Guards against keys in the log lines about requests.
 #[test]
 fn no_log_line_about_a_request_shows_a_key() {
