tests: callers who have cancelled a job that the store refuses are answered

Run with that line of the writer taken out, this one waits for the second reply until its time is over; it passes with it.

--- a/crates/dotterel-node/tests/scheduler/stored_rows.rs
+++ b/crates/dotterel-node/tests/scheduler/stored_rows.rs
@@ -7,11 +7,14 @@
     self, JobRow, PageStart, Progress, RoundProgress, StepProgress, TaskMark,
 };
 use dotterel_cell::{JobId, JobState, TaskName};
-use dotterel_node::link::CellNo;
+use dotterel_kernel::Millis;
+use dotterel_node::link::{CellNo, Reply, Request, SchedulerMessage};
 use dotterel_node::platform::Table;
 use tokio::time::sleep;
 
-use crate::support::run_paused;
+use crate::support::{
+    OneVm, connect, next_message, request, run, run_paused, start_scheduler, submit,
+};
 use crate::two_leaders::{lead, stored_record};
 use crate::world::World;
 
@@ -73,6 +76,33 @@
     });
 }
 
+/// Guards against callers who have cancelled a job that the store refuses, and get no answer.
+#[test]
+fn callers_of_a_refused_job_are_answered() {
+    let platform = OneVm::new();
+    run(async {
+        let scheduler = start_scheduler(&platform).await;
+        let mut front = connect(&scheduler.address).await;
+        submit(&mut front, 1).await;
+        platform.refuses_jobs.set(true);
+        platform.store_delay.set(Millis(200));
+        let job = Box::new(stored_record(1));
+        request(&mut front, 2, Request::Submit(JobId(2), job)).await;
+        request(&mut front, 3, Request::Cancel(JobId(2))).await;
+
+        let mut replies = Vec::new();
+        while replies.len() < 2 {
+            if let SchedulerMessage::Reply(request, reply) = next_message(&mut front).await {
+                replies.push((request, reply));
+            }
+        }
+
+        let refused = Reply::Never("the store refuses the job".into());
+        let cancelled = Reply::Cancelled(false);
+        assert_eq!(replies, [(2, refused), (3, cancelled)]);
+    });
+}
+
 /// Returns progress with two failed runs of a task.
 fn failures_of(index: u32, run: u32) -> Progress {
     let mark = TaskMark {
--- a/crates/dotterel-node/tests/scheduler/support.rs
+++ b/crates/dotterel-node/tests/scheduler/support.rs
@@ -57,6 +57,8 @@
     pub(crate) silent_part: RefCell<CompactString>,
     /// Calls to the store fail at once.
     pub(crate) store_fails: Cell<bool>,
+    /// The store refuses the rows of jobs for their content.
+    pub(crate) refuses_jobs: Cell<bool>,
     /// The store rejects transactions.
     pub(crate) store_rejects: Cell<bool>,
     /// Number of transactions received, whatever became of them.
@@ -171,6 +173,9 @@
             return Commit::Unknown;
         }
         sleep(self.store_delay.get().duration()).await;
+        if self.refuses_jobs.get() && tx.puts.iter().any(|put| put.0 == Table::Jobs) {
+            return Commit::Refused;
+        }
         self.version.set(self.version.get() + 1);
         for (_, key, value) in tx.puts.iter().filter(|put| put.0 == Table::Role) {
             self.put_role(key, value);
